Streams resumed without the broken-off event; connections ended when idle at shutdown; loads awaited

Now one goes first, and a load that is late is expected again 30 ms later. - Fetches from the store: a copy is fetched elsewhere only for a lead of 0.3 s; an instance that starts is told which adapters engines were seen with. Ruled out: slow loads (they take 250 ms as stated, the order's way comes on top).

--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -16,9 +16,12 @@
 # The second is what the engines of both present deployments state; the first a tenth of it.
 WARM_LOAD: Final = 0.025
 COLD_LOAD: Final = 0.25
-# A load also takes a place and delays loads behind it; without this, copies would be made for a
-# lead of a few milliseconds.
-LOAD_COST: Final = 0.08
+# Adapters on their way from the store at once, over all engines, from which on each takes longer.
+FETCHES_AT_ONCE: Final = 8
+# What a load costs besides its time, in seconds of waiting. A fetch has a price of its own: about
+# a third of what an answer in time is worth, and waiting becomes lateness within a second.
+WARM_COST: Final = 0.03
+COLD_COST: Final = 0.3
 # Prompt tokens that an engine reads in a second, and what each running request adds to a step:
 # only the order of engines depends on them, so a rough value does.
 READ_RATE: Final = 19_000.0
@@ -91,16 +94,17 @@
 
 
 def _expect(state: EngineState, prompt_tokens: int) -> Choice | None:
-    load = 0.0
+    load = price = 0.0
     if not state.holds:
         if state.loading_left is not None:
             load = state.loading_left
         elif not state.loadable:
             return None
         else:
-            load = LOAD_COST + (WARM_LOAD if state.warm else COLD_LOAD)
+            load = WARM_LOAD if state.warm else COLD_LOAD
+            price = WARM_COST if state.warm else COLD_COST
             if state.free_places <= 0:
-                load += NO_PLACE_COST
+                price += NO_PLACE_COST
     reading = (state.waiting_tokens + prompt_tokens) / READ_RATE
     # Running requests slow each step while prompts are read piece by piece.
     wait = max(load, state.waiting_tokens / READ_RATE) + prompt_tokens / READ_RATE
@@ -109,5 +113,10 @@
         wait += ZONE_COST
     if state.kv_total and state.kv_tokens + prompt_tokens > MEMORY_FULL * state.kv_total:
         wait += MEMORY_COST
-    wait += FAILURE_COST * state.failing
+    wait += price + FAILURE_COST * state.failing
     return Choice(state.endpoint, not state.holds, wait)
+
+
+def load_time(warm: bool, under_way: int) -> float:
+    """Returns the expected seconds of a load, with so many others under way."""
+    return WARM_LOAD if warm else COLD_LOAD * max(1.0, (under_way + 1) / FETCHES_AT_ONCE)
--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_places.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_places.py
@@ -21,6 +21,8 @@
 RATES_KEPT: Final = 4000
 # Loads that may be on their way to one engine; engines refuse more.
 IN_TRANSIT: Final = 4
+# A load that takes this many seconds longer than expected is looked for in a report.
+LATE_MOST: Final = 0.5
 # A copy stays this many seconds after its load, as the request that wanted it is on its way.
 SETTLE: Final = 0.4
 
@@ -177,6 +179,20 @@
         self._places[key.name] = Place(key.version, PlaceState.READY, now, now)
         self._remember(key.name)
 
+    def not_yet(self, name: AdapterName, now: float, pause: float) -> bool:
+        """Notes that a copy that should be there is not; returns whether it may still be coming.
+
+        A load is taken to be late for so long after the time at which it was expected; after that
+        only a report can tell what became of it.
+        """
+        self._settle(now)
+        place = self._places.get(name)
+        if place is None or now - place.ready_at > LATE_MOST:
+            return False
+        place.state = PlaceState.LOADING
+        place.ready_at = now + pause
+        return True
+
     def gone(self, name: AdapterName) -> None:
         """Notes that a copy has left its place."""
         self._places.pop(name, None)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/door.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/door.py
@@ -100,7 +100,7 @@
         self._server: asyncio.Server | None = None
         self._web = web.Server(
             self._handle,
-            request_factory=_request,
+            request_factory=self._request,
             handler_cancellation=True,
             keepalive_timeout=KEEP_ALIVE,
             auto_decompress=False,
@@ -108,6 +108,7 @@
             max_field_size=LARGEST_HEADER,
             access_log=None,
         )
+        self._busy: set[RequestHandler] = set()
         self.in_progress = 0
         self.closing = False
 
@@ -116,6 +117,18 @@
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._web, host, port, backlog=BACKLOG)
 
+    def shut(self) -> None:
+        """Takes no new callers and ends each open connection as soon as it is idle."""
+        if self._server is not None:
+            self._server.close()
+        for conn in list(self._web.connections):
+            # A request that was parsed but not begun is in the connection's queue, which has no
+            # public name; ending such a connection would cut a request off.
+            if conn in self._busy or conn._messages:
+                conn.close()
+            else:
+                conn.force_close()
+
     async def close(self) -> None:
         """Stops listening and ends what is still open."""
         if self._server is not None:
@@ -138,8 +151,21 @@
             reply.cut()
         finally:
             self.in_progress -= 1
+            self._busy.discard(request.protocol)
         return reply.response or web.Response(status=500)
 
+    def _request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: RequestHandler,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        self._busy.add(protocol)
+        loop = asyncio.get_running_loop()
+        return web.BaseRequest(message, payload, protocol, writer, task, loop)
+
     async def _body(self, request: web.BaseRequest) -> bytes | None:
         """Returns the whole body, or None when it is too large."""
         if request.headers.get("Expect", "").lower() == "100-continue" and request.transport:
@@ -156,16 +182,6 @@
         return b"".join(parts)
 
 
-def _request(
-    message: RawRequestMessage,
-    payload: StreamReader,
-    protocol: RequestHandler,
-    writer: AbstractStreamWriter,
-    task: asyncio.Task[None],
-) -> web.BaseRequest:
-    return web.BaseRequest(message, payload, protocol, writer, task, asyncio.get_running_loop())
-
-
 def _incoming(request: web.BaseRequest, body: bytes, received: float) -> Incoming:
     headers: dict[str, str] = {}
     for name, value in request.headers.items():
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
@@ -19,6 +19,8 @@
 
 # Adapters per engine that are remembered as having been there.
 REMEMBERED: Final = 120
+# Seconds within which an engine that lacks an adapter has refused a request.
+TRIAL: Final = 0.008
 # News are repeated each second, so a holder without any for so long is not heard (seconds).
 NEWS_VALID: Final = 3.0
 
@@ -38,6 +40,7 @@
         seen: Adapters that it was seen with, the last one at the end.
         free: Places that are empty or idle.
         orders: Whether the holder may order now.
+        tried: When a copy that should just have come was first asked for.
     """
 
     holder: str = ""
@@ -50,14 +53,27 @@
     free: int = 0
     orders: bool = False
     seen: OrderedDict[AdapterName, None] = field(default_factory=OrderedDict)
+    tried: dict[AdapterName, float] = field(default_factory=dict)
 
     def holds(self, key: AdapterKey, now: float) -> bool:
-        """Tells whether requests for an adapter can be sent."""
+        """Tells whether requests for an adapter can be sent.
+
+        When a load should have ended, one request goes first; the others follow if it was not
+        refused within the time of an answer.
+        """
+        tried = self.tried.get(key.name)
+        if tried is not None and now - tried < TRIAL:
+            return False
         held = self.ready.get(key.name)
         if held is not None and satisfies(held, key.version):
             return True
         return self.loading.get(key, float("inf")) <= now
 
+    def sending(self, key: AdapterKey, now: float) -> None:
+        """Notes that a request is sent; the first one after a load is a trial."""
+        if key in self.loading and key.name not in self.tried:
+            self.tried[key.name] = now
+
     def loading_left(self, key: AdapterKey, now: float) -> float | None:
         """Returns the seconds until a load ends; None when none is under way."""
         ready_at = self.loading.get(key)
@@ -108,6 +124,7 @@
         view.models = frozenset(news.models)
         view.ready = {(model, adapter): version for model, adapter, version in news.ready}
         view.loading = {from_adapter(adapter): now + ms / 1000 for adapter, ms in news.loading}
+        view.tried = {name: at for name, at in view.tried.items() if now - at < TRIAL}
         view.free = news.free
         view.orders = news.orders
         for name in (*view.ready, *(key.name for key in view.loading)):
@@ -128,11 +145,29 @@
     def refuted(self, endpoint: str, key: AdapterKey, pause: float) -> None:
         """Notes that an engine refused a request for lack of an adapter."""
         view = self.get(endpoint)
+        view.tried.pop(key.name, None)
         if key in view.loading:
             view.loading[key] = monotonic() + pause
         else:
             view.ready.pop(key.name, None)
 
+    def loads_under_way(self) -> int:
+        """Returns the adapters on their way to all engines."""
+        now = monotonic()
+        views = self._views.values()
+        return sum(ready_at > now for view in views for ready_at in view.loading.values())
+
+    def remembered(self) -> list[tuple[str, list[AdapterName]]]:
+        """Returns the adapters that each engine was seen with, to tell an instance that starts."""
+        return [(endpoint, list(view.seen)) for endpoint, view in self._views.items() if view.seen]
+
+    def remember(self, endpoint: str, names: list[AdapterName]) -> None:
+        """Takes over what another instance saw before this one started."""
+        view = self.get(endpoint)
+        known = list(view.seen)
+        for name in (*names, *known):
+            self._remember(view, name)
+
     def forget(self, endpoint: str) -> None:
         """Forgets an engine that is gone."""
         self._views.pop(endpoint, None)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/events.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/events.py
@@ -36,6 +36,10 @@
         self._note_id(whole)
         return whole
 
+    def drop_rest(self) -> None:
+        """Forgets the beginning of an event whose stream broke off."""
+        self._rest = b""
+
     def rest(self) -> bytes:
         """Returns and forgets what follows the last whole event."""
         data, self._rest = self._rest, b""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -61,6 +61,7 @@
         "_links",
         "_members",
         "_metrics",
+        "_on_started",
         "_opts",
         "_traffic",
         "leaving",
@@ -74,9 +75,21 @@
         traffic: Traffic,
         holds: Callable[[], bool],
         held_by: Callable[[str], str],
+        on_started: Callable[[str], None],
         metrics: Metrics,
     ) -> None:
-        """Makes an empty list; `held_by` returns the holder of an endpoint."""
+        """Makes an empty list.
+
+        Args:
+            opts: Options of this process.
+            incarnation: Incarnation of this process.
+            links: Sockets to the others.
+            traffic: What is under way.
+            holds: Tells whether the own lease holds.
+            held_by: Returns the holder of an endpoint.
+            on_started: Called with an instance that just started and should be told what was seen.
+            metrics: Counters.
+        """
         self._opts = opts
         self._incarnation = incarnation
         self._address = f"{opts.ip}:{opts.peer_port}"
@@ -84,6 +97,7 @@
         self._traffic = traffic
         self._holds = holds
         self._held_by = held_by
+        self._on_started = on_started
         self._metrics = metrics
         self._members: dict[str, Member] = {}
         self._addresses: dict[str, float] = {}
@@ -146,9 +160,10 @@
             return
         before = self._members.get(beat.sender)
         now = monotonic()
-        if before is None or before.incarnation != beat.incarnation:
+        started = before is None or before.incarnation != beat.incarnation
+        if started:
             log("peer_heard", peer=beat.sender, address=beat.address, incarnation=beat.incarnation)
-        elif now - before.heard >= HEARD:
+        elif before is not None and now - before.heard >= HEARD:
             log("peer_heard_again", peer=beat.sender, seconds=now - before.heard)
         uses = {
             use.endpoint: [(model, adapter) for model, adapter, _ in use.adapters]
@@ -166,6 +181,13 @@
         )
         self._know(beat.address)
         self._traffic.heard(beat.sender, beat.loads)
+        if started and self._first_to_tell(beat.sender):
+            self._on_started(beat.sender)
+
+    def _first_to_tell(self, started: str) -> bool:
+        """Tells whether this instance is the one that tells a newcomer what was seen before."""
+        others = [name for name in self.heard() if name != started]
+        return self._opts.instance == min([self._opts.instance, *others])
 
     async def keep_beating(self) -> None:
         """Sends heartbeats; runs until cancelled."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -111,6 +111,13 @@
     adapter: Adapter
 
 
+class Remembered(msgspec.Struct, array_like=True, tag="seen"):
+    """Adapters that an engine was seen with, told to an instance that just started."""
+
+    endpoint: str
+    names: list[tuple[str, str]]
+
+
 class RenewalPlea(msgspec.Struct, array_like=True, tag="plea"):
     """The sender can't reach the store and asks for a renewal of its lease in its name."""
 
@@ -127,7 +134,7 @@
     revision: int
 
 
-Message = Beat | PlacesNews | LoadWish | Used | RenewalPlea | RenewalDone
+Message = Beat | PlacesNews | LoadWish | Used | Remembered | RenewalPlea | RenewalDone
 
 _encoder: Final = msgspec.msgpack.Encoder()
 _decoder: Final = msgspec.msgpack.Decoder(Message)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -8,6 +8,7 @@
 from typing import Any, Final
 
 from wigeonarch_core.doubt import Doubts
+from wigeonarch_core.engine_choice import load_time
 from wigeonarch_core.engine_places import AdapterName
 from wigeonarch_core.retry_window import RetryWindow
 from wigeonarch_core.routes import EngineSpec
@@ -27,6 +28,7 @@
     LoadWish,
     Message,
     PlacesNews,
+    Remembered,
     RenewalDone,
     RenewalPlea,
     Used,
@@ -34,7 +36,7 @@
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.options import Options
 from wigeonarch_gateway.orderer import Surroundings
-from wigeonarch_gateway.passing import Passing, load_time
+from wigeonarch_gateway.passing import Passing
 from wigeonarch_gateway.pools import Pools
 from wigeonarch_gateway.ports import (
     Change,
@@ -52,6 +54,7 @@
 TICK: Final = 0.25  # Seconds between looks at what only time changes.
 # Seconds that the balancer needs to notice that an instance takes no new callers, and a margin.
 UNREADY_NOTICED: Final = 2.6
+DRAIN_STEP: Final = 0.05  # Seconds between looks at whether all requests have ended.
 # Seconds before the hard end at which the process ends by itself.
 END_MARGIN: Final = 0.7
 MODEL_LOADS_WINDOW: Final = 5.0  # Seconds over which loads of base models are counted.
@@ -98,6 +101,7 @@
             self._traffic,
             lambda: self._leasing.lease.holds(monotonic()),
             lambda endpoint: self._views.get(endpoint).holder,
+            self._tell_remembered,
             self._metrics,
         )
         self._holders = Holders(
@@ -169,9 +173,12 @@
         self._holders.leaving = True
         end = began + self._opts.grace - END_MARGIN
         while monotonic() < end:
-            if monotonic() - began >= UNREADY_NOTICED and not self._door.in_progress:
-                break
-            await asyncio.sleep(0.02)
+            if monotonic() - began >= UNREADY_NOTICED:
+                # Callers that are still idle here would be cut off by the end of the process.
+                self._door.shut()
+                if not self._door.in_progress:
+                    break
+            await asyncio.sleep(DRAIN_STEP)
 
     async def _close(self) -> None:
         left = self._door.in_progress
@@ -292,6 +299,8 @@
                     orderer.wish(key, message.priority, message.missing)
             case Used():
                 self._used(message)
+            case Remembered():
+                self._views.remember(message.endpoint, message.names)
             case RenewalPlea():
                 asyncio.create_task(self._renew_for(message))  # noqa: RUF006 - ends by itself.
             case RenewalDone():
@@ -304,6 +313,10 @@
             self._members.add_use(message.sender, message.endpoint, key)
             orderer.used(key.name)
 
+    def _tell_remembered(self, started: str) -> None:
+        for endpoint, names in self._views.remembered():
+            self._members.send(started, Remembered(endpoint, names))
+
     async def _renew_for(self, plea: RenewalPlea) -> None:
         """Renews a peer's lease in its name."""
         found = await self._store.get(Kinds.LEASES, plea.sender)
@@ -341,7 +354,8 @@
             self._in_use,
             self._catalogue.outdated,
             self._publish,
-            load_time,
+            lambda warm: load_time(warm, self._views.loads_under_way()),
+            lambda endpoint, key: self._views.get(endpoint).warm(key),
             self._model_turn,
         )
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
@@ -36,6 +36,8 @@
 NEWS_EVERY: Final = 0.9  # Seconds between repeated news.
 WISH_VALID: Final = 1.5  # Seconds that a wish waits; requests repeat theirs while they need it.
 HOST_COPIES: Final = 120  # Adapters that an engine keeps copies of, about.
+LATE_PAUSE: Final = 0.03  # Seconds after which a load that is late is expected again.
+LOAD_MARGIN: Final = 0.012  # Seconds added to a load's time, for the way of the order.
 RETRY: Final = 0.05  # Seconds until a wish is tried again that no place could be found for.
 
 
@@ -74,6 +76,7 @@
         outdated: Tells whether a newer version of an adapter was named.
         publish: Sends news to all instances, this one included.
         load_time: Returns the expected seconds of a load, warm or cold.
+        was_seen: Tells whether an engine was seen with an adapter before.
         model_turn: Tells whether a load of a base model may begin now.
     """
 
@@ -85,6 +88,7 @@
     outdated: Callable[[AdapterKey], bool]
     publish: Callable[[PlacesNews], None]
     load_time: Callable[[bool], float]
+    was_seen: Callable[[str, AdapterKey], bool]
     model_turn: Callable[[], bool]
 
 
@@ -128,7 +132,7 @@
         """Notes that a request needs an adapter; `missing` if the engine just refused one."""
         now = monotonic()
         self._places.used(key.name, now)
-        if missing and self._places.is_ready(key, now):
+        if missing and not self._places.not_yet(key.name, now, LATE_PAUSE):
             self._report_due = min(self._report_due, now)
         wish = self._wishes.get(key)
         if wish is None:
@@ -214,11 +218,11 @@
         return False
 
     async def _load(self, record: EndpointRecord, key: AdapterKey) -> bool:
-        warm = self._places.warm(key.name)
+        warm = self._places.warm(key.name) or self._around.was_seen(self._endpoint, key)
         result = await self._order(record, load=True, key=key)
         now = monotonic()
         if result is OrderResult.STARTED:
-            self._places.began(key, now, self._around.load_time(warm))
+            self._places.began(key, now, self._around.load_time(warm) + LOAD_MARGIN)
             return True
         if result is OrderResult.HOLDS:
             self._places.there(key, now)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -15,7 +15,7 @@
 from typing import Final
 
 from wigeonarch_core.doubt import Doubts
-from wigeonarch_core.engine_choice import COLD_LOAD, WARM_LOAD, Choice, EngineState, choose
+from wigeonarch_core.engine_choice import Choice, EngineState, choose
 from wigeonarch_core.engine_places import AdapterKey
 from wigeonarch_core.retry_window import RetryWindow
 from wigeonarch_core.routes import Route, RoutingTable, ServiceSpec, pick_service
@@ -54,6 +54,9 @@
 COME_BACK: Final = 0.3
 # Refused sends of one request after which it is refused itself.
 REFUSALS_MOST: Final = 6
+# Share of the objective after which an endpoint without an answer is given up where a request may be
+# sent again: it would be late in any case, and an answer that was lost never comes.
+SILENCE_SHARE: Final = 1.2
 # Answers that are not streams are read whole before they are passed on; bytes.
 BODY_MOST: Final = 16 * 1024 * 1024
 # Output tokens that a request is expected to use of its greatest length.
@@ -395,6 +398,7 @@
         under = self._traffic.begin(record.endpoint, terms.prompt_tokens, kv, key)
         if key is not None:
             self._wishes.using(record.endpoint, key)
+            self._views.get(record.endpoint).sending(key, monotonic())
         self._doubts.sending(record.endpoint, monotonic())
         return under
 
@@ -457,8 +461,7 @@
         """Returns the seconds for the head of an answer; None for all the time that is left."""
         if not job.may_repeat:
             return None
-        left = job.deadline - monotonic()
-        return max(job.route.objective, left * 0.4) if left > 0 else None
+        return SILENCE_SHARE * job.route.objective
 
     async def _refused_by(
         self,
@@ -528,6 +531,7 @@
     async def _stream(
         self, job: Job, record: EndpointRecord, conn: Connection, under: Under, head: AnswerHead
     ) -> Again | None:
+        job.splitter.drop_rest()
         if not job.answer.begun:
             await job.answer.begin(head.status, _for_caller(head))
         while True:
@@ -605,11 +609,6 @@
             await self._refuse(job.answer, job.terms, "timed_out", texts.NO_TIME_LEFT)
 
 
-def load_time(warm: bool) -> float:
-    """Returns the expected seconds of a load of an adapter."""
-    return WARM_LOAD if warm else COLD_LOAD
-
-
 def _for_caller(head: AnswerHead) -> list[tuple[bytes, bytes]]:
     """Returns the headers of an endpoint's answer without those of its connection."""
     dropped = set(HEADERS_OF_CONNECTION)
