--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -54,8 +54,8 @@
 COME_BACK: Final = 0.3
 # Refused sends of one request after which it is refused itself.
 REFUSALS_MOST: Final = 6
-# Share of the objective after which an endpoint without an answer is given up where a request may be
-# sent again: it would be late in any case, and an answer that was lost never comes.
+# Share of the objective after which an endpoint without an answer is given up, where a request may
+# be sent again: it would be late in any case, and an answer that was lost never comes.
 SILENCE_SHARE: Final = 1.2
 # Answers that are not streams are read whole before they are passed on; bytes.
 BODY_MOST: Final = 16 * 1024 * 1024
