--- a/packages/wigeonarch-core/src/wigeonarch_core/doubt.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/doubt.py
@@ -65,9 +65,9 @@
     def unreachable(self, endpoint: str, now: float) -> None:
         """Notes that a connection failed, was lost or stayed silent."""
         found = self._evidence.setdefault(endpoint, _Evidence())
-        found.trying = False
-        if now < found.shut_until:
-            return
+        tried, found.trying = found.trying, False
+        if now < found.shut_until and not tried:
+            return  # Sent before the pause began: no new evidence.
         found.shut_until = now + min(PAUSE_MOST, PAUSE_FIRST * 2.0**found.pauses)
         found.pauses += 1
 
--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -18,6 +18,8 @@
 COLD_LOAD: Final = 0.25
 # Adapters on their way from the store at once, over all engines, from which on each takes longer.
 FETCHES_AT_ONCE: Final = 8
+# Adapters on their way to one engine at once; engines refuse more.
+LOADS_AT_ONCE: Final = 4
 # What a load costs besides its time, in seconds of waiting. A fetch has a price of its own: about
 # a third of what an answer in time is worth, and waiting becomes lateness within a second.
 WARM_COST: Final = 0.03
@@ -32,8 +34,10 @@
 MEMORY_FULL: Final = 0.88
 MEMORY_COST: Final = 2.0
 FAILURE_COST: Final = 1.0
-# Places are short when hardly any copy can go; the load then waits for a running request to end.
+# Places are short when hardly any copy can go. A load that finds none waits for a running request
+# to end, which takes seconds; the cost rises over the last few, so that engines fill up evenly.
 NO_PLACE_COST: Final = 1.0
+PLACES_SHORT: Final = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +52,7 @@
         warm: Whether it held the adapter recently.
         loadable: Whether its owner can be asked for a load.
         free_places: Adapter places that are empty or idle.
+        loading: Adapters on their way to it.
         waiting_tokens: Prompt tokens sent to it whose first token has not come.
         running: Requests sent to it that have not ended.
         kv_tokens: Tokens that those may take in its KV cache.
@@ -62,6 +67,7 @@
     warm: bool
     loadable: bool
     free_places: int
+    loading: int
     waiting_tokens: float
     running: int
     kv_tokens: float
@@ -103,8 +109,10 @@
         else:
             load = WARM_LOAD if state.warm else COLD_LOAD
             price = WARM_COST if state.warm else COLD_COST
-            if state.free_places <= 0:
-                price += NO_PLACE_COST
+            # What is loaded next waits for those that are on their way, four at a time.
+            load += COLD_LOAD * (state.loading // LOADS_AT_ONCE)
+            short = max(0, PLACES_SHORT - state.free_places) / PLACES_SHORT
+            price += NO_PLACE_COST * short * short
     reading = (state.waiting_tokens + prompt_tokens) / READ_RATE
     # Running requests slow each step while prompts are read piece by piece.
     wait = max(load, state.waiting_tokens / READ_RATE) + prompt_tokens / READ_RATE
@@ -118,5 +126,10 @@
 
 
 def load_time(warm: bool, under_way: int) -> float:
-    """Returns the expected seconds of a load, with so many others under way."""
+    """Returns the expected seconds of a load.
+
+    Args:
+        warm: Whether the engine held the adapter recently.
+        under_way: Other loads begun within the time that a fetch takes, over all engines.
+    """
     return WARM_LOAD if warm else COLD_LOAD * max(1.0, (under_way + 1) / FETCHES_AT_ONCE)
--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_places.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_places.py
@@ -19,8 +19,6 @@
 
 RATE_HALF_LIFE: Final = 12.0  # Seconds; demand moves to other adapters within several of these.
 RATES_KEPT: Final = 4000
-# Loads that may be on their way to one engine; engines refuse more.
-IN_TRANSIT: Final = 4
 # A load that takes this many seconds longer than expected is looked for in a report.
 LATE_MOST: Final = 0.5
 # A copy stays this many seconds after its load, as the request that wanted it is on its way.
--- a/packages/wigeonarch-core/src/wigeonarch_core/holding.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/holding.py
@@ -3,12 +3,17 @@
 Each instance has one lease object, each endpoint one holder object; both are written on condition
 of their revision, and the revision of the holder object is the fencing number of the orders. An
 instance orders only while its lease holds on its own clock, which counts suspended time. Another
-one takes an endpoint over only after it has watched the holder's lease stay unchanged for the whole
-term, and then orders nothing for a further pause. So two instances never order one endpoint within
-that pause, also when the first was frozen, cut off or only slow.
+one takes an endpoint over only when a fresh read shows the holder's lease unchanged after its end,
+and then orders nothing for a further pause. So two instances never order one endpoint within that
+pause, also when the first was frozen, cut off or only slow.
+
+Heartbeats tell how long a lease has left, so that its end is known without a watch of it in the
+store; the store decides whether it was renewed since. While the store is away, a holder goes on by
+promises of all that could take over (`promises`).
 
 A process that finds its own instance's name in a holder object resumes at once, with a new fencing
-number: it is the same holder.
+number: it is the same holder. Only where the last process of that name had just taken the endpoint
+over from another one does it wait for the pause, too.
 """
 
 from __future__ import annotations
@@ -17,16 +22,23 @@
 from dataclasses import dataclass
 
 from wigeonarch_core.homes import ranked
-from wigeonarch_core.lease import SeenLease
 
 
 @dataclass(frozen=True, slots=True)
 class HolderRecord:
-    """Who holds an endpoint, by the store; `revision` is the fencing number."""
+    """Who holds an endpoint, by the store.
+
+    Attributes:
+        endpoint: The endpoint.
+        holder: The instance that may order it.
+        revision: Revision of the object, which is the fencing number.
+        taken_over: Whether the object was last written when it was taken over from another one.
+    """
 
     endpoint: str
     holder: str
     revision: int
+    taken_over: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,32 +56,43 @@
     pause: float
 
 
+@dataclass(slots=True)
+class _Seen:
+    revision: int
+    ends: float
+    read: float = float("-inf")
+
+
 class Observed:
-    """Leases of other instances, as read from the store while they are suspected."""
+    """Leases of other instances, as their heartbeats tell and as read from the store."""
 
     __slots__ = ("_leases", "_margin", "_term")
 
     def __init__(self, term: float, margin: float) -> None:
         self._term = term
         self._margin = margin
-        self._leases: dict[str, SeenLease] = {}
-
-    def saw(self, instance: str, revision: int, now: float) -> None:
-        """Notes the revision of a lease; 0 when it does not exist."""
-        lease = self._leases.get(instance)
-        if lease is None:
-            self._leases[instance] = SeenLease(self._term, self._margin, revision, now)
-        else:
-            lease.saw(revision, now)
-
-    def lapsed(self, instance: str, now: float) -> bool:
-        """Tells whether the lease was watched unchanged for the whole term."""
-        lease = self._leases.get(instance)
-        return lease is not None and lease.lapsed(now)
-
-    def forget(self, instance: str) -> None:
-        """Forgets an instance that is heard again, so that a later watch begins anew."""
-        self._leases.pop(instance, None)
+        self._leases: dict[str, _Seen] = {}
+
+    def told(self, instance: str, revision: int, left: float, now: float) -> None:
+        """Notes what a heartbeat tells: the lease's revision, and the seconds that it has left."""
+        seen = self._leases.get(instance)
+        if seen is None or revision > seen.revision:
+            self._leases[instance] = _Seen(revision, now + left)
+        elif revision == seen.revision:
+            # Promises extend a lease without a write.
+            seen.ends = max(seen.ends, now + left)
+
+    def read(self, instance: str, revision: int, now: float) -> None:
+        """Notes the revision of a lease that was just read; 0 when it does not exist."""
+        seen = self._leases.get(instance)
+        if seen is None or revision > seen.revision:
+            seen = self._leases[instance] = _Seen(revision, now + self._term)
+        seen.read = now
+
+    def lapsed(self, instance: str) -> bool:
+        """Tells whether a read after the end of the lease showed it unchanged."""
+        seen = self._leases.get(instance)
+        return seen is not None and seen.read > seen.ends + self._margin
 
 
 def wanted_holder(endpoint: str, instances: list[str]) -> str | None:
@@ -86,7 +109,6 @@
     candidates: list[str],
     observed: Observed,
     pause: float,
-    now: float,
 ) -> Claim | None:
     """Returns the write that this instance should try for an endpoint, if any.
 
@@ -95,18 +117,18 @@
         record: Its holder object, None when there is none.
         me: This instance.
         confirmed: Whether this process wrote the object in the present stretch of its lease.
-        alive: Instances that say that their lease holds.
+        alive: Instances that say that their lease holds, and those with a promise.
         candidates: Instances that may take the endpoint, this one included if it may.
         observed: Leases of the other instances, as read.
         pause: Seconds without orders after a takeover.
-        now: Time, in seconds.
     """
     if record is not None and record.holder == me:
-        return None if confirmed else Claim(endpoint, record.revision, 0.0)
+        wait = pause if record.taken_over else 0.0
+        return None if confirmed else Claim(endpoint, record.revision, wait)
     if wanted_holder(endpoint, candidates) != me:
         return None
     if record is None:
         return Claim(endpoint, 0, 0.0)
-    if record.holder in alive or not observed.lapsed(record.holder, now):
+    if record.holder in alive or not observed.lapsed(record.holder):
         return None
     return Claim(endpoint, record.revision, pause)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from wigeonarch_core.engine_choice import COLD_LOAD
 from wigeonarch_core.engine_places import AdapterKey, AdapterName, satisfies
 from wigeonarch_entry.clock import monotonic
 
@@ -41,6 +42,7 @@
         free: Places that are empty or idle.
         orders: Whether the holder may order now.
         tried: When a copy that should just have come was first asked for.
+        began: When the loads under way were first heard of.
     """
 
     holder: str = ""
@@ -54,6 +56,7 @@
     orders: bool = False
     seen: OrderedDict[AdapterName, None] = field(default_factory=OrderedDict)
     tried: dict[AdapterName, float] = field(default_factory=dict)
+    began: dict[AdapterName, float] = field(default_factory=dict)
 
     def holds(self, key: AdapterKey, now: float) -> bool:
         """Tells whether requests for an adapter can be sent.
@@ -124,6 +127,7 @@
         view.models = frozenset(news.models)
         view.ready = {(model, adapter): version for model, adapter, version in news.ready}
         view.loading = {from_adapter(adapter): now + ms / 1000 for adapter, ms in news.loading}
+        view.began = {key.name: view.began.get(key.name, now) for key in view.loading}
         view.tried = {name: at for name, at in view.tried.items() if now - at < TRIAL}
         view.free = news.free
         view.orders = news.orders
@@ -152,10 +156,13 @@
             view.ready.pop(key.name, None)
 
     def loads_under_way(self) -> int:
-        """Returns the adapters on their way to all engines."""
-        now = monotonic()
-        views = self._views.values()
-        return sum(ready_at > now for view in views for ready_at in view.loading.values())
+        """Returns the loads begun within the time that a fetch takes, over all engines.
+
+        Loads that are late are not counted: their lateness would lengthen what is expected of the
+        next ones, and with that the time for which those are counted.
+        """
+        since = monotonic() - COLD_LOAD
+        return sum(at > since for view in self._views.values() for at in view.began.values())
 
     def remembered(self) -> list[tuple[str, list[AdapterName]]]:
         """Returns the adapters that each engine was seen with, to tell an instance that starts."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
 from wigeonarch_core.holding import Claim, HolderRecord, Observed, claim
+from wigeonarch_core.promises import PromisesGiven
 from wigeonarch_core.routes import EngineSpec
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
@@ -29,6 +31,10 @@
 )
 
 CLAIM_EVERY: Final = 0.4  # Seconds between looks for engines without a holder.
+# Seconds after which a write without an answer has taken effect or never will; the store may carry
+# one out up to six seconds late.
+CLAIM_EFFECT: Final = 8.0
+NONCE_BYTES: Final = 4
 SETTLE: Final = 1.0  # Seconds after the start until the peers of a common start are heard.
 
 
@@ -52,7 +58,13 @@
 
 
 class Holders:
-    """The engines that this instance orders."""
+    """The engines that this instance orders.
+
+    Attributes:
+        leaving: Whether this instance is shutting down.
+        observed: Leases of the other instances.
+        promises: Promises given to them.
+    """
 
     __slots__ = (
         "_around",
@@ -62,12 +74,14 @@
         "_me",
         "_members",
         "_metrics",
-        "_observed",
         "_opts",
         "_started",
         "_store",
+        "_taking",
         "_views",
         "leaving",
+        "observed",
+        "promises",
     )
 
     def __init__(
@@ -91,7 +105,9 @@
         self._engines = engines
         self._around = around
         self._metrics = metrics
-        self._observed = Observed(opts.term, opts.margin)
+        self.observed = Observed(opts.term, opts.margin)
+        self.promises = PromisesGiven(opts.term)
+        self._taking: dict[str, float] = {}
         self._held: dict[str, Held] = {}
         self._started = monotonic()
         self.leaving = False
@@ -105,6 +121,11 @@
         held = self._held.get(endpoint)
         return held.orderer if held else None
 
+    def zones(self) -> set[str]:
+        """Returns the availability zones of the engines that this instance holds."""
+        records = [self._around.record(endpoint) for endpoint in self._held]
+        return {record.zone for record in records if record is not None}
+
     def fence(self, endpoint: str) -> int:
         """Returns the fencing number of an engine; 0 when nothing may be ordered now."""
         held = self._held.get(endpoint)
@@ -114,6 +135,10 @@
             return 0
         return held.fence if now >= held.not_before else 0
 
+    def may_be_taking_from(self, holder: str) -> bool:
+        """Tells whether a claim on an endpoint of an instance may take effect late."""
+        return monotonic() - self._taking.get(holder, float("-inf")) < CLAIM_EFFECT
+
     async def keep(self) -> None:
         """Claims engines without a holder; runs until cancelled."""
         while True:
@@ -136,8 +161,6 @@
         for record, spec in engines:
             if self._needs_look(record):
                 await self._claim(record, spec)
-        for name in self._members.heard():
-            self._observed.forget(name)
 
     def _needs_look(self, record: EndpointRecord) -> bool:
         held = self._held.get(record.endpoint)
@@ -156,38 +179,48 @@
             return
         holder = None
         if isinstance(found, StoredObject):
-            holder = HolderRecord(endpoint, str(found.spec.get("holder", "")), found.revision)
-            if holder.holder not in (self._me, *self._members.heard()):
-                await self._observe(holder.holder)
+            name = str(found.spec.get("holder", ""))
+            # This process knows by itself when it may order what it took over.
+            taken = bool(found.spec.get("taken_over")) and endpoint not in self._held
+            holder = HolderRecord(endpoint, name, found.revision, taken)
+            if name not in (self._me, *self._members.holding()):
+                await self._observe(name)
         held = self._held.get(endpoint)
         wanted = claim(
             endpoint,
             holder,
             self._me,
             held is not None and held.generation == self._leasing.lease.generation,
-            self._members.holding(),
+            self._members.holding() | set(self.promises.owners(monotonic())),
             self._members.candidates(record.zone, not self.leaving),
-            self._observed,
+            self.observed,
             self._opts.pause,
-            monotonic(),
         )
-        if wanted is not None:
+        if wanted is not None and self._may_take(wanted):
+            if holder is not None:
+                self._taking[holder.holder] = monotonic()
             await self._write(wanted, spec)
         elif held is not None and (holder is None or holder.holder != self._me):
             log("endpoint_lost_to", endpoint=endpoint, holder=holder.holder if holder else "")
             await self._drop(endpoint)
 
+    def _may_take(self, wanted: Claim) -> bool:
+        """Tells whether the own lease has held long enough for a takeover to be safe."""
+        return not wanted.pause or self._leasing.lease.settled(monotonic())
+
     async def _observe(self, holder: str) -> None:
         found = await self._store.get(Kinds.LEASES, holder)
         if isinstance(found, StoredObject):
-            self._observed.saw(holder, found.revision, monotonic())
+            self.observed.read(holder, found.revision, monotonic())
         elif isinstance(found, Absent):
-            self._observed.saw(holder, 0, monotonic())
+            self.observed.read(holder, 0, monotonic())
 
     async def _write(self, wanted: Claim, spec: EngineSpec) -> None:
         generation = self._leasing.lease.generation
-        content = {"holder": self._me, "generation": generation, "at": monotonic()}
         name = wanted.endpoint
+        # Each write must change the object, as only a change gives a new fencing number.
+        nonce = os.urandom(NONCE_BYTES).hex()
+        content = {"holder": self._me, "taken_over": wanted.pause > 0.0, "nonce": nonce}
         if wanted.revision:
             result = await self._store.replace(Kinds.HOLDERS, name, content, wanted.revision)
         else:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
@@ -1,23 +1,30 @@
-"""This instance's lease in the store, renewed here or by a peer that reaches the store.
+"""This instance's lease in the store, renewed here or by a peer, or extended by promises.
 
-An instance that is cut off from the store asks a peer to renew in its name. What the lease is worth
-counts from the moment of asking, so an answer that comes late, or was lost, extends nothing that it
-shouldn't.
+An instance that can't renew asks its peers: one that reaches the store renews in its name, and all
+promise to take nothing over for a term. With the promises of each that could take over, the lease
+goes on. What it is worth counts from the moment of asking, so an answer that comes late, or was
+lost, extends nothing that it shouldn't.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
+from typing import Final
 
 from wigeonarch_core.lease import HeldLease
+from wigeonarch_core.promises import PromisesHeld
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
 
-from wigeonarch_gateway.messages import RenewalDone, RenewalPlea
+from wigeonarch_gateway.messages import PromiseMade, RenewalDone, RenewalPlea
 from wigeonarch_gateway.options import HoldingOptions
 from wigeonarch_gateway.ports import Absent, Conflict, Kinds, ObjectStore, StoredObject, Unavailable
 
+# Seconds without an answer to a renewal after which peers are asked; the store usually takes a few
+# milliseconds, and a lost answer is known as such only by the call's own, longer time limit.
+UNANSWERED: Final = 0.3
+
 
 def lease_spec(incarnation: str, address: str, zone: str, count: int) -> dict[str, object]:
     """Returns the content of a lease object; the count makes each renewal a change."""
@@ -33,15 +40,15 @@
 
     __slots__ = (
         "_address",
-        "_asked",
         "_count",
         "_held",
         "_incarnation",
         "_name",
         "_opts",
         "_plead",
-        "_pleas",
+        "_promises",
         "_revision",
+        "_rivals",
         "_store",
         "_zone",
         "lease",
@@ -56,8 +63,20 @@
         address: str,
         zone: str,
         plead: Callable[[RenewalPlea], None],
+        rivals: Callable[[], Collection[str]],
     ) -> None:
-        """Makes a lease that does not hold yet; `plead` sends a plea to peers."""
+        """Makes a lease that does not hold yet.
+
+        Args:
+            store: The store.
+            opts: Times.
+            name: Name of this instance.
+            incarnation: Incarnation of this process.
+            address: Address for messages to it.
+            zone: Its availability zone.
+            plead: Sends a plea to all peers.
+            rivals: Returns the instances that could take over from this one.
+        """
         self._store = store
         self._opts = opts
         self._name = name
@@ -65,8 +84,8 @@
         self._address = address
         self._zone = zone
         self._plead = plead
-        self._pleas = 0
-        self._asked: dict[int, float] = {}
+        self._rivals = rivals
+        self._promises = PromisesHeld(opts.term)
         self._count = 0
         self._revision = 0
         self._held = False
@@ -76,7 +95,9 @@
         """Renews the lease; runs until cancelled."""
         while True:
             began = monotonic()
+            asking = asyncio.get_running_loop().call_later(UNANSWERED, self._ask_peers)
             ok = await self._renew()
+            asking.cancel()
             self._note_holding()
             if not ok:
                 self._ask_peers()
@@ -94,13 +115,25 @@
 
     def renewed_by_peer(self, done: RenewalDone) -> None:
         """Takes over a renewal that a peer made in this instance's name."""
-        asked = self._asked.pop(done.number, None)
-        if asked is None:
+        asked = self._promises.sent_at(done.number)
+        if asked is None or done.revision <= self._revision:
             return
-        self._revision = max(self._revision, done.revision)
+        self._revision = done.revision
         self.lease.renewed(asked, done.revision, monotonic())
         log("lease_renewed_by_peer", peer=done.sender)
 
+    def promised(self, promise: PromiseMade) -> None:
+        """Takes over a peer's promise; it counts once all that could take over have given one."""
+        self._promises.promised(promise.sender, promise.number)
+        now = monotonic()
+        since = self._promises.asked_at(self._rivals(), now)
+        if since is not None:
+            self.lease.promised(since, now)
+
+    def revision(self) -> int:
+        """Returns the revision of the lease, to tell peers."""
+        return self._revision
+
     def _note_holding(self) -> None:
         holds = self.lease.holds(monotonic())
         if holds is not self._held:
@@ -108,11 +141,11 @@
             log("lease_holds" if holds else "lease_lapsed", "INFO" if holds else "WARNING")
 
     def _ask_peers(self) -> None:
-        self._pleas += 1
-        self._asked[self._pleas] = monotonic()
-        while len(self._asked) > 8:
-            del self._asked[min(self._asked)]
-        self._plead(RenewalPlea(self._name, self._incarnation, self._pleas))
+        now = monotonic()
+        number = self._promises.ask(now)
+        if not self._rivals():
+            self.lease.promised(now, now)
+        self._plead(RenewalPlea(self._name, self._incarnation, number))
 
     async def _renew(self) -> bool:
         sent = monotonic()
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -20,20 +20,25 @@
 from wigeonarch_gateway.messages import Beat, Message, Uses
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.options import Options
-from wigeonarch_gateway.ports import Kinds, Listing, ObjectStore
+from wigeonarch_gateway.ports import Kinds, Listing, ObjectStore, StoredObject
 from wigeonarch_gateway.traffic import Traffic
 
 BEAT_LEAST: Final = 0.2  # Seconds between heartbeats in a small deployment.
 BEATS_PER_SECOND: Final = 60.0  # Heartbeats sent in all per second at most, so cost stays bounded.
 BEAT_MOST: Final = 1.0
-HEARD: Final = 2.5  # Seconds without a heartbeat until an instance is not heard.
+HEARD: Final = 1.3  # Seconds without a heartbeat until an instance is not heard.
+# Seconds for which an instance must have been heard to be preferred for an endpoint: one that just
+# started would have to watch the last holder's lease anew.
+SETTLED: Final = 5.0
+# Seconds after which an instance without a sign of life counts as gone for good.
+GONE: Final = 15.0
 LIST_EVERY: Final = 5.0  # Seconds between looks for instances that were never heard.
 FORGET_ADDRESS: Final = 30.0  # Seconds without a heartbeat until an address is given up.
 
 
 @dataclass(slots=True)
 class Member:
-    """Another instance, as its last heartbeat described it."""
+    """Another instance, as its last heartbeat described it; `since` is its first one's time."""
 
     name: str
     incarnation: str
@@ -41,6 +46,7 @@
     zone: str
     leaving: bool
     holds: bool
+    since: float
     heard: float
     uses: dict[str, list[AdapterName]]
 
@@ -56,13 +62,17 @@
         "_address",
         "_addresses",
         "_held_by",
-        "_holds",
         "_incarnation",
+        "_lease",
         "_links",
+        "_listed",
         "_members",
         "_metrics",
+        "_on_lease",
         "_on_started",
         "_opts",
+        "_revisions",
+        "_started",
         "_traffic",
         "leaving",
     )
@@ -73,7 +83,8 @@
         incarnation: str,
         links: Links,
         traffic: Traffic,
-        holds: Callable[[], bool],
+        lease: Callable[[], tuple[int, int]],
+        on_lease: Callable[[str, int, float], None],
         held_by: Callable[[str], str],
         on_started: Callable[[str], None],
         metrics: Metrics,
@@ -85,7 +96,8 @@
             incarnation: Incarnation of this process.
             links: Sockets to the others.
             traffic: What is under way.
-            holds: Tells whether the own lease holds.
+            lease: Returns the own lease's revision and the milliseconds that it has left.
+            on_lease: Called with an instance, its lease's revision and the seconds left.
             held_by: Returns the holder of an endpoint.
             on_started: Called with an instance that just started and should be told what was seen.
             metrics: Counters.
@@ -95,7 +107,11 @@
         self._address = f"{opts.ip}:{opts.peer_port}"
         self._links = links
         self._traffic = traffic
-        self._holds = holds
+        self._lease = lease
+        self._on_lease = on_lease
+        self._listed: dict[str, tuple[str, float]] = {}
+        self._revisions: dict[str, int] = {}
+        self._started = monotonic()
         self._held_by = held_by
         self._on_started = on_started
         self._metrics = metrics
@@ -118,14 +134,37 @@
         """Returns those of them whose lease holds."""
         return {name for name in self.heard() if self._members[name].holds}
 
+    def rivals(self, zones: Collection[str]) -> set[str]:
+        """Returns the instances that could take over an endpoint of one of these zones."""
+        now = monotonic()
+        signs = {name: (member.zone, member.heard) for name, member in self._members.items()}
+        for name, (zone, at) in self._listed.items():
+            heard = signs.get(name, (zone, at))[1]
+            signs[name] = (zone, max(at, heard))
+        alive = {name for name, (zone, at) in signs.items() if zone in zones and now - at < GONE}
+        return alive - {self._opts.instance}
+
     def candidates(self, zone: str, me: bool) -> list[str]:
-        """Returns the instances that may take an endpoint, those of its zone if there are any."""
+        """Returns the instances that may take an endpoint of an availability zone.
+
+        Only those of the zone may: it then goes on by itself when it is cut off. Others may where
+        the zone has had no instance for long.
+        """
         found = [self._members[name] for name in self.heard()]
-        usable = {m.name: m.zone for m in found if m.holds and not m.leaving}
-        if me:
-            usable[self._opts.instance] = self._opts.zone
-        nearby = [name for name, where in usable.items() if where == zone]
-        return nearby or list(usable)
+        usable = [member for member in found if member.holds and not member.leaving]
+        nearby = {member.name for member in usable if member.zone == zone}
+        mine = {self._opts.instance} if me else set()
+        if zone == self._opts.zone:
+            return sorted(self._settled(nearby | mine) or nearby | mine)
+        if self.rivals({zone}):
+            return []
+        return sorted({*(member.name for member in usable), *mine})
+
+    def _settled(self, names: Collection[str]) -> set[str]:
+        now = monotonic()
+        since = {member.name: member.since for member in self._members.values()}
+        since[self._opts.instance] = self._started
+        return {name for name in names if now - since[name] >= SETTLED}
 
     def count(self) -> int:
         """Returns the number of instances, this one included."""
@@ -158,6 +197,8 @@
         """Takes over a heartbeat."""
         if beat.sender == self._opts.instance:
             return
+        left = beat.lease_left_ms / 1000
+        self._on_lease(beat.sender, beat.lease, left)
         before = self._members.get(beat.sender)
         now = monotonic()
         started = before is None or before.incarnation != beat.incarnation
@@ -175,7 +216,8 @@
             beat.address,
             beat.zone,
             beat.leaving,
-            beat.holds,
+            left > 0.0,
+            now if started or before is None else before.since,
             now,
             uses,
         )
@@ -202,12 +244,29 @@
         while True:
             found = await store.list(Kinds.LEASES, stale=True)
             if isinstance(found, Listing):
-                for lease in found.objects:
-                    address = lease.spec.get("address")
-                    if isinstance(address, str):
-                        self._know(address)
+                self._leases_listed(found.objects)
+            else:
+                self._nothing_listed()
             await asyncio.sleep(LIST_EVERY)
 
+    def _leases_listed(self, leases: Iterable[StoredObject]) -> None:
+        now = monotonic()
+        for lease in leases:
+            address, zone = lease.spec.get("address"), lease.spec.get("zone")
+            if not isinstance(address, str) or not isinstance(zone, str):
+                continue
+            if self._revisions.get(lease.name) != lease.revision:
+                self._revisions[lease.name] = lease.revision
+                self._listed[lease.name] = (zone, now)
+                self._know(address)
+
+    def _nothing_listed(self) -> None:
+        """Counts all as alive that were when the store was last read."""
+        now = monotonic()
+        for name, (zone, at) in self._listed.items():
+            if now - at < GONE:
+                self._listed[name] = (zone, now)
+
     def _know(self, address: str) -> None:
         if address == self._address:
             return
@@ -225,7 +284,7 @@
                 self._address,
                 self._opts.zone,
                 self.leaving,
-                self._holds(),
+                *self._lease(),
                 loads,
                 self._uses_at(names.get(address, ""), [load.endpoint for load in loads]),
             )
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -44,7 +44,8 @@
         address: Address for messages to it.
         zone: Its availability zone.
         leaving: Whether it is shutting down.
-        holds: Whether its lease holds.
+        lease: Revision of its lease.
+        lease_left_ms: Milliseconds for which its lease still holds; 0 when it does not.
         loads: What it has under way at endpoints.
         uses: Adapters in use at the endpoints that the receiver holds.
     """
@@ -54,7 +55,8 @@
     address: str
     zone: str
     leaving: bool
-    holds: bool
+    lease: int
+    lease_left_ms: int
     loads: list[LoadShare]
     uses: list[Uses]
 
@@ -119,7 +121,7 @@
 
 
 class RenewalPlea(msgspec.Struct, array_like=True, tag="plea"):
-    """The sender can't reach the store and asks for a renewal of its lease in its name."""
+    """The sender can't renew its lease: it asks for promises, and for a renewal in its name."""
 
     sender: str
     incarnation: str
@@ -134,7 +136,14 @@
     revision: int
 
 
-Message = Beat | PlacesNews | LoadWish | Used | Remembered | RenewalPlea | RenewalDone
+class PromiseMade(msgspec.Struct, array_like=True, tag="promise"):
+    """The sender will take nothing over from the one that pleaded, for one term from the plea."""
+
+    sender: str
+    number: int
+
+
+Message = Beat | PlacesNews | LoadWish | Used | Remembered | RenewalPlea | RenewalDone | PromiseMade
 
 _encoder: Final = msgspec.msgpack.Encoder()
 _decoder: Final = msgspec.msgpack.Decoder(Message)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -28,6 +28,7 @@
     LoadWish,
     Message,
     PlacesNews,
+    PromiseMade,
     Remembered,
     RenewalDone,
     RenewalPlea,
@@ -52,8 +53,6 @@
 from wigeonarch_gateway.wishes import Wishes
 
 TICK: Final = 0.25  # Seconds between looks at what only time changes.
-# Seconds that the balancer needs to notice that an instance takes no new callers, and a margin.
-UNREADY_NOTICED: Final = 2.6
 DRAIN_STEP: Final = 0.05  # Seconds between looks at whether all requests have ended.
 # Seconds before the hard end at which the process ends by itself.
 END_MARGIN: Final = 0.7
@@ -93,13 +92,17 @@
             address,
             opts.zone,
             lambda plea: self._members.send_all(plea),
+            lambda: self._members.rivals({opts.zone, *self._holders.zones()}),
         )
         self._members = Members(
             opts,
             self._incarnation,
             self._links,
             self._traffic,
-            lambda: self._leasing.lease.holds(monotonic()),
+            self._lease_left,
+            lambda name, revision, left: self._holders.observed.told(
+                name, revision, left, monotonic()
+            ),
             lambda endpoint: self._views.get(endpoint).holder,
             self._tell_remembered,
             self._metrics,
@@ -173,7 +176,7 @@
         self._holders.leaving = True
         end = began + self._opts.grace - END_MARGIN
         while monotonic() < end:
-            if monotonic() - began >= UNREADY_NOTICED:
+            if monotonic() - began >= self._opts.unready_noticed:
                 # Callers that are still idle here would be cut off by the end of the process.
                 self._door.shut()
                 if not self._door.in_progress:
@@ -301,7 +304,10 @@
                 self._used(message)
             case Remembered():
                 self._views.remember(message.endpoint, message.names)
+            case PromiseMade():
+                self._leasing.promised(message)
             case RenewalPlea():
+                self._promise(message)
                 asyncio.create_task(self._renew_for(message))  # noqa: RUF006 - ends by itself.
             case RenewalDone():
                 self._leasing.renewed_by_peer(message)
@@ -317,6 +323,20 @@
         for endpoint, names in self._views.remembered():
             self._members.send(started, Remembered(endpoint, names))
 
+    def _lease_left(self) -> tuple[int, int]:
+        """Returns the own lease's revision and the milliseconds for which it holds."""
+        now = monotonic()
+        lease = self._leasing.lease
+        left = lease.remaining(now) if lease.holds(now) else 0.0
+        return self._leasing.revision(), int(left * 1000)
+
+    def _promise(self, plea: RenewalPlea) -> None:
+        """Promises to take nothing over, unless that may already have been begun."""
+        if self._holders.may_be_taking_from(plea.sender):
+            return
+        self._holders.promises.give(plea.sender, monotonic())
+        self._members.send(plea.sender, PromiseMade(self._opts.instance, plea.number))
+
     async def _renew_for(self, plea: RenewalPlea) -> None:
         """Renews a peer's lease in its name."""
         found = await self._store.get(Kinds.LEASES, plea.sender)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
@@ -25,16 +25,16 @@
     """Times of leases and takeovers, in seconds.
 
     Attributes:
-        term: Term of a lease. Longer terms bridge longer outages of the store; shorter ones move
-            the endpoints of a lost instance sooner. 6 s bridges the outages of 4 to 5 s seen.
+        term: Term of a lease. Shorter ones move the endpoints of a lost instance sooner; outages of
+            the store are bridged by promises, so only a few renewals must fit.
         margin: Allowance for clock rates and for a check that comes late.
         renewal: Time between renewals.
         pause: Time without orders after a takeover, which endpoints' operators demand.
     """
 
-    term: float = 6.0
-    margin: float = 0.5
-    renewal: float = 1.5
+    term: float = 3.5
+    margin: float = 0.4
+    renewal: float = 1.1
     pause: float = 3.3
 
 
@@ -69,6 +69,8 @@
         metrics_port: Port of the metrics.
         seeds: Addresses of some instances, perhaps stale.
         grace: Time from SIGTERM to the end of the process, in seconds.
+        unready_noticed: Time after SIGTERM in which callers may still be sent here, in seconds; the
+            balancer asks each second and takes two misses.
         log_level: Least level of logged events.
     """
 
@@ -81,6 +83,7 @@
     metrics_port: int
     seeds: tuple[str, ...] = ()
     grace: float = 8.0
+    unready_noticed: float = 2.6
     log_level: str = "INFO"
     retries: RetryOptions = field(default_factory=RetryOptions)
     holding: HoldingOptions = field(default_factory=HoldingOptions)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from wigeonarch_core.engine_places import IN_TRANSIT, AdapterKey, AdapterName, Places
+from wigeonarch_core.engine_choice import LOADS_AT_ONCE
+from wigeonarch_core.engine_places import AdapterKey, AdapterName, Places
 from wigeonarch_core.routes import EngineSpec, ModelSpec
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
@@ -34,11 +35,12 @@
 REPORT_LAG: Final = 0.2  # Seconds after which a report shows an order; they lag some 100 ms.
 REPORT_EVERY: Final = 4.0  # Seconds between reports while all goes well; each one has a price.
 NEWS_EVERY: Final = 0.9  # Seconds between repeated news.
-WISH_VALID: Final = 1.5  # Seconds that a wish waits; requests repeat theirs while they need it.
+WISH_VALID: Final = 0.4  # Seconds that a wish counts; requests repeat theirs while they need it.
 HOST_COPIES: Final = 120  # Adapters that an engine keeps copies of, about.
 LATE_PAUSE: Final = 0.03  # Seconds after which a load that is late is expected again.
 LOAD_MARGIN: Final = 0.012  # Seconds added to a load's time, for the way of the order.
-RETRY: Final = 0.05  # Seconds until a wish is tried again that no place could be found for.
+RETRY: Final = 0.03  # Seconds until a wish is tried again that no place could be found for.
+TIMER_SLACK: Final = 0.002  # Seconds added so that a timer is not early.
 
 
 @dataclass(slots=True)
@@ -180,8 +182,8 @@
                 self._wishes.pop(key, None)
                 self._tell()
                 continue
-            if self._places.in_transit(now) >= IN_TRANSIT:
-                return RETRY / 2
+            if self._places.in_transit(now) >= LOADS_AT_ONCE:
+                return min(left for _, left in self._places.loading(now)) + TIMER_SLACK
             if self._needs_room(key) and not await self._make_room(record):
                 return RETRY
             if not await self._load(record, key):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -66,6 +66,9 @@
 )
 
 
+Inputs = dict[str, object]
+
+
 class Again(enum.Enum):
     """What a try says about another one."""
 
@@ -352,6 +355,7 @@
             warm=view.warm(key),
             loadable=view.loadable(now),
             free_places=view.free,
+            loading=len(view.loading),
             waiting_tokens=load.waiting_tokens,
             running=load.running,
             kv_tokens=load.kv_tokens,
@@ -554,19 +558,44 @@
     # Final answers of this instance's own.
 
     async def _refuse(
-        self, answer: Answer, terms: RequestTerms, reason: str, text: str, after: float = COME_BACK
+        self,
+        answer: Answer,
+        terms: RequestTerms,
+        reason: str,
+        text: str,
+        inputs: Inputs | None = None,
     ) -> None:
-        log("refused", request=terms.request_id, reason=reason, retry_after=after)
+        after = COME_BACK
+        bound = inputs or {}
+        request = terms.request_id
+        log("refused", "INFO", request=request, reason=reason, retry_after=after, **bound)
         self._metrics.refusals.labels(reason).inc()
         headers = [(b"Retry-After", f"{after:.2f}".encode())]
         await answer.whole(503, headers, text.encode())
 
+    def _inputs(self, job: Job) -> Inputs:
+        """Returns what a refusal rested on, for the log."""
+        now = monotonic()
+        ready = self._endpoints.ready(job.service)
+        views = [self._views.get(record.endpoint) for record in ready]
+        return {
+            "route": job.route.name,
+            "service": job.service,
+            "adapter": job.terms.adapter,
+            "ready": len(ready),
+            "shut": sum(self._doubts.shut(record.endpoint, now) for record in ready),
+            "loadable": sum(view.loadable(now) for view in views),
+            "with_model": sum(job.terms.model in view.models for view in views),
+            "sends": job.sends,
+            "waited": now - job.req.received,
+        }
+
     async def _give_up(self, job: Job, reason: str, text: str) -> None:
         """Answers a request that no endpoint will be asked for any more."""
         if job.answer.begun or job.ran:
             await self._fail(job, Again.FAILED)
             return
-        await self._refuse(job.answer, job.terms, reason, text)
+        await self._refuse(job.answer, job.terms, reason, text, self._inputs(job))
         self._metrics.requests.labels(job.route.name, "refused").inc()
 
     async def _fail(self, job: Job, again: Again) -> None:
@@ -606,7 +635,8 @@
         elif job.ran:
             await job.answer.whole(504, [], texts.TIMED_OUT.encode())
         else:
-            await self._refuse(job.answer, job.terms, "timed_out", texts.NO_TIME_LEFT)
+            inputs = self._inputs(job)
+            await self._refuse(job.answer, job.terms, "timed_out", texts.NO_TIME_LEFT, inputs)
 
 
 def _for_caller(head: AnswerHead) -> list[tuple[bytes, bytes]]:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/pools.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/pools.py
@@ -13,7 +13,7 @@
 from wigeonarch_gateway.connections import Connection
 from wigeonarch_gateway.ports import EndpointRecord
 
-CONNECT_TIMEOUT: Final = 0.4  # Seconds; a connection takes a few milliseconds where there is a way.
+CONNECT_TIMEOUT: Final = 0.15  # Seconds; where there is a way it takes a few milliseconds.
 IDLE_UNSTATED: Final = 2.0  # Seconds an idle connection is used where the endpoint states nothing.
 IDLE_SHARE: Final = 0.5  # Share of the stated time after which an idle connection is not used.
 
--- /dev/null
+++ b/tests/gateway_world.py
@@ -0,0 +1,240 @@
+"""Gateways in one event loop before stand-ins of the platform, over real sockets.
+
+Each gateway has a loopback address of its own, as all use the same port for messages.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import aiohttp
+from standins.replica import Replica
+from standins.store import StoreStandIn
+from wigeonarch_gateway.node import Node
+from wigeonarch_gateway.options import HoldingOptions, Options, RetryOptions, StoreOptions
+from wigeonarch_platform.dialect import DIALECT
+from wigeonarch_platform.store import Store
+from yarl import URL
+
+HOST = "shop.example"
+WAIT = 20.0  # Seconds after which a condition that must come true has failed; nothing is timed.
+STEP = 0.03  # Seconds between looks at a condition.
+# Short leases, so that takeovers happen within a test.
+HOLDING = HoldingOptions(term=1.5, margin=0.3, renewal=0.3, pause=0.5)
+STORE = StoreOptions(watch=0.5, gather=0.05, retry=0.05, returned=0.6)
+
+
+def free_port(host: str) -> int:
+    """Returns a port that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    """Returns a route of the configuration."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "route_kind": kind,
+        "timeout_ms": 5000,
+        "slo_ms": 800,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        "sticky": False,
+        "resumable": False,
+        "gap_target_ms": 250,
+        **more,
+    }
+
+
+def configuration(version: int = 1, *extra: dict[str, Any]) -> dict[str, Any]:
+    """Returns a configuration with an engine service and a plain one."""
+    engine = {
+        "slots": 8,
+        "kv_capacity": 100_000,
+        "weights_mb": 1000.0,
+        "adapter_slots": 3,
+        "loads_per_s": 2.0,
+        "models": [{"name": "m", "weights_mb": 900.0, "load_s": 0.1, "adapter_mb": 1.0}],
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("ask", "idempotent", "desk"),
+            route("book", "non_idempotent", "desk", attempts=1),
+            route("write", "streaming", "llm", attempts=1),
+            route("draft", "streaming", "llm", resumable=True),
+            *extra,
+        ],
+        "services": [
+            {"name": "llm", "max_conns": 100, "engine": engine},
+            {"name": "desk", "max_conns": 100},
+        ],
+        "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15000},
+    }
+
+
+@dataclass
+class Answer:
+    """What a caller got; `complete` is False when the connection ended too early."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool = True
+
+
+@dataclass
+class World:
+    """Stand-ins, gateways and a caller."""
+
+    store: StoreStandIn
+    nodes: list[Node] = field(default_factory=list)
+    options: list[Options] = field(default_factory=list)
+    replicas: list[Replica] = field(default_factory=list)
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    sent: int = 0
+    peer_port: int = 0
+
+    async def add_replica(self, replica: Replica) -> Replica:
+        """Starts a replica and enters it into the list."""
+        await replica.start()
+        self.replicas.append(replica)
+        await self.store.put("servers", replica.name, replica.record())
+        return replica
+
+    async def add_node(self, number: int) -> Node:
+        """Starts a gateway at a loopback address of its own."""
+        host = f"127.0.0.{number + 10}"
+        opts = Options(
+            instance=f"edge-{number}",
+            zone="a",
+            ip=host,
+            front=f"{host}:{free_port(host)}",
+            ready=f"{host}:{free_port(host)}",
+            peer_port=self.peer_port,
+            metrics_port=free_port(host),
+            grace=6.0,
+            unready_noticed=0.3,
+            retries=RetryOptions(allowance=100.0),
+            holding=HOLDING,
+            store=STORE,
+        )
+        opts = replace(opts, seeds=tuple(f"127.0.0.{n}:1" for n in (10, 11, 12)))
+        node = Node(opts, DIALECT, Store(self.store.address))
+        await node.start()
+        self.nodes.append(node)
+        self.options.append(opts)
+        self.tasks.append(asyncio.create_task(node.serve()))
+        return node
+
+    async def ask(
+        self,
+        path: str,
+        body: bytes = b"",
+        node: int = 0,
+        method: str = "POST",
+        adapter: str = "",
+        **headers: str,
+    ) -> Answer:
+        """Sends a request on a new connection; returns what came back."""
+        self.sent += 1
+        own = {"Host": HOST, "X-Request-Id": f"r{self.sent}", "X-Deadline-Ms": "5000"}
+        if adapter:
+            own["X-Model"] = f"m/{adapter}"
+            own["X-Token-Counts"] = "100,20"
+        own |= {name.replace("_", "-"): value for name, value in headers.items()}
+        url = URL(f"http://{self.options[node].front}{path}", encoded=True)
+        async with (
+            aiohttp.ClientSession(auto_decompress=False) as session,
+            session.request(method, url, data=body, headers=own) as resp,
+        ):
+            parts = []
+            complete = True
+            try:
+                async for part in resp.content.iter_any():
+                    parts.append(part)
+            except aiohttp.ClientPayloadError:
+                complete = False
+            found = {name.lower(): value for name, value in resp.headers.items()}
+            return Answer(resp.status, found, b"".join(parts), complete)
+
+    async def status(self, node: int = 0) -> int:
+        """Returns what a gateway answers to the balancer; 0 when it does not."""
+        url = f"http://{self.options[node].ready}/wigeonarch/readyz"
+        try:
+            async with aiohttp.ClientSession() as session, session.get(url) as resp:
+                return resp.status
+        except aiohttp.ClientError:
+            return 0
+
+    async def metrics(self, node: int = 0) -> str:
+        """Returns a gateway's metrics."""
+        opts = self.options[node]
+        url = f"http://{opts.ip}:{opts.metrics_port}/metrics"
+        async with aiohttp.ClientSession() as session, session.get(url) as resp:
+            return await resp.text()
+
+    def holder(self, endpoint: str) -> str:
+        """Returns the holder of an engine by the store; empty when there is none."""
+        found = self.store.objects.get(("wigeonarch-holders", endpoint))
+        return str(found["spec"]["holder"]) if found else ""
+
+    async def served(self, path: str, node: int = 0, adapter: str = "") -> None:
+        """Waits until requests of a path are answered."""
+
+        async def ok() -> bool:
+            return (await self.ask(path, node=node, adapter=adapter)).status == 200
+
+        await until(ok)
+
+
+async def until(condition: Callable[[], Awaitable[bool]]) -> None:
+    """Waits until a condition holds."""
+    async with asyncio.timeout(WAIT):
+        while not await condition():  # noqa: ASYNC110 - the condition lies outside.
+            await asyncio.sleep(STEP)
+
+
+async def until_true(condition: Callable[[], Any]) -> None:
+    """Waits until a plain condition holds."""
+    async with asyncio.timeout(WAIT):
+        while not condition():  # noqa: ASYNC110 - the condition lies outside.
+            await asyncio.sleep(STEP)
+
+
+@asynccontextmanager
+async def world(nodes: int = 1) -> AsyncIterator[World]:
+    """Makes a deployment of one engine, one plain endpoint and some gateways."""
+    store = StoreStandIn()
+    await store.start()
+    await store.put("config", "main", configuration())
+    found = World(store, peer_port=free_port("127.0.0.10"))
+    await found.add_replica(Replica("llm", model="m", name="i-llm"))
+    await found.add_replica(Replica("desk", name="i-desk"))
+    try:
+        for number in range(nodes):
+            await found.add_node(number)
+        yield found
+    finally:
+        for node in found.nodes:
+            node.stop()
+        await asyncio.gather(*found.tasks, return_exceptions=True)
+        for replica in found.replicas:
+            await replica.stop()
+        await store.stop()
+
+
+def decoded(body: bytes) -> Any:
+    """Returns a JSON document."""
+    return json.loads(body)
--- /dev/null
+++ b/tests/standins/replica.py
@@ -0,0 +1,314 @@
+"""A stand-in of an endpoint: an engine with adapter places, or a plain service, and its troubles.
+
+It is written on plain sockets, so that it can break off, double or spoil its answers byte by byte.
+What it ran, refused and was ordered is kept for the tests to judge.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+TOKEN_PAUSE = 0.004
+
+
+class Trouble(enum.Enum):
+    """What a replica does to its answers."""
+
+    NONE = "none"
+    SILENT = "silent"  # Runs the request and never answers.
+    RESET = "reset"  # Runs it and resets the connection.
+    ERROR = "error"  # Runs it and answers 500.
+    FALSE_503 = "false_503"  # Runs it and answers 503 without saying that it did not.
+    SHED = "shed"  # 503 and does not run it.
+    CUT = "cut"  # Breaks off in the middle of the answer.
+    DOUBLE = "double"  # Sends the answer twice.
+    FOREIGN_FIRST = "foreign_first"  # Sends an answer of another request before its own.
+    UNFRAMED = "unframed"  # An answer without a length that ends with its connection.
+    UNFRAMED_RESET = "unframed_reset"  # The same, reset on the way.
+    GARBAGE = "garbage"  # Bytes that are no answer.
+
+
+@dataclass
+class Seen:
+    """A request as it arrived."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class Replica:
+    """A replica.
+
+    Attributes:
+        service: Its service.
+        model: Model that it holds; empty for a plain service.
+        places: Adapters that fit.
+        trouble: What it does to answers.
+        ran: Requests that it began to run.
+        orders: Bodies of the orders that arrived, with the status of the answer.
+        late_orders: Whether orders get no answer and are carried out after `late` seconds.
+    """
+
+    service: str
+    zone: str = "a"
+    model: str = ""
+    places: int = 3
+    load_time: float = 0.05
+    events: int = 6
+    trouble: Trouble = Trouble.NONE
+    late_orders: bool = False
+    late: float = 0.6
+    name: str = "i-1"
+    ran: list[Seen] = field(default_factory=list)
+    arrived: list[Seen] = field(default_factory=list)
+    cancelled: int = 0
+    orders: list[tuple[dict[str, Any], int]] = field(default_factory=list)
+    held: dict[str, int] = field(default_factory=dict)
+    newest: dict[str, int] = field(default_factory=dict)
+    using: dict[str, int] = field(default_factory=dict)
+    evicted_in_use: int = 0
+    overfilled: int = 0
+    sequence: int = 0
+    connections: int = 0
+    address: str = ""
+    _pending: dict[str, int] = field(default_factory=dict)
+    _server: asyncio.Server | None = None
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Listens."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+        sockname = self._server.sockets[0].getsockname()
+        self.address = f"{sockname[0]}:{sockname[1]}"
+
+    async def stop(self) -> None:
+        """Ends all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def record(self, state: str = "ready") -> dict[str, Any]:
+        """Returns its entry in the store."""
+        models = []
+        if self.model:
+            adapters = [f"{name}@{version}" for name, version in self.held.items()]
+            models = [{"name": self.model, "version": 1, "adapters": adapters}]
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "slots": 8,
+            "state": state,
+            "models": models,
+        }
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self.connections += 1
+        try:
+            while (seen := await _read(reader)) is not None:
+                if not await self._answer(seen, reader, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _answer(
+        self, seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        expected = seen.headers.get("x-expect-instance", self.name)
+        if expected != self.name:
+            _write(writer, 421, {"X-Instance-Id": self.name})
+            return True
+        if seen.target == "/wigeonarch/report":
+            _write(writer, 200, {}, json.dumps(self._report()).encode())
+            return True
+        if seen.target == "/wigeonarch/order":
+            return await self._order(json.loads(seen.body), writer)
+        return await self._run(seen, reader, writer)
+
+    def _report(self) -> dict[str, Any]:
+        adapters = [f"{name}@{version}" for name, version in self.held.items()]
+        models = [{"name": self.model, "version": 1, "adapters": adapters}] if self.model else []
+        pending = [f"{self.model}/{name}@{version}" for name, version in self._pending.items()]
+        return {"models": models, "seq": self.sequence, "busy": False, "pending": pending}
+
+    async def _order(self, body: dict[str, Any], writer: asyncio.StreamWriter) -> bool:
+        if self.late_orders:
+            self._spawn(self._late_order(body))
+            await asyncio.sleep(3600)
+        status = self._carry_out(body)
+        self.orders.append((body, status))
+        _write(writer, status, {})
+        return True
+
+    async def _late_order(self, body: dict[str, Any]) -> None:
+        await asyncio.sleep(self.late)
+        self.orders.append((body, self._carry_out(body)))
+
+    def _carry_out(self, body: dict[str, Any]) -> int:
+        if body.get("expect", self.sequence) != self.sequence:
+            return 409
+        name = body.get("adapter", "")
+        if body["op"] == "unload":
+            if name not in self.held:
+                return 200
+            self.sequence += 1
+            self.evicted_in_use += bool(self.using.get(name))
+            del self.held[name]
+            return 200
+        version = body.get("version") or self.newest.get(name, 1)
+        if self.held.get(name) == version:
+            return 200
+        taken = set(self.held) | set(self._pending) | {name}
+        if len(taken) > self.places:
+            self.overfilled += 1
+        self.sequence += 1
+        self._pending[name] = version
+        self._spawn(self._load(name, version))
+        return 202
+
+    async def _load(self, name: str, version: int) -> None:
+        await asyncio.sleep(self.load_time)
+        self._pending.pop(name, None)
+        self.held[name] = version
+
+    def _spawn(self, coro: Any) -> None:
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(
+        self, seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        self.arrived.append(seen)
+        model, _, adapter = seen.headers.get("x-model", "").partition("/")
+        version = seen.headers.get("x-expect-version")
+        lacks = adapter and adapter not in self.held
+        other = adapter and version and self.held.get(adapter) != int(version)
+        if (model and model != self.model) or lacks or other:
+            _write(writer, 421, {"X-Instance-Id": self.name})
+            return True
+        if self.trouble is Trouble.SHED:
+            _write(writer, 503, {"X-Not-Executed": "1"})
+            return True
+        self.ran.append(seen)
+        if adapter:
+            self.using[adapter] = self.using.get(adapter, 0) + 1
+        try:
+            return await self._work(seen, reader, writer)
+        finally:
+            if adapter:
+                self.using[adapter] -= 1
+
+    async def _work(
+        self, seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        own = {"X-Request-Id": seen.headers.get("x-request-id", ""), "X-Server-Stamp": self.name}
+        if self.trouble is Trouble.SILENT:
+            await asyncio.sleep(3600)
+        if self.trouble is Trouble.RESET:
+            writer.transport.abort()
+            return False
+        if self.trouble in (Trouble.ERROR, Trouble.FALSE_503):
+            status = 500 if self.trouble is Trouble.ERROR else 503
+            _write(writer, status, own, b"failed")
+            return True
+        if self.trouble is Trouble.GARBAGE:
+            writer.write(b"\x00\x01 this is not an answer\r\n\r\n")
+            return False
+        if self.model:
+            return await self._stream(seen, reader, writer, own)
+        return await self._plain(seen, writer, own)
+
+    async def _plain(self, seen: Seen, writer: asyncio.StreamWriter, own: dict[str, str]) -> bool:
+        body = b"answer of " + self.name.encode() + b" to " + seen.body
+        if self.trouble is Trouble.FOREIGN_FIRST:
+            _write(writer, 200, {**own, "X-Request-Id": "somebody-else"}, b"not yours")
+        if self.trouble is Trouble.CUT:
+            writer.write(_head(200, own, len(body)) + body[: len(body) // 2])
+            return False
+        if self.trouble in (Trouble.UNFRAMED, Trouble.UNFRAMED_RESET):
+            writer.write(_head(200, {**own, "Connection": "close"}, None) + body)
+            await writer.drain()
+            if self.trouble is Trouble.UNFRAMED_RESET:
+                await asyncio.sleep(0.05)
+                writer.transport.abort()
+            return False
+        _write(writer, 200, own, body)
+        if self.trouble is Trouble.DOUBLE:
+            _write(writer, 200, own, body)
+        return True
+
+    async def _stream(
+        self,
+        seen: Seen,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        own: dict[str, str],
+    ) -> bool:
+        own = {**own, "Content-Type": "text/event-stream"}
+        writer.write(_head(200, own, None, chunked=True))
+        first = int(seen.headers.get("last-event-id", "0")) + 1
+        for number in range(first, self.events + 1):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if self.trouble is Trouble.CUT and number == 4:
+                writer.write(b"%x\r\n" % len(event) + event[:7])
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                writer.transport.abort()
+                return False
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            if await _left(reader):
+                self.cancelled += 1
+                return False
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+async def _left(reader: asyncio.StreamReader) -> bool:
+    """Waits for the next token; tells whether the caller has left."""
+    await asyncio.sleep(TOKEN_PAUSE)
+    return reader.at_eof() or reader.exception() is not None
+
+
+async def _read(reader: asyncio.StreamReader) -> Seen | None:
+    with contextlib.suppress(asyncio.IncompleteReadError):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        first, *lines = head.strip().split("\r\n")
+        method, target, _ = first.split(" ")
+        pairs = (line.partition(":") for line in lines)
+        headers = {name.lower(): value.strip() for name, _, value in pairs}
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        return Seen(method, target, headers, body)
+    return None
+
+
+def _head(status: int, headers: dict[str, str], length: int | None, chunked: bool = False) -> bytes:
+    lines = [f"HTTP/1.1 {status} Any"] + [f"{name}: {value}" for name, value in headers.items()]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    if chunked:
+        lines.append("Transfer-Encoding: chunked")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def _write(
+    writer: asyncio.StreamWriter, status: int, headers: dict[str, str], body: bytes = b""
+) -> None:
+    writer.write(_head(status, headers, len(body)) + body)
--- /dev/null
+++ b/tests/standins/store.py
@@ -0,0 +1,169 @@
+"""A stand-in of the platform's object store: revisions, conditions, watches, and its troubles."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import json
+from typing import Any
+
+from aiohttp import web
+
+
+class Trouble(enum.Enum):
+    """What the store does to its callers."""
+
+    NONE = "none"
+    BUSY = "busy"  # 503: nothing is done.
+    MANY = "many"  # 429: nothing is done.
+    SILENT = "silent"  # No answer; nothing is done.
+    LOST = "lost"  # Writes are done and not answered.
+    RESET = "reset"
+
+
+class StoreStandIn:
+    """The store.
+
+    Attributes:
+        trouble: What happens to calls of callers in `troubled`, or of all if that is empty.
+        troubled: Addresses that have the trouble.
+        history_from: Oldest revision from which a watch may continue.
+        calls: Method, kind and status of each call.
+    """
+
+    def __init__(self) -> None:
+        self.trouble = Trouble.NONE
+        self.troubled: set[str] = set()
+        self.history_from = 0
+        self.calls: list[tuple[str, str, int]] = []
+        self.revision = 1
+        self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self._changed = asyncio.Condition()
+        self._runner: web.ServerRunner | None = None
+        self.address = ""
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Listens."""
+        self._runner = web.ServerRunner(web.Server(self._handle))
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, host, port)
+        await site.start()
+        sockname = self._runner.addresses[0]
+        self.address = f"{sockname[0]}:{sockname[1]}"
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def put(self, kind: str, name: str, spec: Any) -> int:
+        """Writes an object as the operator or an endpoint does; returns its revision."""
+        async with self._changed:
+            self._write(kind, name, spec)
+            self._changed.notify_all()
+        return self.revision
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Removes an object."""
+        async with self._changed:
+            self._remove(kind, name)
+            self._changed.notify_all()
+
+    async def forget_history(self) -> None:
+        """Drops the history, as a compaction does."""
+        async with self._changed:
+            self._events.clear()
+            self.history_from = self.revision + 1
+            self.revision += 1
+            self._changed.notify_all()
+
+    def spec(self, kind: str, name: str) -> Any:
+        """Returns the content of an object."""
+        return self.objects[kind, name]["spec"]
+
+    def _write(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+        before = self.objects.get((kind, name))
+        if before is not None and before["spec"] == spec:
+            return before
+        self.revision += 1
+        found = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
+        self.objects[kind, name] = found
+        self._events.append((self.revision, kind, found, False))
+        return found
+
+    def _remove(self, kind: str, name: str) -> None:
+        found = self.objects.pop((kind, name), None)
+        if found is not None:
+            self.revision += 1
+            self._events.append((self.revision, kind, found, True))
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        _, _, rest = request.path.partition("/wigeonarch/objects/")
+        kind, _, name = rest.partition("/")
+        trouble = self.trouble
+        if self.troubled and request.remote not in self.troubled:
+            trouble = Trouble.NONE
+        if trouble is Trouble.SILENT:
+            await asyncio.sleep(3600)
+        if trouble is Trouble.RESET and request.transport is not None:
+            request.transport.abort()
+        if trouble in (Trouble.BUSY, Trouble.MANY):
+            status = 503 if trouble is Trouble.BUSY else 429
+            self.calls.append((request.method, kind, status))
+            return web.Response(status=status)
+        status, document = await self._answer(request, kind, name)
+        self.calls.append((request.method, kind, status))
+        if trouble is Trouble.LOST and request.method != "GET":
+            await asyncio.sleep(3600)
+        return web.json_response(document, status=status)
+
+    async def _answer(self, request: web.BaseRequest, kind: str, name: str) -> tuple[int, Any]:
+        if request.method == "GET" and "watch" in request.query:
+            return await self._watch(kind, request)
+        if request.method == "GET" and not name:
+            items = [found for (k, _), found in sorted(self.objects.items()) if k == kind]
+            return 200, {"items": items, "truncated": False, "as_of": self.revision}
+        if request.method == "GET":
+            found = self.objects.get((kind, name))
+            return (200, found) if found else (404, {})
+        if request.method == "DELETE":
+            await self.delete(kind, name)
+            return 200, {}
+        return await self._store(request, kind, name)
+
+    async def _store(self, request: web.BaseRequest, kind: str, name: str) -> tuple[int, Any]:
+        body = json.loads(await request.read())
+        name = name or body["metadata"]["name"]
+        async with self._changed:
+            found = self.objects.get((kind, name))
+            if request.method == "POST" and found is not None:
+                return 409, found
+            if request.method == "PUT":
+                if found is None:
+                    return 404, {}
+                revision = body["metadata"].get("revision")
+                if revision is not None and revision != found["metadata"]["revision"]:
+                    return 409, found
+            written = self._write(kind, name, body["spec"])
+            self._changed.notify_all()
+        return 200, written
+
+    async def _watch(self, kind: str, request: web.BaseRequest) -> tuple[int, Any]:
+        since = int(request.query["watch"])
+        wait = int(request.query["wait_ms"]) / 1000
+        try:
+            async with asyncio.timeout(wait), self._changed:
+                await self._changed.wait_for(lambda: self._news(kind, since) or self._gone(since))
+        except TimeoutError:
+            pass
+        if self._gone(since):
+            return 410, {}
+        events = [{"object": o, "deleted": d} for _, k, o, d in self._news(kind, since) if k]
+        return 200, {"events": events, "as_of": self.revision}
+
+    def _gone(self, since: int) -> bool:
+        return since < self.history_from
+
+    def _news(self, kind: str, since: int) -> list[tuple[int, str, dict[str, Any], bool]]:
+        return [event for event in self._events if event[0] > since and event[1] == kind]
--- /dev/null
+++ b/tests/test_engine_choice.py
@@ -0,0 +1,80 @@
+"""Which engine runs a generation."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from wigeonarch_core.engine_choice import COLD_LOAD, EngineState, choose, load_time
+from wigeonarch_core.service_choice import ServiceState, choose_plain
+
+IDLE = EngineState(
+    endpoint="e",
+    same_zone=True,
+    holds=False,
+    loading_left=None,
+    warm=False,
+    loadable=True,
+    free_places=5,
+    loading=0,
+    waiting_tokens=0.0,
+    running=0,
+    kv_tokens=0.0,
+    kv_total=100_000,
+    failing=0.0,
+)
+HOLDS = replace(IDLE, endpoint="holds", holds=True)
+COLD = replace(IDLE, endpoint="cold")
+WARM = replace(IDLE, endpoint="warm", warm=True)
+COMING = replace(IDLE, endpoint="coming", loading_left=0.1)
+
+
+@pytest.mark.parametrize(
+    ("states", "endpoint", "load"),
+    [
+        ([COLD, HOLDS], "holds", False),
+        ([COLD, WARM], "warm", True),
+        ([COLD, COMING], "coming", True),
+        ([replace(HOLDS, same_zone=False), COLD], "holds", False),
+        # A queue of half a second before the copy does not pay for a fetch, one of a second does.
+        ([replace(HOLDS, waiting_tokens=9_000.0), COLD], "holds", False),
+        ([replace(HOLDS, waiting_tokens=19_000.0), COLD], "cold", True),
+        ([replace(HOLDS, waiting_tokens=9_000.0), WARM], "warm", True),
+        ([replace(COLD, loadable=False)], None, False),
+        ([replace(COLD, loadable=False), replace(HOLDS, failing=1.0)], "holds", False),
+        ([replace(HOLDS, endpoint="sick", failing=0.6), HOLDS], "holds", False),
+        ([replace(HOLDS, endpoint="full", kv_tokens=95_000.0), HOLDS], "holds", False),
+        ([replace(HOLDS, endpoint="far", same_zone=False), HOLDS], "holds", False),
+        ([replace(COLD, endpoint="packed", free_places=0), COLD], "cold", True),
+        ([replace(COLD, endpoint="loading", loading=4), COLD], "cold", True),
+        ([], None, False),
+    ],
+)
+def test_choice(states: list[EngineState], endpoint: str | None, load: bool) -> None:
+    choice = choose(states, 1_000)
+    assert (choice.endpoint if choice else None) == endpoint
+    assert (choice.load if choice else False) is load
+
+
+def test_fetches_beyond_the_stores_limit_take_longer() -> None:
+    assert load_time(False, 0) == COLD_LOAD
+    assert load_time(False, 7) == COLD_LOAD
+    assert load_time(False, 15) == 2 * COLD_LOAD
+    assert load_time(True, 15) < COLD_LOAD / 2
+
+
+PLAIN = ServiceState("p", True, 6, 0, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("states", "expected"),
+    [
+        ([PLAIN, replace(PLAIN, endpoint="far", same_zone=False)], "p"),
+        ([replace(PLAIN, running=6), replace(PLAIN, endpoint="far", same_zone=False)], "far"),
+        ([replace(PLAIN, failing=0.5), replace(PLAIN, endpoint="busy", running=4)], "busy"),
+        ([replace(PLAIN, endpoint="b"), replace(PLAIN, endpoint="a")], "a"),
+        ([], None),
+    ],
+)
+def test_choice_of_a_plain_endpoint(states: list[ServiceState], expected: str | None) -> None:
+    assert choose_plain(states) == expected
--- /dev/null
+++ b/tests/test_gateway_events.py
@@ -0,0 +1,44 @@
+"""Events are passed on whole."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from wigeonarch_gateway.events import EventSplitter
+
+STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nx-version: 3\nid: 3\ndata: c\n\n"
+
+
+@pytest.mark.parametrize(
+    ("parts", "passed", "last_id"),
+    [
+        ([b"id: 1\ndata: a\n\n"], b"id: 1\ndata: a\n\n", "1"),
+        ([b"id: 1\nda", b"ta: a\n\nid: 2\n"], b"id: 1\ndata: a\n\n", "1"),
+        ([b"data: a\n\n"], b"data: a\n\n", ""),
+        ([b"version: 2\nid: 9\ndata: id: 4\n\n"], b"version: 2\nid: 9\ndata: id: 4\n\n", "9"),
+        ([b"id: 1"], b"", ""),
+    ],
+)
+def test_splitting(parts: list[bytes], passed: bytes, last_id: str) -> None:
+    splitter = EventSplitter()
+    assert b"".join(splitter.feed(part) for part in parts) == passed
+    assert splitter.last_id == last_id
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=8))
+def test_any_cuts_give_the_same_events(cuts: list[int]) -> None:
+    splitter = EventSplitter()
+    marks = [0, *sorted(cuts), len(STREAM)]
+    passed = b"".join(splitter.feed(STREAM[a:b]) for a, b in pairwise(marks) if a < b)
+    assert passed == STREAM
+    assert (splitter.last_id, splitter.count, splitter.rest()) == ("3", 3, b"")
+
+
+def test_what_broke_off_is_not_joined_with_what_follows() -> None:
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    splitter.drop_rest()
+    assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,257 @@
+"""The users' platform: its settings, records and headers, to the gateway's types and back."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from wigeonarch_core.engine_places import AdapterKey
+from wigeonarch_core.routes import Kind, Share
+from wigeonarch_gateway.ports import (
+    AnswerHead,
+    Dispatch,
+    EndpointState,
+    Order,
+    OrderResult,
+    StoredObject,
+    Verdict,
+)
+from wigeonarch_platform import dialect, records
+from wigeonarch_platform.settings import BadSettings, read_settings
+
+GOOD = {
+    "node_name": "edge-1",
+    "zone": "a",
+    "ip": "10.0.0.1",
+    "listen.front": "10.0.0.1:8000",
+    "listen.ready": "10.0.0.1:8001",
+    "internal_ports": "7000,7015",
+    "seeds": "10.0.0.1:8004,10.0.0.2:8004",
+    "platform.address": "10.0.9.9:8142",
+    "bounds.lease_ms": "3000",
+    "bounds.retry_budget_ratio": "0.3",
+    "something.new": "x=y",
+}
+
+
+def text(**changes: str | None) -> str:
+    pairs = {**GOOD, **{key.replace("__", "."): value for key, value in changes.items()}}
+    return "\n".join(f"{key}={value}" for key, value in pairs.items() if value is not None)
+
+
+def test_settings() -> None:
+    settings = read_settings("# a comment\n\n" + text())
+    opts = settings.options
+    assert settings.store_address == "10.0.9.9:8142"
+    assert (opts.instance, opts.zone, opts.front) == ("edge-1", "a", "10.0.0.1:8000")
+    assert (opts.peer_port, opts.seeds) == (7000, ("10.0.0.1:8004", "10.0.0.2:8004"))
+    assert opts.retries.share == 0.3
+    assert opts.holding.pause > 3.0
+
+
+@pytest.mark.parametrize(
+    ("changes", "named"),
+    [
+        ({"node_name": None}, "node_name"),
+        ({"listen__front": "10.0.0.1"}, "listen.front"),
+        ({"listen__ready": "10.0.0.1:99999"}, "listen.ready"),
+        ({"platform__address": ":80"}, "platform.address"),
+        ({"internal_ports": "7000"}, "internal_ports"),
+        ({"bounds__grace_s": "soon"}, "bounds.grace_s"),
+    ],
+)
+def test_a_senseless_setting_is_named(changes: dict[str, str | None], named: str) -> None:
+    with pytest.raises(BadSettings, match=named.replace(".", r"\.")):
+        read_settings(text(**changes))
+
+
+CONFIGURATION: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "X.example",
+            "path_prefix": "/p/",
+            "route_kind": "streaming",
+            "timeout_ms": 15000,
+            "slo_ms": 800,
+            "priority": 2,
+            "split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+            "attempts": 1,
+            "sticky": True,
+            "resumable": True,
+            "gap_target_ms": 250,
+        }
+    ],
+    "services": [{"name": "s", "max_conns": 360, "tls": False}],
+    "limits": {"max_body_bytes": 99, "idle_timeout_ms": 15000},
+}
+
+
+def stored(spec: Any, name: str = "main") -> StoredObject:
+    return StoredObject(name, 1, spec)
+
+
+def test_configuration() -> None:
+    table = records.decode_configuration(stored(CONFIGURATION))
+    route = table.find("x.example", "/p/q")
+    assert route is not None
+    assert route.split == (Share("s", 90), Share("t", 10))
+    assert (route.kind, route.timeout, route.objective) == (Kind.STREAMING, 15.0, 0.8)
+    assert (route.resumable, route.largest_pause, route.priority) == (True, 0.25, 2)
+    assert table.limits.body_bytes == 99
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [None, {}, {**CONFIGURATION, "version": "x"}, {**CONFIGURATION, "routes": [{"name": "r"}]}],
+)
+def test_an_unreadable_configuration_is_a_value_error(spec: Any) -> None:
+    with pytest.raises(ValueError):
+        records.decode_configuration(stored(spec))
+
+
+@pytest.mark.parametrize(
+    ("state", "expected"),
+    [
+        ("ready", EndpointState.READY),
+        ("draining", EndpointState.LEAVING),
+        ("new-word", EndpointState.LEAVING),
+    ],
+)
+def test_endpoint(state: str, expected: EndpointState) -> None:
+    spec = {
+        "service": "s",
+        "address": "10.0.0.9:80",
+        "zone": "b",
+        "slots": 6,
+        "state": state,
+        "models": [{"name": "m", "version": 1, "adapters": ["a1@3", "a2@1"]}],
+    }
+    found = records.decode_endpoint(stored(spec, "i-1"))
+    assert (found.endpoint, found.state) == ("i-1", expected)
+    assert found.models[0].adapters == (AdapterKey("m", "a1", 3), AdapterKey("m", "a2", 1))
+
+
+def test_report() -> None:
+    body = {
+        "models": [{"name": "m", "version": 1, "adapters": ["a1@2"]}],
+        "seq": 5,
+        "pending": ["m/a9@4"],
+        "queued": 1,
+    }
+    report = records.decode_report(json.dumps(body).encode())
+    assert (report.sequence, report.pending) == (5, (AdapterKey("m", "a9", 4),))
+
+
+@pytest.mark.parametrize(
+    ("headers", "field", "expected"),
+    [
+        ({"x-model": "m/a7"}, "adapter", "a7"),
+        ({"x-model": "m"}, "adapter", ""),
+        ({"x-deadline-ms": "1500"}, "wait", 1.5),
+        ({"x-deadline-ms": "soon"}, "wait", None),
+        ({"x-token-counts": "1460,80"}, "prompt_tokens", 1460),
+        ({"x-token-counts": "1460,80"}, "output_tokens", 80),
+        ({"x-token-counts": "many"}, "prompt_tokens", 0),
+        ({"x-prefix-hash": "5c:800,91:410,e4:250"}, "shared_tokens", 1210),
+        ({"x-prefix-hash": ""}, "shared_tokens", 0),
+        ({"last-event-id": "4"}, "resumed", True),
+    ],
+)
+def test_terms(headers: dict[str, str], field: str, expected: object) -> None:
+    assert getattr(dialect.read_terms(headers), field) == expected
+
+
+def test_headers_on_their_way_to_an_endpoint() -> None:
+    sent = [
+        (b"Host", b"x.example"),
+        (b"X-Request-Id", b"r1"),
+        (b"X-Deadline-Ms", b"9999"),
+        (b"X-Expect-Instance", b"forged"),
+        (b"Kv-From", b"10.0.0.1:80/h"),
+        (b"Connection", b"close, X-Private"),
+        (b"X-Private", b"1"),
+        (b"Content-Length", b"3"),
+        (b"Last-Event-Id", b"2"),
+        (b"X-Model", b"m/a"),
+    ]
+    found = dialect.forward(sent, Dispatch("i-1", 1.2345, 2, 4, "7"))
+    assert found == [
+        (b"Host", b"x.example"),
+        (b"X-Request-Id", b"r1"),
+        (b"X-Model", b"m/a"),
+        (b"x-deadline-ms", b"1234"),
+        (b"X-Expect-Instance", b"i-1"),
+        (b"X-Request-Priority", b"2"),
+        (b"X-Expect-Version", b"4"),
+        (b"last-event-id", b"7"),
+    ]
+
+
+def test_a_caller_that_goes_on_with_a_stream_keeps_its_place() -> None:
+    found = dict(dialect.forward([(b"Last-Event-Id", b"2")], Dispatch("i-1", 1.0)))
+    assert found[b"Last-Event-Id"] == b"2"
+
+
+OWN = (b"x-request-id", b"r1")
+SIGNED = (b"x-server-stamp", b"s")
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (200, (OWN, SIGNED), Verdict.ANSWER),
+        (404, (OWN, SIGNED), Verdict.ANSWER),
+        (200, (OWN,), Verdict.UNUSABLE),
+        (200, (SIGNED,), Verdict.UNUSABLE),
+        (200, (OWN, SIGNED, (b"content-encoding", b"gzip")), Verdict.UNUSABLE),
+        (200, ((b"x-request-id", b"r2"), SIGNED), Verdict.FOREIGN),
+        (503, ((b"x-request-id", b"r2"), (b"x-not-executed", b"1")), Verdict.FOREIGN),
+        (503, ((b"x-not-executed", b"1"),), Verdict.NOT_RUN),
+        (503, (OWN, SIGNED), Verdict.UNUSABLE),
+        (429, (OWN, SIGNED), Verdict.UNUSABLE),
+        (408, (OWN, SIGNED), Verdict.UNUSABLE),
+        (421, (), Verdict.MISDIRECTED),
+        (500, (OWN, SIGNED), Verdict.FAILURE),
+        (504, (OWN, SIGNED), Verdict.FAILURE),
+    ],
+)
+def test_what_an_answer_says(
+    status: int, headers: tuple[tuple[bytes, bytes], ...], expected: Verdict
+) -> None:
+    assert dialect.judge("r1", AnswerHead(status, headers)) is expected
+
+
+@pytest.mark.parametrize(
+    ("order", "expected"),
+    [
+        (
+            Order(True, AdapterKey("m", "a", 3), "n", 41, 2),
+            {"op": "load", "model": "m", "adapter": "a", "version": 3, "expect": 2},
+        ),
+        (Order(True, AdapterKey("m", "", 0), "n", 41, None), {"op": "load", "model": "m"}),
+        (
+            Order(False, AdapterKey("m", "a", 0), "n", 41, 0),
+            {"op": "unload", "model": "m", "adapter": "a", "expect": 0},
+        ),
+    ],
+)
+def test_order(order: Order, expected: dict[str, Any]) -> None:
+    assert json.loads(dialect.order_body(order)) == {"holder": "n", "fence": 41, **expected}
+
+
+@pytest.mark.parametrize(
+    ("status", "expected"),
+    [
+        (202, OrderResult.STARTED),
+        (200, OrderResult.HOLDS),
+        (409, OrderResult.CONFLICT),
+        (412, OrderResult.FENCED),
+        (421, OrderResult.MISDIRECTED),
+        (500, OrderResult.UNKNOWN),
+    ],
+)
+def test_order_results(status: int, expected: OrderResult) -> None:
+    assert dialect.order_result(status) is expected
