A sequence number that was counted wrong is found out; a base model is ordered once

Change: a report taken later than its lag after the last answer is right whatever was counted; a model is ordered again only when a report shows that nothing is under way. Tests: an engine without its model, an order that moved nothing.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
@@ -33,6 +33,8 @@
 
 ORDER_TIMEOUT: Final = 0.4  # Seconds; answers take a few milliseconds where there is a way.
 REPORT_LAG: Final = 0.2  # Seconds after which a report shows an order; they lag some 100 ms.
+MODEL_POLL: Final = 0.4  # Seconds between reports while a base model is loaded; it takes seconds.
+REPORT_LAG_MOST: Final = 0.8  # Seconds after which a report shows all orders answered before.
 REPORT_EVERY: Final = 4.0  # Seconds between reports while all goes well; each one has a price.
 NEWS_EVERY: Final = 0.9  # Seconds between repeated news.
 WISH_VALID: Final = 0.4  # Seconds that a wish counts; requests repeat theirs while they need it.
@@ -99,7 +101,9 @@
 
     __slots__ = (
         "_accepted",
+        "_answered",
         "_around",
+        "_busy",
         "_endpoint",
         "_models",
         "_news",
@@ -121,8 +125,10 @@
         self._around = around
         self._places = Places(spec.places, HOST_COPIES)
         self._models: set[str] = set()
+        self._busy = False  # Whether the engine carries out an order that keeps it from others.
         self._sequence: int | None = None  # None while it is in doubt.
-        self._accepted = 0  # Least sequence number that the engine can have.
+        self._accepted = 0  # Least sequence number that the engine can have, by its answers.
+        self._answered = 0.0  # Time of the last answer that moved it on.
         self._wishes: dict[AdapterKey, Wish] = {}
         self._wake = asyncio.Event()
         self._news = 0
@@ -233,13 +239,14 @@
 
     async def _load_model(self, record: EndpointRecord) -> float:
         model = self._missing_model()
-        if model is None or not self._around.model_turn():
-            return REPORT_LAG
+        if model is None or self._busy or not self._around.model_turn():
+            return MODEL_POLL
         result = await self._order(record, load=True, key=AdapterKey(model.name, "", 0))
         if result in (OrderResult.STARTED, OrderResult.HOLDS):
-            self._report_due = monotonic() + max(REPORT_LAG, model.load_time)
-            return max(REPORT_LAG, model.load_time)
-        return REPORT_LAG
+            # Until a report shows the model, or that nothing is under way, nothing is ordered.
+            self._busy = True
+            self._report_due = monotonic() + max(REPORT_LAG_MOST, model.load_time)
+        return MODEL_POLL
 
     def _missing_model(self) -> ModelSpec | None:
         """Returns the model to load on an engine that has none."""
@@ -290,6 +297,7 @@
             if result is OrderResult.STARTED or not order.load:
                 self._accepted += 1
                 self._sequence = self._accepted
+                self._answered = monotonic()
             return
         # Whatever else it was, what is believed of the engine is doubtful.
         self._sequence = None
@@ -315,8 +323,9 @@
 
     def _adopt(self, report: EngineReport) -> bool:
         now = monotonic()
-        if report.sequence < self._accepted:
-            # Sampled before the last order that the engine accepted: it tells nothing new.
+        if report.sequence < self._accepted and now - self._answered < REPORT_LAG_MOST:
+            # Sampled before the last order that the engine accepted: it tells nothing new. Later
+            # the report is right, and what was counted was not: some answers move nothing on.
             self._report_due = now + REPORT_LAG
             return self._sequence is not None
         held = [key for model in report.models for key in model.adapters]
@@ -332,8 +341,9 @@
         self._sequence = self._accepted = report.sequence
         self._models = {model.model for model in report.models}
         self._places.adopt(held, report.pending, now)
-        self._report_due = now + REPORT_EVERY
-        return not report.busy or bool(self._models)
+        self._busy = report.busy
+        self._report_due = now + (MODEL_POLL if report.busy else REPORT_EVERY)
+        return True
 
     def _tell_in_turn(self) -> None:
         if monotonic() - self._told >= NEWS_EVERY:
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -77,6 +77,9 @@
     evicted_in_use: int = 0
     overfilled: int = 0
     sequence: int = 0
+    model_time: float = 0.5
+    without_model: bool = False
+    loading_model: bool = False
     connections: int = 0
     address: str = ""
     _pending: dict[str, int] = field(default_factory=dict)
@@ -100,7 +103,7 @@
     def record(self, state: str = "ready") -> dict[str, Any]:
         """Returns its entry in the store."""
         models = []
-        if self.model:
+        if self.model and not self.without_model:
             adapters = [f"{name}@{version}" for name, version in self.held.items()]
             models = [{"name": self.model, "version": 1, "adapters": adapters}]
         return {
@@ -143,9 +146,16 @@
 
     def _report(self) -> dict[str, Any]:
         adapters = [f"{name}@{version}" for name, version in self.held.items()]
-        models = [{"name": self.model, "version": 1, "adapters": adapters}] if self.model else []
+        models = [{"name": self.model, "version": 1, "adapters": adapters}]
+        if self.without_model or not self.model:
+            models = []
         pending = [f"{self.model}/{name}@{version}" for name, version in self._pending.items()]
-        return {"models": models, "seq": self.sequence, "busy": False, "pending": pending}
+        return {
+            "models": models,
+            "seq": self.sequence,
+            "busy": self.loading_model,
+            "pending": pending,
+        }
 
     async def _order(self, body: dict[str, Any], writer: asyncio.StreamWriter) -> bool:
         if self.late_orders:
@@ -164,6 +174,10 @@
         if body.get("expect", self.sequence) != self.sequence:
             return 409
         name = body.get("adapter", "")
+        if not name:
+            return self._load_model()
+        if self.without_model:
+            return 421
         if body["op"] == "unload":
             if name not in self.held:
                 return 200
@@ -182,6 +196,19 @@
         self._spawn(self._load(name, version))
         return 202
 
+    def _load_model(self) -> int:
+        """Begins to load the model; an order for what is under way moves nothing on."""
+        if not self.loading_model:
+            self.loading_model = True
+            self.sequence += 1
+            self._spawn(self._end_model_load())
+        return 202
+
+    async def _end_model_load(self) -> None:
+        await asyncio.sleep(self.model_time)
+        self.loading_model = False
+        self.without_model = False
+
     async def _load(self, name: str, version: int) -> None:
         await asyncio.sleep(self.load_time)
         self._pending.pop(name, None)
@@ -198,7 +225,7 @@
         self.arrived.append(seen)
         model, _, adapter = seen.headers.get("x-model", "").partition("/")
         version = seen.headers.get("x-expect-version")
-        lacks = adapter and adapter not in self.held
+        lacks = (adapter and adapter not in self.held) or (model and self.without_model)
         other = adapter and version and self.held.get(adapter) != int(version)
         if (model and model != self.model) or lacks or other:
             _write(writer, 421, {"X-Instance-Id": self.name})
--- a/tests/test_gateway_passing.py
+++ b/tests/test_gateway_passing.py
@@ -293,3 +293,25 @@
         await asyncio.sleep(0.7)
         assert (await found.ask("/new/x")).status == 200
         assert "wigeonarch_gateway_configuration_version 5.0" in await found.metrics()
+
+
+async def test_an_engine_without_its_model_is_given_it_once_and_then_adapters() -> None:
+    async with world() as found:
+        await found.served("/write/x", adapter="a1")
+        empty = await found.add_replica(
+            Replica("llm", model="m", name="i-empty", without_model=True, model_time=1.5)
+        )
+        await found.store.delete("servers", "i-llm")
+        await found.served("/write/x", adapter="b1")
+        loads = [body for body, _ in empty.orders if "adapter" not in body]
+        assert len(loads) == 1
+
+
+async def test_an_order_that_moved_nothing_on_is_found_out() -> None:
+    """An answer that counts as accepted although the engine's number stays."""
+    async with world() as found:
+        engine = found.replicas[0]
+        await found.served("/write/x", adapter="a1")
+        engine.sequence -= 1
+        await found.served("/write/x", adapter="b1")
+        await found.served("/write/x", adapter="c1")
