Orders without an answer are not waited for; a request is held for twice its objective at most

Change: the answer is awaited for 0.12 s; the next order names the same sequence number, so at most one of the two takes effect, and a refusal for the number leads to the report. Requests not sent after twice their objective are refused with a time to come back. Watches of what changes seldom wait 3.5 s. Ruled out: rights to order (no lapse), weight store (8 loads at once not reached in that time).

--- a/packages/wigeonarch-core/src/wigeonarch_core/service_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/service_choice.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-# What a way to another availability zone, and one more request in a slot, are worth in shares of
-# the time that one request takes.
-ZONE_COST: Final = 0.15
+# What a way to another availability zone is worth, in requests under way per slot: the endpoint of
+# the own zone is taken until a third of its slots is busier than elsewhere.
+ZONE_COST: Final = 0.35
 # A failing share of 1 is as bad as so many requests waiting per slot.
 FAILURE_COST: Final = 4.0
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
@@ -43,14 +43,15 @@
     """Times of the watches of the store, in seconds.
 
     Attributes:
-        watch: Longest wait of one watch call; a connection that went silent is noticed after it.
+        watch: Longest wait of one watch call. A connection that went silent for good is noticed
+            only when the wait is over; each call has a price, also one that only waits.
         gather: Pause after news of endpoints, so that several changes cost one call.
         retry: Pause after a failed call.
         returned: Time after an outage in which a missing endpoint may still come back.
     """
 
-    watch: float = 2.0
-    gather: float = 0.6
+    watch: float = 3.5
+    gather: float = 0.9
     retry: float = 0.25
     returned: float = 2.2
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
@@ -1,8 +1,9 @@
 """Orders to one engine by its holder: which adapters it holds, one order after the other.
 
 Wishes wait in order of urgency. Before each order the right to give it is judged anew, at the last
-moment before it is written. An order without an answer is not repeated: the engine's report shows
-whether it took effect, and the sequence number keeps it from taking effect later.
+moment before it is written. An order without an answer may take effect now, late or never; each
+order names the sequence number that the engine must have, so of those with one number only one
+takes effect, and an engine that refuses one for its number is asked for a report.
 """
 
 from __future__ import annotations
@@ -31,12 +32,17 @@
     OrderResult,
 )
 
-ORDER_TIMEOUT: Final = 0.4  # Seconds; answers take a few milliseconds where there is a way.
+# Seconds; answers take a few milliseconds where there is a way. While one is awaited, nothing else
+# can be ordered of the engine.
+ORDER_TIMEOUT: Final = 0.12
+REPORT_TIMEOUT: Final = 0.4  # Seconds.
 REPORT_LAG: Final = 0.2  # Seconds after which a report shows an order; they lag some 100 ms.
 # Seconds until the report is read after an order that was not accepted; doubled with each in a row,
 # as an engine that carries out an order for seconds refuses all others.
 CONFLICT_PAUSE: Final = 0.06
 CONFLICT_MOST: Final = 0.5
+# Orders without an answer in a row after which the report is read before the next one.
+UNKNOWNS_BORNE: Final = 3
 MODEL_POLL: Final = 0.4  # Seconds between reports while a base model is loaded; it takes seconds.
 REPORT_LAG_MOST: Final = 0.8  # Seconds after which a report shows all orders answered before.
 REPORT_EVERY: Final = 4.0  # Seconds between reports while all goes well; each one has a price.
@@ -324,9 +330,13 @@
                 self._answered = monotonic()
             self._conflicts = 0
             return
-        # Whatever else it was, what is believed of the engine is doubtful.
-        self._sequence = None
         self._conflicts += 1
+        if result is OrderResult.UNKNOWN and self._conflicts <= UNKNOWNS_BORNE:
+            # If it took effect, the next order meets a number that has moved on; if not, the next
+            # one moves it on, and it never can. So nothing has to be read for now.
+            return
+        # What is believed of the engine is doubtful.
+        self._sequence = None
         pause = min(CONFLICT_MOST, CONFLICT_PAUSE * 2.0 ** (self._conflicts - 1))
         self._blocked_until = monotonic() + pause
 
@@ -334,7 +344,7 @@
         """Reads the engine's report; returns whether it shows all orders given."""
         path = self._around.dialect.report_path
         answer = await call(
-            self._around.pools, self._around.dialect, record, "GET", path, b"", ORDER_TIMEOUT
+            self._around.pools, self._around.dialect, record, "GET", path, b"", REPORT_TIMEOUT
         )
         self._around.metrics.reports.inc()
         if answer.status != 200:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -50,6 +50,9 @@
 REFUTED_PAUSE: Final = 0.03
 # Share of the objective for which a request is held while no endpoint can take it at all.
 HOLD_SHARE: Final = 0.5
+# The same while an adapter is on its way: a request that is later than this earns little, and its
+# caller, told in time, may find another instance that can do better before it gives up.
+HOLD_MOST: Final = 2.0
 # When to come back after a refusal, in seconds: loads and queues change within that.
 COME_BACK: Final = 0.3
 # Refused sends of one request after which it is refused itself.
@@ -271,6 +274,7 @@
         """Returns an endpoint that can run the request now; None when there is none in time."""
         began = monotonic()
         patience = HOLD_SHARE * job.route.objective
+        longest = HOLD_MOST * job.route.objective
         while True:
             now = monotonic()
             if job.terms.model and job.spec is not None and job.spec.engine is not None:
@@ -280,7 +284,7 @@
             if found is not None:
                 job.waited += now - began
                 return found
-            if not hopeful and now - began > patience:
+            if now - began > (longest if hopeful else patience):
                 return None
             await self._views.change(self._pause(job, now) if hopeful else REFUTED_PAUSE)
 
