--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -103,6 +103,26 @@
     return best
 
 
+def choose_again(
+    states: Sequence[EngineState], prompt_tokens: int, asked: str, patient: bool
+) -> Choice | None:
+    """Returns the best engine for a request that may have asked one for a load already.
+
+    While it is patient it stays with that one, so that no two engines load for one request;
+    afterwards it prefers others. An engine that can't load any more binds nobody.
+
+    Args:
+        states: Engines that may be used.
+        prompt_tokens: Length of the prompt.
+        asked: Engine that was asked for a load; empty if none was.
+        patient: Whether that was just now.
+    """
+    if not asked:
+        return choose(states, prompt_tokens)
+    preferred = [s for s in states if s.holds or (s.endpoint == asked) is patient]
+    return choose(preferred, prompt_tokens) or choose(states, prompt_tokens)
+
+
 def _expect(state: EngineState, prompt_tokens: int) -> Choice | None:
     load = price = 0.0
     if not state.holds:
--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/cli.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/cli.py
@@ -11,6 +11,7 @@
 import sys
 from collections.abc import Callable, Sequence
 from importlib import metadata
+from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
 from wigeonarch_schema import wigeonarch_pb2 as pb
@@ -87,6 +88,8 @@
         write=_write,
         advise=_advise,
     )
+    if _reads_logs(args):
+        return commands.explain_logs(console, args)
     session = Session(args.server, args.timeout)
     try:
         error = session.connect()
@@ -99,8 +102,15 @@
         session.close()
 
 
+def _reads_logs(args: argparse.Namespace) -> bool:
+    """Tells whether the command needs no server."""
+    return bool(getattr(args, "logs", None))
+
+
 def _check(parser: argparse.ArgumentParser, args: argparse.Namespace) -> None:
     """Ends the program with a usage error when arguments do not go together."""
+    if _reads_logs(args):
+        return
     if not args.server:
         parser.error(texts.NO_SERVER)
     option = WAITING_OPTIONS.get(args.run, DEFAULT_WAITING_OPTION)
@@ -361,6 +371,9 @@
 def _add_explain(groups: Subparsers) -> None:
     parser = groups.add_parser("explain", help="show the decisions about a request")
     parser.add_argument("request_id", metavar="REQUEST-ID")
+    parser.add_argument(
+        "--logs", type=Path, nargs="+", default=[], metavar="FILE", help=texts.LOGS_HELP
+    )
     parser.set_defaults(run=commands.explain)
 
 
--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/commands.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/commands.py
@@ -12,7 +12,7 @@
 import grpc
 from wigeonarch_schema import wigeonarch_pb2 as pb
 
-from wigeonarch_ctl import exits, render, texts
+from wigeonarch_ctl import exits, logtrace, render, texts
 from wigeonarch_ctl.mutations import delete_entry, put_entry
 from wigeonarch_ctl.names import parse_entry_name
 from wigeonarch_ctl.session import CallError, LostReply, Session, lost_reply
@@ -132,7 +132,7 @@
 
 
 def explain(console: Console, session: Session, args: argparse.Namespace) -> int:
-    """Shows the decisions about a request."""
+    """Shows the decisions about a request that an instance remembers."""
     request = pb.ExplainRequest(request_id=args.request_id)
     missing = CallError(exits.NOT_RUN, texts.NOT_EXPLAINED)
     reply = session.call(session.requests.Explain, request, missing=missing)
@@ -142,6 +142,21 @@
     return exits.OK
 
 
+def explain_logs(console: Console, args: argparse.Namespace) -> int:
+    """Shows what log files tell of a request, and the cause of its outcome."""
+    try:
+        lines = logtrace.read(args.logs)
+    except OSError as exc:
+        console.advise(texts.UNREADABLE.format(path=exc.filename, reason=exc.strerror))
+        return exits.USAGE
+    found = logtrace.trace(lines, args.request_id)
+    for line in [*found.lines, *found.endpoints]:
+        pairs = " ".join(f"{key}={value}" for key, value in line.pairs.items())
+        console.write(f"{line.at} {line.event} {pairs}\n")
+    console.write(f"cause: {found.cause}\n")
+    return exits.OK if found.lines else exits.NOT_RUN
+
+
 def status(console: Console, session: Session, _: argparse.Namespace) -> int:
     """Shows the state of the fleet."""
     reply = session.call(session.fleet.Status, pb.StatusRequest())
--- /dev/null
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
@@ -0,0 +1,116 @@
+"""Finds the cause of one request's outcome in the log files of many instances.
+
+The lines of the request are put in order of time; a table gives the sentence for the event that
+ended it, filled in from those lines. What was last logged of its endpoints is shown besides. Where
+the lines carry no end, that is said, too: the instance stopped, or its lines were dropped.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+_PAIR: Final = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+
+# Events that say something of an endpoint to all its requests.
+ENDPOINT_EVENTS: Final = frozenset({"endpoint_state", "endpoint_gone", "endpoint_unreachable"})
+
+# Sentences by the event that ended a request, and its reason where that tells more.
+CAUSES: Final[dict[tuple[str, str], str]] = {
+    ("answered", ""): "answered with {status} by {endpoint} after {took} s, {sends} sends",
+    ("refused", "no_configuration"): "not run: the instance had not read a configuration yet",
+    ("refused", "no_endpoint"): (
+        "not run: of {ready} ready endpoints {shut} were passed over after failures, "
+        "{loadable} could load and {with_model} held the model; waited {waited} s"
+    ),
+    ("refused", "endpoints_full"): "not run: every endpoint that was tried refused it",
+    ("refused", "retry_budget"): "not run: the bound on repeated sends was reached",
+    ("refused", "timed_out"): "not run: its time was over before an endpoint could take it",
+    ("failed", "lost"): "may have run: the connection to {last_endpoint} was lost ({how})",
+    ("failed", "silent"): "may have run: {last_endpoint} did not answer in the time for one try",
+    ("failed", "failed"): "ran and failed: the answer of {last_endpoint} could not be passed on",
+    ("timed_out", ""): "may have run: no whole answer within the route's timeout or the deadline",
+    ("caller_left", ""): "the caller left after {sends} sends; the endpoint was told",
+    ("no_route", ""): "no route of version {version} for host {host}",
+}
+NO_END: Final = "no end is logged: the instance stopped, or its lines were dropped"
+NOTHING: Final = "no line names this request"
+STREAM_BROKE: Final = "; the stream had {events} events by then and was cut off"
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One line of a log: its time, event and pairs."""
+
+    at: str
+    event: str
+    pairs: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Trace:
+    """The lines of a request in order, what was known of its endpoints, and the cause."""
+
+    lines: list[Line]
+    endpoints: list[Line]
+    cause: str
+
+
+def parse(text: str) -> Line | None:
+    """Returns the event in a line, or None when it has none."""
+    pairs = {key: value.strip('"') for key, value in _PAIR.findall(text)}
+    event = pairs.pop("event", "")
+    return Line(pairs.pop("ts", ""), event, pairs) if event else None
+
+
+def read(paths: Sequence[Path]) -> list[Line]:
+    """Returns the events of all files, in order of time."""
+    lines: list[Line] = []
+    for path in paths:
+        with path.open(errors="replace") as file:
+            lines += [line for text in file if (line := parse(text)) is not None]
+    return sorted(lines, key=lambda line: line.at)
+
+
+def trace(lines: Iterable[Line], request: str) -> Trace:
+    """Returns what the lines tell of a request."""
+    everything = list(lines)
+    own = [line for line in everything if line.pairs.get("request") == request]
+    if not own:
+        return Trace([], [], NOTHING)
+    endpoints = {line.pairs["endpoint"] for line in own if line.pairs.get("endpoint")}
+    last = own[-1].at
+    about = [
+        line
+        for line in everything
+        if line.event in ENDPOINT_EVENTS
+        and line.pairs.get("endpoint") in endpoints
+        and line.pairs.get("instance") == own[-1].pairs.get("instance")
+        and line.at <= last
+    ]
+    return Trace(own, about[-3:], _cause(own))
+
+
+def _cause(own: list[Line]) -> str:
+    end = own[-1]
+    text = CAUSES.get((end.event, end.pairs.get("reason", ""))) or CAUSES.get((end.event, ""))
+    if text is None:
+        return NO_END
+    known = {"last_endpoint": "the endpoint", "how": "no reason logged"}
+    for line in own:
+        known |= line.pairs
+        if line.pairs.get("endpoint"):
+            known["last_endpoint"] = line.pairs["endpoint"]
+    if end.event == "failed" and end.pairs.get("begun") == "True":
+        text += STREAM_BROKE
+    return text.format_map(_Known(known))
+
+
+class _Known(dict[str, str]):
+    """Values of a sentence; what no line told is shown as unknown."""
+
+    def __missing__(self, key: str) -> str:
+        return "?"
--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/texts.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/texts.py
@@ -22,6 +22,8 @@
     "No change is known under {operation_id}; its first try may still be on the way. Repeat the "
     "command that made it with --operation-id {operation_id}: it is made at most once."
 )
+LOGS_HELP: Final = "read these log files of instances instead of asking one"
+UNREADABLE: Final = "{path}: {reason}"
 NOT_EXPLAINED: Final = (
     "This instance has no decisions about that request. Ask the instance that received it; "
     "`wigeonctl lookup` names it."
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/logs.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/logs.py
@@ -65,6 +65,11 @@
     _sink.flush(timeout)
 
 
+def dropped() -> int:
+    """Returns the lines that nobody took in time."""
+    return _sink.dropped
+
+
 def log(event: str, level: str = "INFO", **pairs: object) -> None:
     """Logs one event.
 
--- /dev/null
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/counting.py
@@ -0,0 +1,75 @@
+"""Counts the calls to the store by kind and result, whatever implements it."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from typing import Any, TypeVar
+
+from wigeonarch_gateway.metrics import Metrics
+from wigeonarch_gateway.ports import (
+    Absent,
+    Changes,
+    Conflict,
+    HistoryGone,
+    Kinds,
+    Listing,
+    ObjectStore,
+    StoredObject,
+    Unavailable,
+)
+
+Result = TypeVar("Result")
+
+
+class CountedStore:
+    """A store whose calls are counted."""
+
+    __slots__ = ("_metrics", "_store")
+
+    def __init__(self, store: ObjectStore, metrics: Metrics) -> None:
+        self._store = store
+        self._metrics = metrics
+
+    async def list(self, kind: Kinds, stale: bool = False) -> Listing | Unavailable:
+        """Returns all objects of a kind."""
+        return await self._count("list", self._store.list(kind, stale))
+
+    async def watch(
+        self, kind: Kinds, since: int, wait: float
+    ) -> Changes | HistoryGone | Unavailable:
+        """Returns what changed after a revision."""
+        return await self._count("watch", self._store.watch(kind, since, wait))
+
+    async def get(self, kind: Kinds, name: str) -> StoredObject | Absent | Unavailable:
+        """Returns one object."""
+        return await self._count("get", self._store.get(kind, name))
+
+    async def create(
+        self, kind: Kinds, name: str, spec: Any
+    ) -> StoredObject | Conflict | Unavailable:
+        """Makes an object that must not exist."""
+        return await self._count("create", self._store.create(kind, name, spec))
+
+    async def replace(
+        self, kind: Kinds, name: str, spec: Any, revision: int
+    ) -> StoredObject | Conflict | Absent | Unavailable:
+        """Replaces an object that must have the given revision."""
+        return await self._count("replace", self._store.replace(kind, name, spec, revision))
+
+    async def remove(self, kind: Kinds, name: str, revision: int) -> bool:
+        """Removes an object that must have the given revision."""
+        return await self._count("remove", self._store.remove(kind, name, revision))
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._store.close()
+
+    async def _count(self, call: str, made: Awaitable[Result]) -> Result:
+        result = await made
+        self._metrics.store_calls.labels(call, type(result).__name__.lower()).inc()
+        return result
+
+
+def counted(store: ObjectStore, metrics: Metrics) -> ObjectStore:
+    """Returns a store that counts its calls."""
+    return CountedStore(store, metrics)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -30,8 +30,11 @@
 # Seconds for which an instance must have been heard to be preferred for an endpoint: one that just
 # started would have to watch the last holder's lease anew.
 SETTLED: Final = 5.0
-# Seconds after which an instance without a sign of life counts as gone for good.
-GONE: Final = 15.0
+# Seconds without a sign of life (heartbeat, renewed lease) after which an instance is not waited
+# for: two looks at the leases and a term.
+GONE: Final = 8.0
+# The same for all instances of an availability zone, before others order its endpoints.
+ZONE_EMPTY: Final = 15.0
 LIST_EVERY: Final = 5.0  # Seconds between looks for instances that were never heard.
 FORGET_ADDRESS: Final = 30.0  # Seconds without a heartbeat until an address is given up.
 
@@ -134,14 +137,19 @@
         """Returns those of them whose lease holds."""
         return {name for name in self.heard() if self._members[name].holds}
 
-    def rivals(self, zones: Collection[str]) -> set[str]:
-        """Returns the instances that could take over an endpoint of one of these zones."""
+    def rivals(self, zones: Collection[str], within: float = GONE) -> set[str]:
+        """Returns the instances that could take over an endpoint of one of these zones.
+
+        Args:
+            zones: Availability zones.
+            within: Seconds since the last sign of life of those that count.
+        """
         now = monotonic()
         signs = {name: (member.zone, member.heard) for name, member in self._members.items()}
         for name, (zone, at) in self._listed.items():
             heard = signs.get(name, (zone, at))[1]
             signs[name] = (zone, max(at, heard))
-        alive = {name for name, (zone, at) in signs.items() if zone in zones and now - at < GONE}
+        alive = {name for name, (zone, at) in signs.items() if zone in zones and now - at < within}
         return alive - {self._opts.instance}
 
     def candidates(self, zone: str, me: bool) -> list[str]:
@@ -156,7 +164,7 @@
         mine = {self._opts.instance} if me else set()
         if zone == self._opts.zone:
             return sorted(self._settled(nearby | mine) or nearby | mine)
-        if self.rivals({zone}):
+        if self.rivals({zone}, ZONE_EMPTY):
             return []
         return sorted({*(member.name for member in usable), *mine})
 
@@ -251,13 +259,15 @@
 
     def _leases_listed(self, leases: Iterable[StoredObject]) -> None:
         now = monotonic()
+        # Of a lease found at the first look it is not known how old it is: it must change soon.
+        sign = now if self._revisions else now - GONE + LIST_EVERY
         for lease in leases:
             address, zone = lease.spec.get("address"), lease.spec.get("zone")
             if not isinstance(address, str) or not isinstance(zone, str):
                 continue
             if self._revisions.get(lease.name) != lease.revision:
                 self._revisions[lease.name] = lease.revision
-                self._listed[lease.name] = (zone, now)
+                self._listed[lease.name] = (zone, sign)
                 self._know(address)
 
     def _nothing_listed(self) -> None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -13,9 +13,10 @@
 from wigeonarch_core.retry_window import RetryWindow
 from wigeonarch_core.routes import EngineSpec
 from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_entry.logs import dropped, log
 
 from wigeonarch_gateway.catalogue import Catalogue
+from wigeonarch_gateway.counting import counted
 from wigeonarch_gateway.door import Door
 from wigeonarch_gateway.endpoints import Endpoints
 from wigeonarch_gateway.engineviews import EngineViews, from_adapter
@@ -66,9 +67,9 @@
     def __init__(self, opts: Options, dialect: Dialect, store: ObjectStore) -> None:
         self._opts = opts
         self._dialect = dialect
-        self._store = store
-        self._incarnation = os.urandom(6).hex()
         self._metrics = Metrics()
+        self._store = store = counted(store, self._metrics)
+        self._incarnation = os.urandom(6).hex()
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._model_loads: list[float] = []
@@ -225,6 +226,7 @@
             await asyncio.sleep(TICK)
             self._endpoints.tick(monotonic())
             self._pools.trim()
+            self._metrics.log_lines_dropped.set(dropped())
             self._retries.heard_of(self._members.count())
             table = self._catalogue.table
             if table is not None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -15,7 +15,7 @@
 from typing import Final
 
 from wigeonarch_core.doubt import Doubts
-from wigeonarch_core.engine_choice import Choice, EngineState, choose
+from wigeonarch_core.engine_choice import Choice, EngineState, choose_again
 from wigeonarch_core.engine_places import AdapterKey
 from wigeonarch_core.retry_window import RetryWindow
 from wigeonarch_core.routes import Route, RoutingTable, ServiceSpec, pick_service
@@ -347,13 +347,8 @@
         key = self._adapter(job)
         states = [self._state(record, job, key, now) for record in self._usable(job, now)]
         found = [state for state in states if state is not None]
-        if job.wished and now - job.wished_at < WISH_PATIENCE:
-            same = [s for s in found if s.holds or s.endpoint == job.wished]
-            found = same or found
-        elif job.wished:
-            others = [s for s in found if s.holds or s.endpoint != job.wished]
-            found = others or found
-        return choose(found, job.terms.prompt_tokens)
+        patient = now - job.wished_at < WISH_PATIENCE
+        return choose_again(found, job.terms.prompt_tokens, job.wished, patient)
 
     def _adapter(self, job: Job) -> AdapterKey:
         terms = job.terms
--- /dev/null
+++ b/tests/test_ctl_logtrace.py
@@ -0,0 +1,91 @@
+"""The cause of a request's outcome, found in log lines of several instances."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from wigeonarch_ctl import exits, logtrace
+from wigeonarch_ctl.cli import main
+
+HEAD = "ts=2026-01-01T00:00:0{at}+0000 level=info event={event} instance=edge-1 zone=a "
+
+
+def line(at: int, event: str, pairs: str) -> str:
+    return HEAD.format(at=at, event=event) + pairs
+
+
+REFUSED = [
+    line(1, "adapter_awaited", "request=r1 endpoint=i-9 adapter=a7 waited=0"),
+    line(
+        2,
+        "refused",
+        "request=r1 reason=no_endpoint retry_after=0.3 ready=6 shut=1 loadable=0 with_model=4 "
+        "sends=0 waited=0.4",
+    ),
+]
+LOST = [
+    line(1, "sent", "request=r1 endpoint=i-9 adapter=a7 running=3"),
+    line(3, "answer_lost", "request=r1 endpoint=i-9 how=reset"),
+    line(4, "try_failed", "request=r1 endpoint=i-9 reason=lost sends=1"),
+    line(5, "failed", "request=r1 reason=lost sends=1 begun=False events=0"),
+]
+BROKEN = [*LOST[:3], line(5, "failed", "request=r1 reason=lost sends=1 begun=True events=134")]
+OTHERS = [
+    line(2, "endpoint_unreachable", "endpoint=i-9 request=r5"),
+    line(2, "endpoint_state", "endpoint=i-8 state=leaving"),
+    line(9, "endpoint_gone", "endpoint=i-9 reason=removed"),
+    line(2, "answered", "request=r2 endpoint=i-9 status=200"),
+    "not a line of ours",
+]
+
+
+@pytest.mark.parametrize(
+    ("lines", "words"),
+    [
+        (REFUSED, ["not run", "of 6 ready endpoints 1", "0 could load and 4 held the model"]),
+        (LOST, ["may have run", "i-9", "reset"]),
+        (BROKEN, ["may have run", "i-9", "134 events"]),
+        (
+            [line(1, "answered", "request=r1 endpoint=i-9 status=200 sends=1 took=0.2")],
+            ["answered with 200 by i-9"],
+        ),
+        (LOST[:1], [logtrace.NO_END]),
+        ([], [logtrace.NOTHING]),
+        ([line(1, "refused", "request=r1 reason=no_endpoint")], ["of ? ready endpoints"]),
+    ],
+)
+def test_cause(lines: list[str], words: list[str]) -> None:
+    parsed = [found for text in [*lines, *OTHERS] if (found := logtrace.parse(text))]
+    trace = logtrace.trace(sorted(parsed, key=lambda found: found.at), "r1")
+    assert [found.pairs["request"] for found in trace.lines] == ["r1"] * len(lines)
+    for word in words:
+        assert word in trace.cause
+
+
+def test_what_was_known_of_the_endpoint_is_shown_but_not_what_came_later() -> None:
+    parsed = [found for text in [*LOST, *OTHERS] if (found := logtrace.parse(text))]
+    trace = logtrace.trace(parsed, "r1")
+    assert [found.event for found in trace.endpoints] == ["endpoint_unreachable"]
+
+
+def test_the_lines_of_several_files_are_put_in_order(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    (tmp_path / "b.log").write_text("\n".join(LOST[2:]))
+    (tmp_path / "a.log").write_text("\n".join([*OTHERS, *LOST[:2]]))
+    files = [str(tmp_path / name) for name in ("b.log", "a.log")]
+    assert main(["explain", "r1", "--logs", *files]) == exits.OK
+    shown = capsys.readouterr().out.splitlines()
+    assert [text.split()[1] for text in shown[:4]] == [
+        "sent",
+        "answer_lost",
+        "try_failed",
+        "failed",
+    ]
+    assert shown[-1].startswith("cause: may have run")
+
+
+def test_a_file_that_cannot_be_read_is_named(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["explain", "r1", "--logs", "/nowhere/x.log"]) == exits.USAGE
+    assert "/nowhere/x.log" in capsys.readouterr().err
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 import pytest
-from wigeonarch_core.engine_choice import COLD_LOAD, EngineState, choose, load_time
+from wigeonarch_core.engine_choice import COLD_LOAD, EngineState, choose, choose_again, load_time
 from wigeonarch_core.service_choice import ServiceState, choose_plain
 
 IDLE = EngineState(
@@ -58,6 +58,29 @@
     assert (choice.load if choice else False) is load
 
 
+DEAF = replace(COLD, endpoint="asked", loadable=False)
+ASKED = replace(COLD, endpoint="asked")
+
+
+@pytest.mark.parametrize(
+    ("states", "asked", "patient", "endpoint"),
+    [
+        ([ASKED, WARM], "", False, "warm"),
+        ([ASKED, WARM], "asked", True, "asked"),
+        ([ASKED, WARM], "asked", False, "warm"),
+        ([ASKED, HOLDS], "asked", True, "holds"),
+        ([ASKED], "asked", False, "asked"),
+        ([DEAF, COLD], "asked", True, "cold"),  # Its holder is not heard any more.
+        ([DEAF], "asked", True, None),
+    ],
+)
+def test_a_request_stays_with_the_engine_it_asked_while_that_can_load(
+    states: list[EngineState], asked: str, patient: bool, endpoint: str | None
+) -> None:
+    choice = choose_again(states, 1_000, asked, patient)
+    assert (choice.endpoint if choice else None) == endpoint
+
+
 def test_fetches_beyond_the_stores_limit_take_longer() -> None:
     assert load_time(False, 0) == COLD_LOAD
     assert load_time(False, 7) == COLD_LOAD
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -51,7 +51,7 @@
         await found.served("/write/x", adapter="a1")
         holder = found.holder("i-llm")
         cut = found.nodes[int(holder.removeprefix("edge-"))]
-        cut._store._base = "http://127.0.0.1:1/nowhere"  # type: ignore[attr-defined]
+        cut._store._store._base = "http://127.0.0.1:1/nowhere"  # type: ignore[attr-defined]
         for number in range(8):  # Longer than the term of the lease.
             await asyncio.sleep(0.3)
             await found.served("/write/x", adapter=f"b{number}")
--- /dev/null
+++ b/tests/test_gateway_members.py
@@ -0,0 +1,124 @@
+"""Which instances count as alive, and who may take an endpoint."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+from gateway_world import free_port
+from wigeonarch_gateway import members as module
+from wigeonarch_gateway.links import Links
+from wigeonarch_gateway.members import GONE, LIST_EVERY, SETTLED, ZONE_EMPTY, Members
+from wigeonarch_gateway.messages import Beat
+from wigeonarch_gateway.metrics import Metrics
+from wigeonarch_gateway.options import Options
+from wigeonarch_gateway.ports import StoredObject
+from wigeonarch_gateway.traffic import Traffic
+
+
+class Clock:
+    """A clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    found = Clock()
+    monkeypatch.setattr(module, "monotonic", found)
+    return found
+
+
+@pytest.fixture
+def members(clock: Clock) -> Iterator[Members]:
+    port = free_port("127.0.0.1")
+    opts = Options("me", "a", "127.0.0.1", "127.0.0.1:1", "127.0.0.1:2", port, 3)
+    links = Links(f"127.0.0.1:{port}", "", lambda message: None)
+    yield Members(
+        opts,
+        "boot",
+        links,
+        Traffic(),
+        lambda: (1, 1000),
+        lambda name, revision, left: None,
+        lambda endpoint: "",
+        lambda name: None,
+        Metrics(),
+    )
+    links.close()
+
+
+def beat(name: str, zone: str = "a", left: int = 3000, leaving: bool = False) -> Beat:
+    return Beat(name, "boot", "127.0.0.1:9", zone, leaving, 5, left, [], [])
+
+
+def lease(name: str, revision: int, zone: str = "a") -> StoredObject:
+    return StoredObject(name, revision, {"address": "127.0.0.1:9", "zone": zone})
+
+
+def test_a_lease_found_at_the_first_look_must_change_soon(members: Members, clock: Clock) -> None:
+    members._leases_listed([lease("dead", 5), lease("alive", 6)])
+    assert members.rivals({"a"}) == {"dead", "alive"}
+    clock.now += LIST_EVERY
+    members._leases_listed([lease("dead", 5), lease("alive", 7)])
+    clock.now += 0.1
+    assert members.rivals({"a"}) == {"alive"}
+
+
+def test_who_was_alive_stays_so_while_the_store_is_away(members: Members, clock: Clock) -> None:
+    members._leases_listed([lease("first", 1)])
+    members._leases_listed([lease("first", 2)])
+    for _ in range(5):
+        clock.now += LIST_EVERY
+        members._nothing_listed()
+    assert members.rivals({"a"}) == {"first"}
+    clock.now += GONE + 0.1
+    members._leases_listed([lease("first", 2)])
+    assert not members.rivals({"a"})
+
+
+def test_only_instances_of_the_zone_are_rivals_and_candidates(
+    members: Members, clock: Clock
+) -> None:
+    members.beat(beat("near"))
+    members.beat(beat("far", zone="b"))
+    assert members.rivals({"a"}) == {"near"}
+    assert members.candidates("a", me=True) == ["me", "near"]
+    assert members.candidates("b", me=True) == []
+    assert members.candidates("c", me=True) == ["far", "me", "near"]  # Nobody lives there.
+
+
+def test_a_zone_that_fell_silent_is_left_alone_for_a_while(members: Members, clock: Clock) -> None:
+    members.beat(beat("far", zone="b"))
+    clock.now += ZONE_EMPTY - 0.1
+    assert members.candidates("b", me=True) == []
+    clock.now += 0.2
+    assert members.candidates("b", me=True) == ["me"]
+
+
+@pytest.mark.parametrize(
+    ("told", "expected"),
+    [
+        (beat("peer"), ["me", "peer"]),
+        (beat("peer", left=0), ["me"]),  # Its lease does not hold.
+        (beat("peer", leaving=True), ["me"]),
+    ],
+)
+def test_candidates(members: Members, told: Beat, expected: list[str]) -> None:
+    members.beat(told)
+    assert members.candidates("a", me=True) == expected
+    assert members.candidates("a", me=False) == [name for name in expected if name != "me"]
+
+
+def test_an_instance_that_just_started_is_not_preferred(members: Members, clock: Clock) -> None:
+    clock.now += SETTLED
+    members.beat(beat("young"))
+    assert members.candidates("a", me=True) == ["me"]
+    for _ in range(6):
+        clock.now += 1.0
+        members.beat(beat("young"))
+    assert members.candidates("a", me=True) == ["me", "young"]
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -9,25 +9,31 @@
 from wigeonarch_core.outcomes import Reason
 from wigeonarch_ctl import exits
 from wigeonarch_entry.metrics import Metrics
+from wigeonarch_gateway.metrics import Metrics as GatewayMetrics
 
 ROOT = Path(__file__).parent.parent
-OPERATING = (ROOT / "docs" / "OPERATING.md").read_text()
-PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
+OPERATIONS = (ROOT / "docs" / "OPERATIONS.md").read_text()
+PAGES = [ROOT / "README.md", ROOT / "DEVELOPERS.md", *sorted((ROOT / "docs").rglob("*.md"))]
 
 
 @pytest.mark.parametrize("reason", Reason)
 def test_reason_is_explained(reason: Reason) -> None:
-    assert re.search(rf"^\| `{reason}` \| .+ \| .+ \|$", OPERATING, re.MULTILINE)
+    assert re.search(rf"^\| `{reason}` \| .+ \| .+ \|$", OPERATIONS, re.MULTILINE)
 
 
 @pytest.mark.parametrize("name", [family.name for family in Metrics().registry.collect()])
 def test_metric_is_explained(name: str) -> None:
-    assert f"`{name}" in OPERATING
+    assert f"`{name}" in OPERATIONS
+
+
+@pytest.mark.parametrize("name", [family.name for family in GatewayMetrics().registry.collect()])
+def test_gateway_metric_is_explained(name: str) -> None:
+    assert f"| `{name}`" in OPERATIONS
 
 
 @pytest.mark.parametrize("code", exits.MEANINGS)
 def test_exit_code_is_explained(code: int) -> None:
-    told = OPERATING.split("Exit codes of `wigeonctl`:")[1].split("\n\n")[0]
+    told = OPERATIONS.split("Exit codes of `wigeonctl`:")[1].split("\n\n")[0]
     assert re.search(rf"(^|\s){code} ", told)
 
 
