--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -143,12 +143,19 @@
         opts = self._opts
         await self._links.open()
         await self._ready_server.open(*split_address(opts.ready))
-        await self._metrics_server.open(opts.ip, opts.metrics_port)
+        await self._open_metrics()
         await self._door.open(*split_address(opts.front))
         log("started", incarnation=self._incarnation, front=opts.front, seeds=len(opts.seeds))
         for name, coro in self._duties().items():
             self._tasks.append(asyncio.create_task(coro, name=name))
 
+    async def _open_metrics(self) -> None:
+        """Serves metrics, or goes on without: callers matter more than figures."""
+        try:
+            await self._metrics_server.open(self._opts.ip, self._opts.metrics_port)
+        except OSError as exc:
+            log("metrics_unavailable", "ERROR", port=self._opts.metrics_port, reason=str(exc))
+
     def stop(self) -> None:
         """Begins the graceful end."""
         self._stopping.set()
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -155,3 +155,15 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await until_true(lambda: found.nodes[1]._traffic.at("i-llm").running == 0)
+
+
+async def test_a_taken_metrics_port_does_not_keep_an_instance_from_serving() -> None:
+    async with world() as found:
+        opts = found.options[0]
+        taken = found.nodes[0]._metrics_server._server
+        assert taken is not None
+        twin = type(found.nodes[0]._metrics_server)([])
+        with pytest.raises(OSError):
+            await twin.open(opts.ip, opts.metrics_port)
+        await found.nodes[0]._open_metrics()
+        await found.served("/ask/x")
