Holders are asked for only by those that may claim; batches, chance and bounds in the choices

One list at the start finds its own; others are read only by the instance that may claim them. - 777 late with 2 of 12 batch places used on average and the busiest engine at 2.6 times the mean: the choice did not know the batch, and all instances chose the same engine until the next heartbeat. What exceeds the batch waits now, and expectations are spread by a tenth of the time between heartbeats. - Waits of watches follow the deployment's bounds; news name each model once. Ruled out: processor (0.034 of a core), memory (32 MB), broken rules (none).

--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -30,6 +30,8 @@
 # only the order of engines depends on them, so a rough value does.
 READ_RATE: Final = 19_000.0
 RUNNING_COST: Final = 0.003
+# Seconds that a request runs, about: both users' streams take one to three.
+RUN_TIME: Final = 2.0
 # What the traffic between availability zones is worth, in seconds of waiting; a cut between zones
 # also loses the streams that cross it.
 ZONE_COST: Final = 0.05
@@ -58,6 +60,7 @@
         loading: Adapters on their way to it.
         waiting_tokens: Prompt tokens sent to it whose first token has not come.
         running: Requests sent to it that have not ended.
+        batch: Requests that it runs at once.
         kv_tokens: Tokens that those may take in its KV cache.
         kv_total: Tokens that fit.
         failing: Recent share of failures, from 0 to 1.
@@ -74,6 +77,7 @@
     loading: int
     waiting_tokens: float
     running: int
+    batch: int
     kv_tokens: float
     kv_total: float
     failing: float
@@ -88,23 +92,35 @@
     expected: float
 
 
-def choose(states: Iterable[EngineState], prompt_tokens: int) -> Choice | None:
+def choose(
+    states: Iterable[EngineState], prompt_tokens: int, draw: Callable[[], float] = lambda: 0.0
+) -> Choice | None:
     """Returns the best engine, or None when none can run the request.
 
     Args:
         states: Engines that may be used.
         prompt_tokens: Length of the prompt.
+        draw: Returns seconds to add to an expectation. What others have under way is known with a
+            lag; without chance, all instances would send to the same engine until the next news.
     """
     best: Choice | None = None
+    least = float("inf")
     for state in states:
         choice = _expect(state, prompt_tokens)
-        if choice is not None and (best is None or choice.expected < best.expected):
-            best = choice
+        if choice is None:
+            continue
+        expected = choice.expected + draw()
+        if expected < least:
+            best, least = choice, expected
     return best
 
 
 def choose_again(
-    states: Sequence[EngineState], prompt_tokens: int, asked: str, patient: bool
+    states: Sequence[EngineState],
+    prompt_tokens: int,
+    asked: str,
+    patient: bool,
+    draw: Callable[[], float] = lambda: 0.0,
 ) -> Choice | None:
     """Returns the best engine for a request that may have asked one for a load already.
 
@@ -116,11 +132,12 @@
         prompt_tokens: Length of the prompt.
         asked: Engine that was asked for a load; empty if none was.
         patient: Whether that was just now.
+        draw: As for `choose`.
     """
     if not asked:
-        return choose(states, prompt_tokens)
+        return choose(states, prompt_tokens, draw)
     preferred = [s for s in states if s.holds or (s.endpoint == asked) is patient]
-    return choose(preferred, prompt_tokens) or choose(states, prompt_tokens)
+    return choose(preferred, prompt_tokens, draw) or choose(states, prompt_tokens, draw)
 
 
 def _expect(state: EngineState, prompt_tokens: int) -> Choice | None:
@@ -142,6 +159,8 @@
     # Running requests slow each step while prompts are read piece by piece.
     wait = max(load, state.waiting_tokens / READ_RATE) + prompt_tokens / READ_RATE
     wait = max(wait, reading) + RUNNING_COST * state.running
+    # Requests beyond the batch wait until others end.
+    wait += RUN_TIME * max(0, state.running + 1 - state.batch) / max(1, state.batch)
     if not state.same_zone:
         wait += ZONE_COST
     if state.kv_total and state.kv_tokens + prompt_tokens > MEMORY_FULL * state.kv_total:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
@@ -130,8 +130,12 @@
         view.number = news.number
         view.heard = now
         view.models = frozenset(news.models)
-        view.ready = {(model, adapter): version for model, adapter, version in news.ready}
-        view.loading = {from_adapter(adapter): now + ms / 1000 for adapter, ms in news.loading}
+        models = news.models
+        view.ready = {(models[place], name): version for place, name, version in news.ready}
+        view.loading = {
+            AdapterKey(models[place], name, version): now + ms / 1000
+            for place, name, version, ms in news.loading
+        }
         view.began = {key.name: view.began.get(key.name, now) for key in view.loading}
         view.tried = {name: at for name, at in view.tried.items() if now - at < TRIAL}
         view.free = news.free
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from wigeonarch_core.holding import Claim, HolderRecord, Observed, claim
+from wigeonarch_core.holding import Claim, HolderRecord, Observed, claim, wanted_holder
 from wigeonarch_core.promises import PromisesGiven
 from wigeonarch_core.routes import EngineSpec
 from wigeonarch_entry.clock import monotonic
@@ -25,6 +25,7 @@
     EndpointRecord,
     EndpointState,
     Kinds,
+    Listing,
     ObjectStore,
     StoredObject,
     Unavailable,
@@ -78,6 +79,8 @@
         "_members",
         "_metrics",
         "_opts",
+        "_own",
+        "_resumed",
         "_started",
         "_store",
         "_taking",
@@ -113,6 +116,8 @@
         self._taking: dict[str, float] = {}
         self._held: dict[str, Held] = {}
         self._started = monotonic()
+        self._own: set[str] = set()  # Engines held at the last stop of this instance.
+        self._resumed = False
         self.leaving = False
 
     def held(self) -> list[str]:
@@ -161,11 +166,31 @@
             await self._drop(endpoint)
         if not self._leasing.lease.holds(monotonic()):
             return
+        if not self._resumed:
+            await self._find_own()
         heard = set(self._members.heard())
         for record, spec in engines:
-            if self._needs_look(record, heard):
+            if self._needs_look(record, heard) and self._concerns(record):
                 await self._claim(record, spec)
 
+    async def _find_own(self) -> None:
+        """Reads once, at the start, which engines this instance held before."""
+        found = await self._store.list(Kinds.HOLDERS)
+        if isinstance(found, Listing):
+            own = (one for one in found.objects if one.spec.get("holder") == self._me)
+            self._own = {one.name for one in own}
+            self._resumed = True
+
+    def _concerns(self, record: EndpointRecord) -> bool:
+        """Tells whether this instance may have to claim an engine; only then it asks the store."""
+        endpoint = record.endpoint
+        if endpoint in self._held or endpoint in self._own:
+            return True
+        if monotonic() - self._started < SETTLE:
+            return False
+        candidates = self._members.candidates(record.zone, not self.leaving)
+        return wanted_holder(endpoint, candidates) == self._me
+
     def _needs_look(self, record: EndpointRecord, heard: set[str]) -> bool:
         held = self._held.get(record.endpoint)
         if held is not None:
@@ -189,10 +214,8 @@
             holder = HolderRecord(endpoint, name, found.revision, taken)
             if name not in (self._me, *self._members.holding()):
                 await self._observe(name)
-        young = monotonic() - self._started < SETTLE
-        if young and (holder is None or holder.holder != self._me):
-            return
         held = self._held.get(endpoint)
+        self._own.discard(endpoint)
         wanted = claim(
             endpoint,
             holder,
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -257,15 +257,15 @@
         while True:
             self._beat_all()
             self._forget_silent()
-            await asyncio.sleep(self._pause())
+            await asyncio.sleep(self.pause())
 
-    def _pause(self) -> float:
+    def pause(self) -> float:
         """Returns the seconds between heartbeats."""
         return min(BEAT_MOST, max(BEAT_LEAST, len(self._addresses) / BEATS_PER_SECOND))
 
     def _silence(self) -> float:
         """Returns the seconds without a heartbeat after which an instance is not heard."""
-        return max(HEARD, HEARD_BEATS * self._pause())
+        return max(HEARD, HEARD_BEATS * self.pause())
 
     async def keep_finding(self, store: ObjectStore) -> None:
         """Looks for instances in the store; runs until cancelled."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -70,8 +70,8 @@
         fence: The holder's fencing number; older ones are void.
         number: Grows with each of these messages of one fence.
         models: Base models that it holds.
-        ready: Adapters that can be used.
-        loading: Adapters on their way, with the milliseconds left.
+        ready: Adapters that can be used: place of the model in `models`, name, version.
+        loading: Adapters on their way, in the same form, with the milliseconds left.
         free: Places that are empty or idle.
         orders: Whether the holder may give orders now.
     """
@@ -81,8 +81,8 @@
     fence: int
     number: int
     models: list[str]
-    ready: list[Adapter]
-    loading: list[tuple[Adapter, int]]
+    ready: list[tuple[int, str, int]]
+    loading: list[tuple[int, str, int, int]]
     free: int
     orders: bool
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -133,6 +133,7 @@
             self._doubts,
             self._metrics,
             opts.zone,
+            lambda: self._members.pause(),
         )
         self._door = Door(self._passing.serve, self._body_most)
         self._ready_server = StatusServer([Page(dialect.ready_path, self._ready)])
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
@@ -32,9 +32,9 @@
         pause: Time without orders after a takeover, which endpoints' operators demand.
     """
 
-    term: float = 3.5
+    term: float = 4.5
     margin: float = 0.4
-    renewal: float = 1.1
+    renewal: float = 1.6
     pause: float = 3.3
 
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
@@ -20,7 +20,6 @@
 from wigeonarch_entry.logs import log
 
 from wigeonarch_gateway.calls import call
-from wigeonarch_gateway.engineviews import to_adapter
 from wigeonarch_gateway.messages import PlacesNews
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.pools import Pools
@@ -397,15 +396,23 @@
         self._news += 1
         self._told = now
         in_use = self._around.in_use(self._endpoint)
+        models = sorted(self._models)
+        place = {model: number for number, model in enumerate(models)}
         news = PlacesNews(
             sender=self._right.holder,
             endpoint=self._endpoint,
             fence=self._news_fence,
             number=self._news,
-            models=sorted(self._models),
-            ready=[to_adapter(key) for key in self._places.ready(now)],
+            models=models,
+            ready=[
+                (place[key.model], key.adapter, key.version)
+                for key in self._places.ready(now)
+                if key.model in place
+            ],
             loading=[
-                (to_adapter(key), int(left * 1000)) for key, left in self._places.loading(now)
+                (place[key.model], key.adapter, key.version, int(left * 1000))
+                for key, left in self._places.loading(now)
+                if key.model in place
             ],
             free=self._places.idle(in_use, now),
             orders=bool(fence) and self._sequence is not None,
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -11,6 +11,7 @@
 import asyncio
 import enum
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -46,6 +47,8 @@
 EVENT_STREAM: Final = b"text/event-stream"
 # Longest wait for a wished load before another engine is asked, in seconds: a cold load and a half.
 WISH_PATIENCE: Final = 0.45
+# Share of the time between heartbeats by which expectations are spread at random.
+SPREAD: Final = 0.1
 # Pause before an engine that lacked an adapter against expectation is tried again, in seconds.
 REFUTED_PAUSE: Final = 0.03
 # Share of the objective for which a request is held while no endpoint can take it at all.
@@ -144,6 +147,7 @@
         "_doubts",
         "_endpoints",
         "_instance_zone",
+        "_lag",
         "_metrics",
         "_pools",
         "_retries",
@@ -165,6 +169,7 @@
         doubts: Doubts,
         metrics: Metrics,
         zone: str,
+        lag: Callable[[], float],
     ) -> None:
         self._dialect = dialect
         self._catalogue = catalogue
@@ -177,6 +182,7 @@
         self._doubts = doubts
         self._metrics = metrics
         self._instance_zone = zone
+        self._lag = lag
 
     async def serve(self, req: Incoming, answer: Answer) -> None:
         """Answers a request; cancelled when the caller leaves."""
@@ -351,7 +357,14 @@
         states = [self._state(record, job, key, now) for record in self._usable(job, now)]
         found = [state for state in states if state is not None]
         patient = now - job.wished_at < WISH_PATIENCE
-        return choose_again(found, job.terms.prompt_tokens, job.wished, patient)
+        spread = SPREAD * self._lag()
+        return choose_again(
+            found,
+            job.terms.prompt_tokens,
+            job.wished,
+            patient,
+            lambda: random.uniform(0.0, spread),
+        )
 
     def _adapter(self, job: Job) -> AdapterKey:
         terms = job.terms
@@ -378,6 +391,7 @@
             loading=len(view.loading),
             waiting_tokens=load.waiting_tokens,
             running=load.running,
+            batch=engine.batch if engine else record.slots,
             kv_tokens=load.kv_tokens,
             kv_total=engine.kv_tokens if engine else 0,
             failing=self._doubts.failing(record.endpoint),
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -20,6 +20,7 @@
     loading=0,
     waiting_tokens=0.0,
     running=0,
+    batch=64,
     kv_tokens=0.0,
     kv_total=100_000,
     failing=0.0,
@@ -49,6 +50,8 @@
         ([replace(COLD, endpoint="packed", free_places=0), COLD], "cold", True),
         ([replace(COLD, endpoint="loading", loading=4), COLD], "cold", True),
         ([replace(WARM, replaces=True), COLD], "cold", True),
+        ([replace(HOLDS, running=12, batch=12), replace(COLD, batch=12)], "holds", False),
+        ([replace(HOLDS, running=20, batch=12), replace(COLD, batch=12)], "cold", True),
         ([], None, False),
     ],
 )
@@ -58,6 +61,15 @@
     assert (choice.load if choice else False) is load
 
 
+def test_chance_spreads_requests_over_engines_that_are_about_as_good() -> None:
+    twins = [replace(HOLDS, endpoint=name) for name in "abc"]
+    busy = replace(HOLDS, endpoint="busy", waiting_tokens=19_000.0)
+    draws = iter([0.03, 0.01, 0.02, 0.0])
+    choice = choose([*twins, busy], 100, lambda: next(draws))
+    assert choice is not None
+    assert choice.endpoint == "b"
+
+
 DEAF = replace(COLD, endpoint="asked", loadable=False)
 ASKED = replace(COLD, endpoint="asked")
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -48,6 +48,7 @@
     assert (opts.peer_port, opts.seeds) == (7000, ("10.0.0.1:8004", "10.0.0.2:8004"))
     assert opts.retries.share == 0.3
     assert opts.holding.pause > 3.0
+    assert (opts.store.watch, opts.store.gather) == pytest.approx((3.5, 0.9))
 
 
 @pytest.mark.parametrize(
