Instances find each other before they claim; pleas ask two peers to renew; vitals every ten seconds

Peers were found only by the second look at the leases, five seconds after the start, so each instance believed itself nearly alone and wanted all engines of its zone. And a plea made each of 67 peers renew the lease. Now leases are looked at each second at first, claims wait for 2.4 s, a holder object is read once a second at most, and two peers, drawn anew, are asked to renew.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/counting.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/counting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Awaitable
 from typing import Any, TypeVar
 
@@ -22,13 +23,18 @@
 
 
 class CountedStore:
-    """A store whose calls are counted."""
+    """A store whose calls are counted.
 
-    __slots__ = ("_metrics", "_store")
+    Attributes:
+        calls: Calls so far, by kind.
+    """
+
+    __slots__ = ("_metrics", "_store", "calls")
 
     def __init__(self, store: ObjectStore, metrics: Metrics) -> None:
         self._store = store
         self._metrics = metrics
+        self.calls: Counter[str] = Counter()
 
     async def list(self, kind: Kinds, stale: bool = False) -> Listing | Unavailable:
         """Returns all objects of a kind."""
@@ -65,11 +71,7 @@
         await self._store.close()
 
     async def _count(self, call: str, made: Awaitable[Result]) -> Result:
+        self.calls[call] += 1
         result = await made
         self._metrics.store_calls.labels(call, type(result).__name__.lower()).inc()
         return result
-
-
-def counted(store: ObjectStore, metrics: Metrics) -> ObjectStore:
-    """Returns a store that counts its calls."""
-    return CountedStore(store, metrics)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
@@ -37,9 +37,10 @@
 # one out up to six seconds late.
 CLAIM_EFFECT: Final = 8.0
 NONCE_BYTES: Final = 4
-# Seconds after the start until the peers of a common start are heard; until then an instance only
-# resumes what it held.
-SETTLE: Final = 1.0
+# Seconds after the start until the peers of a common start are found and heard; until then an
+# instance only resumes what it held.
+SETTLE: Final = 2.4
+READ_EVERY: Final = 1.0  # Seconds between reads of the holder object of one engine.
 
 
 @dataclass(slots=True)
@@ -80,6 +81,7 @@
         "_metrics",
         "_opts",
         "_own",
+        "_read",
         "_resumed",
         "_started",
         "_store",
@@ -117,6 +119,7 @@
         self._held: dict[str, Held] = {}
         self._started = monotonic()
         self._own: set[str] = set()  # Engines held at the last stop of this instance.
+        self._read: dict[str, float] = {}  # Times of the last reads of holder objects.
         self._resumed = False
         self.leaving = False
 
@@ -164,6 +167,7 @@
         known = {record.endpoint for record, _ in engines}
         for endpoint in [name for name in self._held if name not in known]:
             await self._drop(endpoint)
+        self._read = {name: at for name, at in self._read.items() if name in known}
         if not self._leasing.lease.holds(monotonic()):
             return
         if not self._resumed:
@@ -188,6 +192,8 @@
             return True
         if monotonic() - self._started < SETTLE:
             return False
+        if monotonic() - self._read.get(endpoint, float("-inf")) < READ_EVERY:
+            return False
         candidates = self._members.candidates(record.zone, not self.leaving)
         return wanted_holder(endpoint, candidates) == self._me
 
@@ -203,6 +209,7 @@
 
     async def _claim(self, record: EndpointRecord, spec: EngineSpec) -> None:
         endpoint = record.endpoint
+        self._read[endpoint] = monotonic()
         found = await self._store.get(Kinds.HOLDERS, endpoint)
         if isinstance(found, Unavailable):
             return
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -17,7 +18,7 @@
 
 from wigeonarch_gateway.engineviews import to_adapter
 from wigeonarch_gateway.links import Links
-from wigeonarch_gateway.messages import Beat, LoadShare, Message, Uses, encode
+from wigeonarch_gateway.messages import Beat, LoadShare, Message, RenewalPlea, Uses, encode
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.options import Options
 from wigeonarch_gateway.ports import Kinds, Listing, ObjectStore, StoredObject
@@ -26,6 +27,8 @@
 BEAT_LEAST: Final = 0.2  # Seconds between heartbeats in a small deployment.
 BEATS_PER_SECOND: Final = 60.0  # Heartbeats sent in all per second at most, so cost stays bounded.
 BEAT_MOST: Final = 1.0
+# Peers that are asked to renew a lease; each takes two calls to the store.
+RENEWERS: Final = 2
 NEWS_LEAST: Final = 0.9  # Seconds between repeated news of an engine in a small deployment.
 NEWS_PER_SECOND: Final = 30.0  # Repeated news sent in all per second and engine at most.
 NEWS_MOST: Final = 2.5
@@ -40,6 +43,7 @@
 # The same for all instances of an availability zone, before others order its endpoints.
 ZONE_EMPTY: Final = 15.0
 LIST_EVERY: Final = 5.0  # Seconds between looks for instances that were never heard.
+LIST_YOUNG: Final = 2.0  # Seconds after the start in which they are five times as frequent.
 FORGET_ADDRESS: Final = 30.0  # Seconds without a heartbeat until an address is given up.
 
 
@@ -210,6 +214,13 @@
         for name in self.heard():
             self._links.send_frame(self._members[name].address, frame)
 
+    def plead(self, plea: RenewalPlea) -> None:
+        """Asks all for promises, and a few, drawn anew each time, for a renewal."""
+        names = self.heard()
+        asked = set(random.sample(names, min(RENEWERS, len(names))))
+        for name in names:
+            self.send(name, RenewalPlea(plea.sender, plea.incarnation, plea.number, name in asked))
+
     def news_pause(self) -> float:
         """Returns the seconds between repeated news of an engine; many instances hear them less."""
         return min(NEWS_MOST, max(NEWS_LEAST, len(self._addresses) / NEWS_PER_SECOND))
@@ -275,7 +286,8 @@
                 self._leases_listed(found.objects)
             else:
                 self._nothing_listed()
-            await asyncio.sleep(LIST_EVERY)
+            young = monotonic() - self._started < LIST_YOUNG
+            await asyncio.sleep(LIST_EVERY / 5 if young else LIST_EVERY)
 
     def _leases_listed(self, leases: Iterable[StoredObject]) -> None:
         now = monotonic()
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -121,11 +121,19 @@
 
 
 class RenewalPlea(msgspec.Struct, array_like=True, tag="plea"):
-    """The sender can't renew its lease: it asks for promises, and for a renewal in its name."""
+    """The sender can't renew its lease: it asks for a promise, and perhaps for a renewal.
+
+    Attributes:
+        sender: Who asks.
+        incarnation: Incarnation of its process.
+        number: Number of the plea.
+        renew: Whether the receiver should renew the lease in its name.
+    """
 
     sender: str
     incarnation: str
     number: int
+    renew: bool = False
 
 
 class RenewalDone(msgspec.Struct, array_like=True, tag="done"):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -16,7 +16,7 @@
 from wigeonarch_entry.logs import dropped, log
 
 from wigeonarch_gateway.catalogue import Catalogue
-from wigeonarch_gateway.counting import counted
+from wigeonarch_gateway.counting import CountedStore
 from wigeonarch_gateway.door import Door
 from wigeonarch_gateway.endpoints import Endpoints
 from wigeonarch_gateway.engineviews import EngineViews, from_adapter
@@ -53,6 +53,7 @@
 from wigeonarch_gateway.watching import Follower, StoreState, follow
 from wigeonarch_gateway.wishes import Wishes
 
+VITALS_EVERY: Final = 10.0  # Seconds between lines about the whole instance.
 TICK: Final = 0.25  # Seconds between looks at what only time changes.
 DRAIN_STEP: Final = 0.05  # Seconds between looks at whether all requests have ended.
 # Seconds before the hard end at which the process ends by itself.
@@ -68,7 +69,7 @@
         self._opts = opts
         self._dialect = dialect
         self._metrics = Metrics()
-        self._store = store = counted(store, self._metrics)
+        self._store = store = CountedStore(store, self._metrics)
         self._incarnation = os.urandom(6).hex()
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -92,7 +93,7 @@
             self._incarnation,
             address,
             opts.zone,
-            lambda plea: self._members.send_all(plea),
+            lambda plea: self._members.plead(plea),
             lambda: self._members.rivals({opts.zone, *self._holders.zones()}),
         )
         self._members = Members(
@@ -231,8 +232,12 @@
         self._stopping.set()
 
     async def _tick(self) -> None:
+        told = monotonic()
         while True:
             await asyncio.sleep(TICK)
+            if monotonic() - told >= VITALS_EVERY:
+                told = monotonic()
+                self._log_vitals()
             self._endpoints.tick(monotonic())
             self._pools.trim()
             self._metrics.log_lines_dropped.set(dropped())
@@ -241,6 +246,22 @@
             if table is not None:
                 self._metrics.configuration.set(table.version)
 
+    def _log_vitals(self) -> None:
+        """Logs what an operator asks first when an instance is in doubt."""
+        table = self._catalogue.table
+        log(
+            "vitals",
+            peers=len(self._members.heard()),
+            held=len(self._holders.held()),
+            in_progress=self._door.in_progress,
+            configuration=table.version if table is not None else 0,
+            store_away=self._state.away,
+            store_calls=",".join(f"{call}:{n}" for call, n in self._store.calls.items()),
+            connections=self._pools.opened,
+            peer_messages_dropped=self._links.dropped,
+            log_lines_dropped=dropped(),
+        )
+
     # What the store tells.
 
     def _followers(self) -> list[Follower]:
@@ -319,6 +340,8 @@
                 self._leasing.promised(message)
             case RenewalPlea():
                 self._promise(message)
+                if not message.renew:
+                    return
                 asyncio.create_task(self._renew_for(message))  # noqa: RUF006 - ends by itself.
             case RenewalDone():
                 self._leasing.renewed_by_peer(message)
