--- /dev/null
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
@@ -0,0 +1,221 @@
+"""Finds the endpoint for a request: the best one now, or the one that will have its adapter soon.
+
+While an adapter is on its way, the request waits for news of that engine. Each time it looks again,
+the best engine is chosen anew from what is believed then.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+from wigeonarch_core.doubt import Doubts
+from wigeonarch_core.engine_choice import Choice, EngineState, choose_again
+from wigeonarch_core.engine_places import AdapterKey
+from wigeonarch_core.service_choice import ServiceState, choose_plain
+from wigeonarch_entry.clock import monotonic
+from wigeonarch_entry.logs import log
+
+from wigeonarch_gateway.catalogue import Catalogue
+from wigeonarch_gateway.endpoints import Endpoints
+from wigeonarch_gateway.engineviews import EngineViews
+from wigeonarch_gateway.jobs import Job
+from wigeonarch_gateway.ports import EndpointRecord
+from wigeonarch_gateway.traffic import Traffic
+from wigeonarch_gateway.wishes import Wishes
+
+# Longest wait for a wished load before another engine is asked, in seconds: a cold load and a half.
+WISH_PATIENCE: Final = 0.45
+# Share of the time between heartbeats by which expectations are spread at random.
+SPREAD: Final = 0.1
+# Share of the objective for which a request is held while no endpoint can take it at all.
+HOLD_SHARE: Final = 0.5
+# The same while an adapter is on its way: a request that is later than this earns little, and its
+# caller, told in time, may find another instance that can do better before it gives up.
+HOLD_MOST: Final = 2.0
+# Seconds between looks while no endpoint can take a request.
+LOOK_AGAIN: Final = 0.03
+# Least and greatest seconds of a wait for a load, if no news come.
+PAUSE_LEAST: Final = 0.004
+PAUSE_MOST: Final = 0.1
+TIMER_SLACK: Final = 0.002  # Seconds added so that a timer is not early.
+
+Inputs = dict[str, object]
+
+
+class Finder:
+    """Chooses endpoints by what this instance believes."""
+
+    __slots__ = (
+        "_catalogue",
+        "_doubts",
+        "_endpoints",
+        "_lag",
+        "_traffic",
+        "_views",
+        "_wishes",
+        "_zone",
+    )
+
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        endpoints: Endpoints,
+        views: EngineViews,
+        traffic: Traffic,
+        doubts: Doubts,
+        wishes: Wishes,
+        zone: str,
+        lag: Callable[[], float],
+    ) -> None:
+        """Makes a finder for an instance in `zone`; `lag` is the age of what others told."""
+        self._catalogue = catalogue
+        self._endpoints = endpoints
+        self._views = views
+        self._traffic = traffic
+        self._doubts = doubts
+        self._wishes = wishes
+        self._zone = zone
+        self._lag = lag
+
+    async def find(self, job: Job) -> EndpointRecord | None:
+        """Returns an endpoint that can run the request now; None when there is none in time."""
+        began = monotonic()
+        patience = HOLD_SHARE * job.route.objective
+        longest = HOLD_MOST * job.route.objective
+        while True:
+            now = monotonic()
+            if job.terms.model and job.spec is not None and job.spec.engine is not None:
+                found, hopeful = self._find_engine(job, now)
+            else:
+                found, hopeful = self._find_plain(job, now), False
+            if found is not None:
+                job.waited += now - began
+                return found
+            if now - began > (longest if hopeful else patience):
+                return None
+            if hopeful:
+                await self._views.change(self._pause(job, now), job.wished)
+            else:
+                await self._views.change(LOOK_AGAIN)
+
+    def _pause(self, job: Job, now: float) -> float:
+        """Returns the time after which a wished load may be there without further news."""
+        left = self._views.get(job.wished).loading_left(self.adapter(job), now)
+        if left is None:
+            return PAUSE_MOST
+        return max(PAUSE_LEAST, min(PAUSE_MOST, left + TIMER_SLACK))
+
+    def _find_plain(self, job: Job, now: float) -> EndpointRecord | None:
+        records = self._usable(job, now)
+        chosen = choose_plain(
+            ServiceState(
+                record.endpoint,
+                record.zone == self._zone,
+                record.slots,
+                self._traffic.at(record.endpoint).running,
+                self._doubts.failing(record.endpoint),
+            )
+            for record in records
+        )
+        return self._endpoints.get(chosen) if chosen else None
+
+    def _usable(self, job: Job, now: float) -> list[EndpointRecord]:
+        ready = self._endpoints.ready(job.service)
+        fresh = [record for record in ready if record.endpoint not in job.avoid]
+        fresh = fresh or [record for record in ready if record.endpoint not in job.ran]
+        return [record for record in fresh if not self._doubts.shut(record.endpoint, now)]
+
+    def _find_engine(self, job: Job, now: float) -> tuple[EndpointRecord | None, bool]:
+        """Returns an engine to send to, or whether waiting for a load makes sense."""
+        choice = self._choose_engine(job, now)
+        if choice is None:
+            return None, False
+        if not choice.load:
+            return self._endpoints.get(choice.endpoint), True
+        if choice.endpoint != job.wished:
+            self._note_wish(job, choice, now)
+            job.wished = choice.endpoint
+            job.wished_at = now
+        self._wishes.wish(choice.endpoint, self.adapter(job), job.route.priority, missing=False)
+        return None, True
+
+    def _note_wish(self, job: Job, choice: Choice, now: float) -> None:
+        view = self._views.get(choice.endpoint)
+        log(
+            "adapter_awaited",
+            request=job.key,
+            endpoint=choice.endpoint,
+            adapter=job.terms.adapter,
+            expected=choice.expected,
+            holder=view.holder,
+            heard=now - view.heard,
+            free=view.free,
+            loading=len(view.loading),
+            before=job.wished,
+            waited=now - job.req.received,
+        )
+
+    def _choose_engine(self, job: Job, now: float) -> Choice | None:
+        key = self.adapter(job)
+        states = [self._state(record, job, key, now) for record in self._usable(job, now)]
+        found = [state for state in states if state is not None]
+        patient = now - job.wished_at < WISH_PATIENCE
+        spread = SPREAD * self._lag()
+        return choose_again(
+            found,
+            job.terms.prompt_tokens,
+            job.wished,
+            patient,
+            lambda: random.uniform(0.0, spread),
+        )
+
+    def adapter(self, job: Job) -> AdapterKey:
+        """Returns the adapter that a request needs, at the newest version named."""
+        terms = job.terms
+        version = self._catalogue.version(terms.model, terms.adapter) if terms.adapter else 0
+        return AdapterKey(terms.model, terms.adapter, version)
+
+    def _state(
+        self, record: EndpointRecord, job: Job, key: AdapterKey, now: float
+    ) -> EngineState | None:
+        view = self._views.get(record.endpoint)
+        if key.model not in view.models:
+            return None
+        load = self._traffic.at(record.endpoint)
+        engine = job.spec.engine if job.spec else None
+        return EngineState(
+            endpoint=record.endpoint,
+            same_zone=record.zone == self._zone,
+            holds=not key.adapter or view.holds(key, now),
+            loading_left=view.loading_left(key, now),
+            warm=view.warm(key),
+            replaces=view.replaces(key),
+            loadable=view.loadable(now),
+            free_places=view.free,
+            loading=len(view.loading),
+            waiting_tokens=load.waiting_tokens,
+            running=load.running,
+            batch=engine.batch if engine else record.slots,
+            kv_tokens=load.kv_tokens,
+            kv_total=engine.kv_tokens if engine else 0,
+            failing=self._doubts.failing(record.endpoint),
+        )
+
+    def inputs(self, job: Job) -> Inputs:
+        """Returns what a refusal rested on, for the log."""
+        now = monotonic()
+        ready = self._endpoints.ready(job.service)
+        views = [self._views.get(record.endpoint) for record in ready]
+        return {
+            "route": job.route.name,
+            "service": job.service,
+            "adapter": job.terms.adapter,
+            "ready": len(ready),
+            "shut": sum(self._doubts.shut(record.endpoint, now) for record in ready),
+            "loadable": sum(view.loadable(now) for view in views),
+            "with_model": sum(job.terms.model in view.models for view in views),
+            "sends": job.sends,
+            "waited": now - job.req.received,
+        }
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -20,6 +20,7 @@
 from wigeonarch_gateway.door import Door
 from wigeonarch_gateway.endpoints import Endpoints
 from wigeonarch_gateway.engineviews import EngineViews, from_adapter
+from wigeonarch_gateway.finding import Finder
 from wigeonarch_gateway.holders import Holders
 from wigeonarch_gateway.leasing import Leasing, lease_spec
 from wigeonarch_gateway.links import Links, split_address
@@ -122,6 +123,16 @@
             self._metrics,
         )
         wishes = Wishes(opts.instance, self._views, self._holders, self._members.send)
+        finder = Finder(
+            self._catalogue,
+            self._endpoints,
+            self._views,
+            self._traffic,
+            self._doubts,
+            wishes,
+            opts.zone,
+            lambda: self._members.pause(),
+        )
         self._passing = Passing(
             dialect,
             self._catalogue,
@@ -133,8 +144,7 @@
             self._retries,
             self._doubts,
             self._metrics,
-            opts.zone,
-            lambda: self._members.pause(),
+            finder,
         )
         self._door = Door(self._passing.serve, self._body_most)
         self._ready_server = StatusServer([Page(dialect.ready_path, self._ready)])
