--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,11 @@
 SOURCES := packages platform tests
 WORKERS ?= 6
 BENCH ?= quick
+SEED ?= 1
+SEEDS ?= 1
+SECONDS ?= 15
 
-.PHONY: setup test check format unit demo demo-serve bench slopes schema
+.PHONY: setup test check format unit demo demo-serve bench slopes soak gateway-slopes schema
 
 $(READY): constraints.txt requirements.txt $(PACKAGES)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -46,6 +49,12 @@
 slopes: $(READY)
 	$(BIN)/python -m wigeonarch_fakes.slopes
 
+soak: $(READY)
+	$(BIN)/python tests/soak.py --seed $(SEED) --seconds $(SECONDS) --seeds $(SEEDS)
+
+gateway-slopes: $(READY)
+	$(BIN)/python tests/gateway_slopes.py 6:6 12:12 24:12 24:24
+
 schema: $(READY)
 	$(BIN)/python -m grpc_tools.protoc -I packages/wigeonarch-schema/src \
 	    --python_out=packages/wigeonarch-schema/src \
