--- a/packages/wigeonarch-fakes/src/wigeonarch_fakes/slopes.py
+++ b/packages/wigeonarch-fakes/src/wigeonarch_fakes/slopes.py
@@ -89,7 +89,7 @@
     if work is not None:
         work()
     # Costs are counted over a whole window, also when the work ends before it.
-    time.sleep(max(0.0, begin + WINDOW - time.monotonic()))
+    time.sleep(max(0.0, begin + WINDOW - time.monotonic()))  # What is left of the window.
     seconds = time.monotonic() - begin
     after = _entries(dep)
     last = _platform_calls(dep)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,6 +21,7 @@
     known = _known()
     for item in items:
         if item.nodeid in known:
+            # Not strict: the listed faults show only in some runs, and a pass proves nothing then.
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=False))
 
 
