An instance alone in its zone gives its engine up in the store when it stops

The next process of the instance had to see a whole term of a lease that no longer existed: in a run of the case with its logs kept, entry-a stopped at 55.28 s, listened and was ready at 56.6, and owned engine-a at 59.36, 60 ms after entry-c, the last owner left, had gone. Any lateness there left no owner at all. Ruled out: an engine lost, an eviction, a caller cut off; the time to read the catalogue (24 ms). Change: the last act of a graceful stop is a conditional write of an ownership without an owner, after loads have ended, as for a hand-over; such an engine is claimed at once, with the quarantine that any claim has. And an instance is ready once it has tried to own what is free in its zone.

--- a/packages/wigeonarch-core/src/wigeonarch_core/fleet.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/fleet.py
@@ -38,7 +38,7 @@
     """Who owns an engine.
 
     Attributes:
-        owner: Name of the owning instance.
+        owner: Name of the owning instance; `records.VACANT` when the last one gave it up.
         boot: Nonce made at its start.
         fence: Fencing number of the ownership.
         handed: Fencing number of the ownership that was handed over to it; 0 when it claimed.
--- a/packages/wigeonarch-core/src/wigeonarch_core/ownership.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/ownership.py
@@ -21,6 +21,7 @@
 from wigeonarch_core.homes import ranked
 from wigeonarch_core.lease import HeldLease
 from wigeonarch_core.promises import PromisesGiven
+from wigeonarch_core.records import VACANT
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,9 +121,11 @@
 
 def _move(fleet: Fleet, own: Standing, engine: str, now: float) -> Claim | HandOver | None:
     held = fleet.owners.get(engine)
-    if held is None:
+    if held is None or held.owner == VACANT:
+        # Nobody acts there; what the last owner granted is what a claim's quarantine is for.
         first = ranked(engine, fleet.live_in_zone(now))[0]
-        return Claim(engine, 0) if first == fleet.me and not own.draining else None
+        expected = 0 if held is None else held.fence
+        return Claim(engine, expected) if first == fleet.me and not own.draining else None
     if held.owner == fleet.me and held.boot == fleet.boot:
         return _keep_or_give(fleet, own, engine, held, now)
     if own.draining or not may_take_over(fleet, own, held, now):
--- a/packages/wigeonarch-core/src/wigeonarch_core/records.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/records.py
@@ -11,6 +11,8 @@
 CHANGES: Final = "changes"
 SNAPSHOTS: Final = "snapshots"
 KEYS: Final = "idempotency"
+# Owner of an engine whose last owner gave it up and acts no more.
+VACANT: Final = ""
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
@@ -45,7 +47,7 @@
 
     Attributes:
         engine: Name of the engine.
-        owner: Name of the owning instance.
+        owner: Name of the owning instance; `VACANT` when the last one gave it up.
         boot: Nonce made at its start.
         handed: Fencing number of the ownership that was handed over to it; 0 when it claimed.
     """
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/claims.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/claims.py
@@ -27,9 +27,13 @@
 
 
 class Claims:
-    """Keeps the ownerships of this instance."""
+    """Keeps the ownerships of this instance.
 
-    __slots__ = ("_begin", "_ctx", "_end", "_given", "_hand_overs", "_works")
+    Attributes:
+        begun: Whether it has once tried, with a lease, to own what is free in its zone.
+    """
+
+    __slots__ = ("_begin", "_ctx", "_end", "_given", "_hand_overs", "_works", "begun")
 
     def __init__(
         self,
@@ -46,6 +50,7 @@
         self._end = end
         self._given = given
         self._works: set[asyncio.Task[None]] = set()
+        self.begun = False
 
     async def keep(self) -> None:
         """Plans and writes until cancelled."""
@@ -53,8 +58,10 @@
             now = monotonic()
             self.take_offered(now)
             if self._ctx.membership.informed and not self._ctx.membership.draining:
+                leased = self._ctx.lease.holds(now)
                 for move in ownership.plan(self._ctx.fleet, self.standing(), now):
                     await self._carry_out(move)
+                self.begun = self.begun or leased
             self.drop_lost()
             await asyncio.sleep(PLAN_INTERVAL)
 
@@ -215,6 +222,14 @@
         self._ctx.metrics.owned.set(len(self._ctx.owned))
         log("engine_dropped", engine=owned.engine, fence=owned.fence, handed_over=told)
 
+    async def vacate_all(self) -> None:
+        """Gives up all engines in the store and stops owning them; asks that wait are refused."""
+        await asyncio.gather(*(self._vacate(owned) for owned in self._ctx.owned.values()))
+
+    async def _vacate(self, owned: Owned) -> None:
+        if await self._hand_overs.vacate(owned) and owned.engine in self._ctx.owned:
+            self._drop(owned, told=False)
+
     def drop_all(self) -> None:
         """Stops owning everything; the instance stops."""
         for owned in list(self._ctx.owned.values()):
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/handover.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/handover.py
@@ -17,7 +17,7 @@
 import msgspec
 from wigeonarch_core.messages import Accepted, Ask, HeldPin, Moved, Offer, OfferedPin, Release
 from wigeonarch_core.ownership import HandOver, Holding, confirmed
-from wigeonarch_core.records import OWNERS, OwnerRecord
+from wigeonarch_core.records import OWNERS, VACANT, OwnerRecord
 
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.granting import Granting
@@ -81,6 +81,26 @@
         log("engine_handed_over", engine=move.engine, successor=move.successor, fence=moved.fence)
         return moved
 
+    async def vacate(self, owned: Owned) -> bool:
+        """Gives up an engine that nobody can take now; returns whether that is written.
+
+        Whoever comes next then need not wait for this process's lease to lapse, which takes a
+        term and more in which no instance of the zone may act on the engine. No answer to the write
+        is no harm: this process acts no more, and a lapsed lease says the same later.
+        """
+        if owned.custody.handing:
+            return False
+        owned.custody.handing = True
+        if owned.loads:
+            await asyncio.wait(owned.loads, timeout=LOAD_BOUND)
+        if owned.loads or not confirmed(owned.custody.holding, self._ctx.lease, monotonic()):
+            return False
+        record = OwnerRecord(owned.engine, VACANT, "")
+        result = await self._ctx.platform.replace(OWNERS, owned.engine, record, owned.fence)
+        self._ctx.metrics.ownership.labels("vacate", type(result).__name__.lower()).inc()
+        log("engine_vacated", engine=owned.engine, fence=owned.fence, result=type(result).__name__)
+        return isinstance(result, Written)
+
     async def _offer(self, owned: Owned, successor: str) -> Accepted | None:
         key = (owned.engine, owned.fence)
         answer: asyncio.Future[Accepted] = asyncio.get_running_loop().create_future()
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/node.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/node.py
@@ -171,7 +171,7 @@
         """Tells why this instance takes no request now; None when it takes them."""
         if self._membership.draining:
             return Reason.DRAINING
-        if not self._membership.informed:
+        if not (self._membership.informed and self._owners.begun):
             return Reason.NOT_READY
         return self._configuration.refusal()
 
@@ -235,6 +235,7 @@
         await self._awaited("balancers", seen)
         await self._awaited("requests", asyncio.create_task(self._dispatcher.idle()))
         await self._awaited("keys", asyncio.create_task(self._keys.settled()))
+        await self._owners.vacate()
         await self._membership.give_up()
 
     async def _awaited(self, what: str, task: asyncio.Task[None]) -> None:
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/owners.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/owners.py
@@ -104,6 +104,15 @@
                 return
             await asyncio.sleep(HAND_OVER_PAUSE)
 
+    async def vacate(self) -> None:
+        """Gives up what no successor took, as the last act; see `HandOvers.vacate`."""
+        await self._claims.vacate_all()
+
+    @property
+    def begun(self) -> bool:
+        """Whether this instance has once tried to own what is free in its zone."""
+        return self._claims.begun
+
     def _heirs(self) -> int:
         """Returns how many other instances of the zone are heard that are not shutting down."""
         fleet, now = self._ctx.fleet, monotonic()
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -121,6 +121,7 @@
 MINE = OwnerRecord("engine", "me", "m1")
 OTHER = OwnerRecord("engine", "o", "o1")
 TAKEN = Ownership("o", "o1", 10)
+VACATED = OwnerRecord("engine", "", "")
 HELD = Holding(10, 1, 0.0)
 # Owner on record, holding, whether this instance drains and has promised, and the moves at 20 s.
 PLAN = {
@@ -131,6 +132,8 @@
     "another's, gone": (OTHER, None, False, False, [Claim("engine", 10, TAKEN)]),
     "another's, promised": (OTHER, None, False, True, []),
     "another's, while draining": (OTHER, None, True, False, []),
+    "given up by its owner": (VACATED, None, False, False, [Claim("engine", 10)]),
+    "given up, while draining": (VACATED, None, True, False, []),
     "mine, while draining alone": (MINE, HELD, True, False, []),
 }
 
