An engine whose owner is out of reach is chosen last

Cause (the open part of rollingReplacementUnderLoad): placement looked at what the last owner had said of its engine, loaded or not, and not at whether that owner can be asked. Each try at such an engine ends at once and costs a retry; with one owner left of three, most requests spend one, and the share of retries is used up when the owner is back: that is what entry-a's refusals after it owned its engine fit; its budget line was not in the logs kept, so this half is read from the code, not seen. Ruled out: the quarantine (it grants what is loaded), confirmed() (the lease held). Change: EngineView says whether the owner can be asked; unowned engines rank last and are no homes. Before: the two new rows of test_policy_placement fail (no such field).

--- a/packages/wigeonarch-core/src/wigeonarch_core/placement.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/placement.py
@@ -4,8 +4,9 @@
 loading the adapter or about to; then the adapter's home engines by rendezvous hash, of a few of
 which the one with the fewest loads to do is taken. A few homes balance the loads almost as well as
 all engines would, and instances that have not heard of each other's choice still mostly agree, so
-that a cold adapter is loaded once. Overloaded copies come last, as trying them still beats giving
-up.
+that a cold adapter is loaded once. Overloaded copies come late, as trying them still beats giving
+up. Engines whose owner is out of reach come last: each try there ends at once and costs a retry,
+and a burst of such tries uses up the share of retries that requests need once an owner is back.
 """
 
 from __future__ import annotations
@@ -31,6 +32,7 @@
     HOME = "home"
     SPILL = "spill"
     OVERLOADED = "overloaded"
+    UNOWNED = "unowned"
 
 
 class EngineView(msgspec.Struct, frozen=True):
@@ -41,12 +43,14 @@
         zone: Its availability zone.
         leaving: Whether it takes no new work.
         summary: What its owner last said; None when unknown.
+        owned: Whether its owner can be asked.
     """
 
     engine: str
     zone: str
     leaving: bool = False
     summary: EngineSummary | None = None
+    owned: bool = True
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -93,8 +97,8 @@
 def _homes(
     order: Sequence[str], views: Sequence[EngineView], opts: PolicyOptions
 ) -> Collection[str]:
-    busy = {view.engine for view in views if _overloaded(view, opts)}
-    return [engine for engine in order if engine not in busy][: opts.homes]
+    out = {view.engine for view in views if not view.owned or _overloaded(view, opts)}
+    return [engine for engine in order if engine not in out][: opts.homes]
 
 
 def _burden(view: EngineView, why: Why) -> float:
@@ -111,6 +115,8 @@
     near: Collection[str],
     opts: PolicyOptions,
 ) -> Why:
+    if not view.owned:
+        return Why.UNOWNED
     if _overloaded(view, opts):
         return Why.OVERLOADED
     if view.summary is not None and target in view.summary.loaded:
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/generating.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/generating.py
@@ -96,8 +96,15 @@
         serving = {
             e.listed.name: e for e in self._endpoints.left_for(work.target.service, progress)
         }
+        now = monotonic()
         views = [
-            EngineView(name, e.listed.zone, e.leaving, self._fleet.summaries.get(name))
+            EngineView(
+                name,
+                e.listed.zone,
+                e.leaving,
+                self._fleet.summaries.get(name),
+                self._grants.reaches(name, now),
+            )
             for name, e in serving.items()
         ]
         choices = choose(work.target, self._opts.zone, views, self._opts.policy)
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/grants.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/grants.py
@@ -93,6 +93,11 @@
             if waiting.ask.engine == moved.engine and not waiting.answer.done():
                 self._repeat(waiting, monotonic())
 
+    def reaches(self, engine: str, now: float) -> bool:
+        """Tells whether the owner of an engine can be asked."""
+        held = self._fleet.owners.get(engine)
+        return held is not None and self._reachable(held, now)
+
     def usable(self, ask: str) -> bool:
         """Tells whether a request may still be sent under its grant."""
         return self._asking.usable(ask, monotonic())
--- a/tests/test_policy_placement.py
+++ b/tests/test_policy_placement.py
@@ -29,7 +29,7 @@
         wait=wait,
         backlog=backlog,
     )
-    return EngineView(engine, engine[0], state == "leaving", summary)
+    return EngineView(engine, engine[0], state == "leaving", summary, state != "unowned")
 
 
 def chosen(*changed: EngineView, tried: tuple[str, ...] = ()) -> list[Choice]:
@@ -49,8 +49,9 @@
         ((), Choice(ORDER[0], Why.HOME)),
         ((view(ORDER[0], backlog=3), view(ORDER[1], backlog=1)), Choice(ORDER[1], Why.HOME)),
         ((view(ORDER[0], "leaving"),), Choice(ORDER[1], Why.HOME)),
+        ((view(ORDER[0], "unowned"),), Choice(ORDER[1], Why.HOME)),
     ],
-    ids=["near", "far", "coming", "wait", "overload", "home", "fewer-loads", "leaving"],
+    ids=["near", "far", "coming", "wait", "overload", "home", "fewer-loads", "leaving", "unowned"],
 )
 def test_first_choice(changed: tuple[EngineView, ...], first: Choice) -> None:
     assert chosen(*changed)[0] == first
@@ -71,6 +72,16 @@
     assert last == Choice("a0", Why.OVERLOADED)
 
 
+def test_an_engine_whose_owner_is_out_of_reach_comes_after_all_others() -> None:
+    lost = view(ORDER[0], "loaded")
+    lost = EngineView(lost.engine, lost.zone, False, lost.summary, owned=False)
+    busy = view(ORDER[1], "loaded", wait=9.0)
+    assert chosen(lost, busy)[-2:] == [
+        Choice(ORDER[1], Why.OVERLOADED),
+        Choice(ORDER[0], Why.UNOWNED),
+    ]
+
+
 def test_a_lost_member_moves_only_its_own_keys() -> None:
     keys = [f"key-{number}" for number in range(200)]
     before = {key: homes.ranked(key, ENGINES)[0] for key in keys}
