A few instances of each large zone watch the store for the others

Ruled out: fewer calls by longer waits (noticing a silent watch takes the wait); stale lists, a tenth of the price but seconds old, which leaving endpoints and configurations can't bear. Change: in a zone of more than three instances, one in eight and three at least are keepers (rendezvous hash): they watch, hold leases and order engines. The others follow one each, say each 0.7 s what revision they have, and watch for themselves while their keeper is silent (1.6 s), without the store, or old in its knowledge. Zones of up to three are as before. feeding.Feed lets news of a watch and of peers come in any order.

--- /dev/null
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/feeding.py
@@ -0,0 +1,88 @@
+"""One kind of stored objects as one instance knows it, and what it can tell others of it.
+
+Changes come from the instance's own watch and from peers that watch the store for it, in any mix,
+twice or late. They are safe to mix, as each object has the store's revision of its last change: a
+change that is not newer than the state is dropped, and so is a removal of an object that was made
+anew since. What came lately is kept in order, so a peer that has the state of an earlier revision
+can be brought to this one; one that lacks more must ask the store.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from wigeonarch_gateway.ports import Change, StoredObject
+
+# Changes that are kept for peers. A peer asks about each second, in which a deployment of 70
+# engines with 40 loads a second has 80 changes.
+KEPT_MOST: Final = 400
+
+
+class Feed:
+    """What is known of one kind.
+
+    Attributes:
+        as_of: Revision of the state; None before the first list.
+    """
+
+    __slots__ = ("_floor", "_kept", "_known", "as_of")
+
+    def __init__(self) -> None:
+        """Knows nothing."""
+        self.as_of: int | None = None
+        self._known: dict[str, int] = {}
+        self._kept: deque[tuple[int, Change]] = deque()
+        self._floor = 0
+
+    def listed(self, objects: Iterable[StoredObject], as_of: int) -> bool:
+        """Takes over a whole list.
+
+        Returns:
+            Whether it counts; one that is older than the state does not.
+        """
+        if self.as_of is not None and as_of < self.as_of:
+            return False
+        self._known = {found.name: found.revision for found in objects}
+        self._kept.clear()
+        self._floor = self.as_of = as_of
+        return True
+
+    def take(self, changes: Sequence[Change], since: int, as_of: int) -> list[Change] | None:
+        """Takes over what changed from one revision to another.
+
+        Returns:
+            The changes that are news, in order; None when changes before them are missing.
+        """
+        if self.as_of is None or since > self.as_of:
+            return None
+        fresh = [change for change in changes if self._note(change)]
+        if as_of > self.as_of:
+            self._kept.extend((as_of, change) for change in fresh)
+            self.as_of = as_of
+        while len(self._kept) > KEPT_MOST:
+            self._floor = self._kept.popleft()[0]
+        return fresh
+
+    def after(self, revision: int) -> list[Change] | None:
+        """Returns what changed after a revision; None when that is not known any more."""
+        if self.as_of is None or revision < self._floor:
+            return None
+        return [change for as_of, change in self._kept if as_of > revision]
+
+    def _note(self, change: Change) -> bool:
+        """Notes a change; returns whether it is news."""
+        assert self.as_of is not None
+        name, revision = change.found.name, change.found.revision
+        known = self._known.get(name)
+        if change.deleted:
+            # Not so if it was made anew since; a state as of later has no object to remove.
+            if known is None or known > revision:
+                return False
+            del self._known[name]
+            return True
+        if revision <= max(known or 0, self.as_of):
+            return False
+        self._known[name] = revision
+        return True
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
@@ -24,6 +24,9 @@
 # Seconds without an answer to a renewal after which peers are asked; the store usually takes a few
 # milliseconds, and a lost answer is known as such only by the call's own, longer time limit.
 UNANSWERED: Final = 0.3
+# Seconds between renewals by an instance that orders nothing: others find its address by the lease,
+# and it is that of a process that lives.
+RESTING_RENEWAL: Final = 10.0
 
 
 def lease_spec(incarnation: str, address: str, zone: str, count: int) -> dict[str, object]:
@@ -44,6 +47,7 @@
         "_held",
         "_incarnation",
         "_name",
+        "_needed",
         "_opts",
         "_outpaced",
         "_plead",
@@ -65,6 +69,7 @@
         zone: str,
         plead: Callable[[RenewalPlea], None],
         rivals: Callable[[], Collection[str]],
+        needed: Callable[[], bool],
     ) -> None:
         """Makes a lease that does not hold yet.
 
@@ -77,6 +82,7 @@
             zone: Its availability zone.
             plead: Sends a plea to all peers.
             rivals: Returns the instances that could take over from this one.
+            needed: Tells whether this instance orders endpoints, or may have to.
         """
         self._store = store
         self._opts = opts
@@ -86,6 +92,7 @@
         self._zone = zone
         self._plead = plead
         self._rivals = rivals
+        self._needed = needed
         self._promises = PromisesHeld(opts.term)
         self._count = 0
         self._revision = 0
@@ -94,8 +101,15 @@
         self.lease = HeldLease(opts.term, opts.margin)
 
     async def keep(self) -> None:
-        """Renews the lease; runs until cancelled."""
+        """Renews the lease; runs until cancelled.
+
+        While it is of no use, it is renewed only now and then, for its address.
+        """
+        began = float("-inf")
         while True:
+            if not self._needed() and monotonic() - began < RESTING_RENEWAL:
+                await asyncio.sleep(self._opts.renewal / 4)
+                continue
             began = monotonic()
             asking = asyncio.get_running_loop().call_later(UNANSWERED, self._ask_peers)
             ok = await self._renew()
@@ -140,7 +154,8 @@
         holds = self.lease.holds(monotonic())
         if holds is not self._held:
             self._held = holds
-            log("lease_holds" if holds else "lease_lapsed", "INFO" if holds else "WARNING")
+            expected = holds or not self._needed()
+            log("lease_holds" if holds else "lease_lapsed", "INFO" if expected else "WARNING")
 
     def _ask_peers(self) -> None:
         now = monotonic()
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from wigeonarch_core.engine_places import AdapterKey, AdapterName
+from wigeonarch_core.homes import ranked
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
 
@@ -44,6 +46,9 @@
 ZONE_EMPTY: Final = 15.0
 LIST_EVERY: Final = 5.0  # Seconds between looks for instances that were never heard.
 LIST_YOUNG: Final = 2.0  # Seconds after the start in which they are five times as frequent.
+KEEPERS_LEAST: Final = 3  # Keepers of a zone, at least, so that two may be lost at once.
+ZONE_PER_KEEPER: Final = 8  # Instances of a zone per keeper of it.
+KEEPERS_KEY: Final = "keepers"
 FORGET_ADDRESS: Final = 30.0  # Seconds without a heartbeat until an address is given up.
 
 
@@ -175,7 +180,8 @@
         nearby = {member.name for member in usable if member.zone == zone}
         mine = {self._opts.instance} if me else set()
         if zone == self._opts.zone:
-            return sorted(self._settled(nearby | mine) or nearby | mine)
+            nearby = (nearby | mine) & set(self.keepers()) or nearby | mine
+            return sorted(self._settled(nearby) or nearby)
         if self.rivals({zone}, ZONE_EMPTY):
             return []
         return sorted({*(member.name for member in usable), *mine})
@@ -186,6 +192,25 @@
         since[self._opts.instance] = self._started
         return {name for name in names if now - since[name] >= SETTLED}
 
+    def keepers(self) -> list[str]:
+        """Returns those of the zone that watch the store for the others, and order its endpoints.
+
+        All instances of a small zone are; of a larger one a few, so that calls to the store don't
+        grow with its size. A rendezvous hash changes at most one as an instance comes or goes.
+        """
+        nearby = {n for n in self.heard() if self._serves_zone(self._members[n])}
+        mine = set() if self.leaving else {self._opts.instance}
+        names = self._settled(nearby | mine) or nearby | mine
+        most = max(KEEPERS_LEAST, math.ceil(len(nearby | mine) / ZONE_PER_KEEPER))
+        return ranked(KEEPERS_KEY, sorted(names))[:most]
+
+    def is_keeper(self) -> bool:
+        """Tells whether this instance is one of them."""
+        return self._opts.instance in self.keepers()
+
+    def _serves_zone(self, member: Member) -> bool:
+        return member.zone == self._opts.zone and not member.leaving
+
     def count(self) -> int:
         """Returns the number of instances, this one included."""
         return 1 + len(self.heard())
@@ -208,6 +233,11 @@
         member = self._members.get(name)
         return member is not None and self._links.send(member.address, message)
 
+    def send_frame(self, name: str, frame: bytes) -> bool:
+        """Sends an encoded message to an instance; False when it was dropped at once."""
+        member = self._members.get(name)
+        return member is not None and self._links.send_frame(member.address, frame)
+
     def send_all(self, message: Message) -> None:
         """Sends a message to all instances heard."""
         frame = encode(message)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Any, Final
 
 import msgspec
 
@@ -151,7 +151,62 @@
     number: int
 
 
-Message = Beat | PlacesNews | LoadWish | Used | Remembered | RenewalPlea | RenewalDone | PromiseMade
+class Follow(msgspec.Struct, array_like=True, tag="follow"):
+    """The sender asks to be told of the store's changes, and says what it has.
+
+    Attributes:
+        sender: Who asks.
+        states: Place of each kind in `ports.Kinds`, and the revision of the sender's state of it.
+    """
+
+    sender: str
+    states: list[tuple[int, int]]
+
+
+class Told(msgspec.Struct, array_like=True, tag="told"):
+    """What changed in the store, told by an instance that watches it.
+
+    Attributes:
+        sender: Who tells.
+        kind: Place of the kind in `ports.Kinds`.
+        since: Revision after which these changes are.
+        as_of: Revision up to which they are all.
+        age_ms: Milliseconds since the store last answered the sender's watch.
+        away: Whether the sender is without an answer of the store.
+        returned: Whether the store came back a moment ago.
+        changes: Name, revision, content and whether removed; in order.
+    """
+
+    sender: str
+    kind: int
+    since: int
+    as_of: int
+    age_ms: int
+    away: bool
+    returned: bool
+    changes: list[tuple[str, int, Any, bool]]
+
+
+class Untold(msgspec.Struct, array_like=True, tag="untold"):
+    """The sender can't tell of a kind from the receiver's revision on: the store must be asked."""
+
+    sender: str
+    kind: int
+
+
+Message = (
+    Beat
+    | PlacesNews
+    | LoadWish
+    | Used
+    | Remembered
+    | RenewalPlea
+    | RenewalDone
+    | PromiseMade
+    | Follow
+    | Told
+    | Untold
+)
 
 _encoder: Final = msgspec.msgpack.Encoder()
 _decoder: Final = msgspec.msgpack.Decoder(Message)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -27,6 +27,7 @@
 from wigeonarch_gateway.members import Members
 from wigeonarch_gateway.messages import (
     Beat,
+    Follow,
     LoadWish,
     Message,
     PlacesNews,
@@ -34,6 +35,8 @@
     Remembered,
     RenewalDone,
     RenewalPlea,
+    Told,
+    Untold,
     Used,
 )
 from wigeonarch_gateway.metrics import Metrics
@@ -49,9 +52,10 @@
     ObjectStore,
     StoredObject,
 )
+from wigeonarch_gateway.sharing import Sharing
 from wigeonarch_gateway.status import Page, StatusServer
 from wigeonarch_gateway.traffic import Traffic
-from wigeonarch_gateway.watching import Follower, StoreState, follow
+from wigeonarch_gateway.watching import StoreState, Watched, keep_watching
 from wigeonarch_gateway.wishes import Wishes
 
 VITALS_EVERY: Final = 10.0  # Seconds between lines about the whole instance.
@@ -98,6 +102,7 @@
             opts.zone,
             lambda plea: self._members.plead(plea),
             lambda: self._members.rivals({opts.zone, *self._holders.zones()}),
+            lambda: self._members.is_keeper() or bool(self._holders.held()),
         )
         self._members = Members(
             opts,
@@ -113,6 +118,10 @@
             self._views.unheard,
             self._metrics,
         )
+        self._sharing = Sharing(
+            opts.instance, opts.store, self._members.keepers, self._members.send_frame
+        )
+        self._share()
         self._holders = Holders(
             opts.instance,
             opts.holding,
@@ -237,9 +246,12 @@
     def _duties(self) -> dict[str, Coroutine[Any, Any, None]]:
         opts = self._opts.store
         duties: dict[str, Coroutine[Any, Any, None]] = {
-            follower.kind.value: follow(self._store, self._state, opts, follower)
-            for follower in self._followers()
+            watched.kind.value: keep_watching(
+                self._store, self._state, opts, self._sharing, watched
+            )
+            for watched in self._watched()
         }
+        duties["sharing"] = self._sharing.keep()
         duties["beats"] = self._members.keep_beating()
         duties["finding"] = self._members.keep_finding(self._store)
         duties["lease"] = self._leasing.keep()
@@ -289,27 +301,22 @@
 
     # What the store tells.
 
-    def _followers(self) -> list[Follower]:
+    def _share(self) -> None:
+        """Says what becomes of changes, whoever tells of them."""
+        catalogue = self._catalogue
+        self._sharing.add(Kinds.CONFIGURATION, catalogue.table_changed, _nothing)
+        self._sharing.add(Kinds.VERSIONS, catalogue.version_changed, _nothing)
+        self._sharing.add(
+            Kinds.ENDPOINTS,
+            self._endpoint_changed,
+            lambda: self._endpoints.store_returned(monotonic()),
+        )
+
+    def _watched(self) -> list[Watched]:
         return [
-            Follower(
-                Kinds.CONFIGURATION,
-                self._catalogue.tables_listed,
-                self._catalogue.table_changed,
-                _nothing,
-            ),
-            Follower(
-                Kinds.VERSIONS,
-                self._catalogue.versions_listed,
-                self._catalogue.version_changed,
-                _nothing,
-            ),
-            Follower(
-                Kinds.ENDPOINTS,
-                self._endpoints_listed,
-                self._endpoint_changed,
-                lambda: self._endpoints.store_returned(monotonic()),
-                self._opts.store.gather,
-            ),
+            Watched(Kinds.CONFIGURATION, self._catalogue.tables_listed),
+            Watched(Kinds.VERSIONS, self._catalogue.versions_listed),
+            Watched(Kinds.ENDPOINTS, self._endpoints_listed, self._opts.store.gather),
         ]
 
     def _endpoints_listed(self, objects: tuple[StoredObject, ...]) -> None:
@@ -370,6 +377,12 @@
                 asyncio.create_task(self._renew_for(message))  # noqa: RUF006 - ends by itself.
             case RenewalDone():
                 self._leasing.renewed_by_peer(message)
+            case Follow():
+                self._sharing.asked(message)
+            case Told():
+                self._sharing.told(message)
+            case Untold():
+                self._sharing.untold(message)
 
     def _used(self, message: Used) -> None:
         orderer = self._holders.orderer(message.endpoint)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
@@ -45,12 +45,14 @@
     Attributes:
         watch: Longest wait of one watch call. A connection that went silent for good is noticed
             only when the wait is over; each call has a price, also one that only waits.
+        watch_followed: The same for an instance that watches for others, who notice no sooner.
         gather: Pause after news of endpoints, so that several changes cost one call.
         retry: Pause after a failed call.
         returned: Time after an outage in which a missing endpoint may still come back.
     """
 
     watch: float = 3.5
+    watch_followed: float = 2.0
     gather: float = 0.9
     retry: float = 0.25
     returned: float = 2.2
--- /dev/null
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -0,0 +1,298 @@
+"""Who watches the store for whom: a few instances of each availability zone tell the others.
+
+In a zone of more than a few instances, some (the keepers, see `Members.keepers`) watch the store
+and the rest follow one of them each: a follower says about each second what state it has, and is
+answered with what it lacks; news are sent on at once. A watch by each of 68 instances cost 1.6
+calls a second and instance.
+
+It is safe because a follower trusts its keeper only while answers come, are young, and say that the
+store answers the keeper. Without them it watches the store itself, as a keeper does, from the
+revision that it has. A lost message leaves a gap, which the next answer fills.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from wigeonarch_core.homes import ranked
+from wigeonarch_entry.clock import monotonic
+from wigeonarch_entry.logs import log
+
+from wigeonarch_gateway.feeding import Feed
+from wigeonarch_gateway.links import MESSAGE_BOUND
+from wigeonarch_gateway.messages import Follow, Told, Untold, encode
+from wigeonarch_gateway.options import StoreOptions
+from wigeonarch_gateway.ports import Change, Kinds, StoredObject
+
+FOLLOW_EVERY: Final = 0.7  # Seconds between a follower's words to its keeper.
+# Seconds without an answer after which a keeper is not relied on: two lost answers.
+SILENT: Final = 1.6
+# Seconds for which a follower is told of news after its last word.
+FOLLOWS: Final = 2.5
+# Seconds for which an instance that fell back watches for itself before it follows again, so that
+# a keeper that answers now and then is not gone back to each time.
+ALONE: Final = 3.0
+KINDS: Final = tuple(Kinds)
+
+
+@dataclass(slots=True)
+class Shared:
+    """One kind, and how this instance is kept up to date of it.
+
+    Attributes:
+        feed: The state.
+        apply: Called with each change that is news.
+        store_returned: Called when the store is back after an outage, before its news.
+        answered: Time of the last answer of the store to this instance's own watch.
+        returned: Time at which the store was last back.
+        away: Whether the own watch is without an answer.
+        told: Time of the last word of the keeper, if it can be relied on.
+        told_age: Seconds since the store had answered the keeper, at that time.
+        outage: Whether the keeper said that it is without an answer; the own watch tells whether
+            that was an outage for this instance too.
+    """
+
+    feed: Feed
+    apply: Callable[[Change], None]
+    store_returned: Callable[[], None]
+    answered: float = float("-inf")
+    returned: float = float("-inf")
+    away: bool = False
+    told: float = float("-inf")
+    told_age: float = 0.0
+    outage: bool = False
+
+
+class Sharing:
+    """What this instance tells its followers, and what its keeper tells it.
+
+    Attributes:
+        following: The keeper that it follows; empty when it watches for itself.
+    """
+
+    __slots__ = (
+        "_alone_until",
+        "_followers",
+        "_keepers",
+        "_kinds",
+        "_me",
+        "_opts",
+        "_send",
+        "following",
+    )
+
+    def __init__(
+        self,
+        me: str,
+        opts: StoreOptions,
+        keepers: Callable[[], Sequence[str]],
+        send: Callable[[str, bytes], bool],
+    ) -> None:
+        """Makes the sharing of no kinds.
+
+        Args:
+            me: Name of this instance.
+            opts: Times of the watches.
+            keepers: Returns the keepers of the own zone.
+            send: Sends an encoded message to an instance.
+        """
+        self._me = me
+        self._opts = opts
+        self._keepers = keepers
+        self._send = send
+        self._kinds: dict[Kinds, Shared] = {}
+        self._followers: dict[str, float] = {}
+        self.following = ""
+        self._alone_until = float("-inf")
+
+    def add(
+        self, kind: Kinds, apply: Callable[[Change], None], store_returned: Callable[[], None]
+    ) -> None:
+        """Makes the state of a kind, which its watch and its keeper both bring up to date."""
+        self._kinds[kind] = Shared(Feed(), apply, store_returned)
+
+    def kinds(self) -> list[Kinds]:
+        """Returns the kinds that are shared."""
+        return list(self._kinds)
+
+    def feed(self, kind: Kinds) -> Feed:
+        """Returns the state of a kind."""
+        return self._kinds[kind].feed
+
+    @property
+    def followed(self) -> bool:
+        """Tells whether others follow this instance."""
+        return bool(self._live_followers())
+
+    def told_lately(self, kind: Kinds) -> bool:
+        """Tells whether the keeper keeps this instance up to date of a kind."""
+        shared, now = self._kinds[kind], monotonic()
+        if not self.following or shared.feed.as_of is None:
+            return False
+        silent = now - shared.told
+        return silent < SILENT and silent + shared.told_age < self._oldest()
+
+    # What the own watch finds.
+
+    def watched(self, kind: Kinds, changes: Sequence[Change], as_of: int) -> None:
+        """Takes over what the own watch told, and tells the followers."""
+        shared = self._kinds[kind]
+        since = shared.feed.as_of
+        assert since is not None
+        fresh = shared.feed.take(changes, since, as_of) or []
+        for change in fresh:
+            shared.apply(change)
+        if fresh:
+            self._tell(kind, since, fresh, self._live_followers())
+
+    def store_lost(self, kind: Kinds) -> None:
+        """Notes that the own watch got no answer, and tells the followers."""
+        self._set_away(kind, True)
+
+    def store_answered(self, kind: Kinds, back: bool) -> None:
+        """Notes an answer to the own watch; `back` when it was without one before."""
+        shared = self._kinds[kind]
+        shared.answered = monotonic()
+        if back or shared.outage:
+            shared.outage = False
+            shared.returned = shared.answered
+            shared.store_returned()
+        if back:
+            self._set_away(kind, False)
+
+    def _set_away(self, kind: Kinds, away: bool) -> None:
+        shared = self._kinds[kind]
+        if shared.away is away:
+            return
+        shared.away = away
+        since = shared.feed.as_of
+        if since is not None:
+            self._tell(kind, since, [], self._live_followers())
+
+    # The follower's side.
+
+    async def keep(self) -> None:
+        """Follows a keeper where there is one; runs until cancelled."""
+        while True:
+            self._ask()
+            await asyncio.sleep(FOLLOW_EVERY)
+
+    def _ask(self) -> None:
+        """Tells the keeper what this instance has."""
+        now = monotonic()
+        self._choose(now)
+        if self.following:
+            states = [
+                (KINDS.index(kind), shared.feed.as_of)
+                for kind, shared in self._kinds.items()
+                if shared.feed.as_of is not None
+            ]
+            self._send(self.following, encode(Follow(self._me, states)))
+
+    def _choose(self, now: float) -> None:
+        """Follows a keeper, unless this instance is one or the last one fell silent just now."""
+        if self.following and now - self._last_word() >= SILENT:
+            self._leave_keeper("silent")
+        keepers = self._keepers()
+        if self.following in keepers and self._me not in keepers:
+            return
+        self.following = ""
+        if not keepers or self._me in keepers or now < self._alone_until:
+            return
+        self.following = ranked(self._me, keepers)[0]
+        for shared in self._kinds.values():
+            shared.told, shared.told_age = now, self._oldest()
+        log("following", peer=self.following)
+
+    def _leave_keeper(self, reason: str) -> None:
+        log("keeper_left", "WARNING", peer=self.following, reason=reason)
+        self.following = ""
+        self._alone_until = monotonic() + ALONE
+
+    def _last_word(self) -> float:
+        return max((shared.told for shared in self._kinds.values()), default=float("-inf"))
+
+    def told(self, told: Told) -> None:
+        """Takes over what the keeper tells."""
+        shared = self._kinds.get(KINDS[told.kind]) if told.kind < len(KINDS) else None
+        if shared is None or told.sender != self.following:
+            return
+        shared.told, shared.told_age = monotonic(), told.age_ms / 1000
+        if told.away:
+            shared.outage = True
+            self._leave_keeper("store_away")
+            return
+        if told.returned and shared.told - shared.returned >= self._opts.returned:
+            shared.returned = shared.told
+            shared.store_returned()
+        changes = [
+            Change(StoredObject(name, revision, spec), deleted)
+            for name, revision, spec, deleted in told.changes
+        ]
+        # None where a message was lost: what lies between comes with the next answer.
+        for change in shared.feed.take(changes, told.since, told.as_of) or ():
+            shared.apply(change)
+
+    def untold(self, message: Untold) -> None:
+        """Notes that the keeper lacks what this instance needs; the own watch finds it."""
+        shared = self._kinds.get(KINDS[message.kind]) if message.kind < len(KINDS) else None
+        if shared is not None and message.sender == self.following:
+            shared.told, shared.told_age = monotonic(), self._oldest()
+
+    # The keeper's side.
+
+    def asked(self, follow: Follow) -> None:
+        """Answers a follower with what it lacks."""
+        self._followers[follow.sender] = monotonic()
+        for place, since in follow.states:
+            if place >= len(KINDS):
+                continue
+            kind = KINDS[place]
+            shared = self._kinds.get(kind)
+            changes = shared.feed.after(since) if shared is not None else None
+            if changes is None:
+                self._send(follow.sender, encode(Untold(self._me, place)))
+            else:
+                self._tell(kind, since, changes, [follow.sender])
+
+    def _live_followers(self) -> list[str]:
+        now = monotonic()
+        self._followers = {name: at for name, at in self._followers.items() if now - at < FOLLOWS}
+        return list(self._followers)
+
+    def _tell(self, kind: Kinds, since: int, changes: Sequence[Change], names: list[str]) -> None:
+        if not names:
+            return
+        shared, now = self._kinds[kind], monotonic()
+        as_of = shared.feed.as_of
+        assert as_of is not None
+        place = KINDS.index(kind)
+        age = min(now - shared.answered, now - shared.told + shared.told_age, self._oldest())
+        told = Told(
+            self._me,
+            place,
+            since,
+            max(since, as_of),
+            int(age * 1000),
+            shared.away,
+            now - shared.returned < self._opts.returned,
+            [
+                (change.found.name, change.found.revision, change.found.spec, change.deleted)
+                for change in changes
+            ],
+        )
+        frame = encode(told)
+        if len(frame) > MESSAGE_BOUND:
+            frame = encode(Untold(self._me, place))
+        for name in names:
+            self._send(name, frame)
+
+    def _oldest(self) -> float:
+        """Returns the age in seconds from which a keeper's knowledge is not relied on.
+
+        A keeper's watch that fell silent is noticed there within its wait and a margin.
+        """
+        return self._opts.watch_followed + SILENT
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
@@ -1,5 +1,6 @@
 """Watches of the store: configuration, endpoints and adapter versions, each by a task of its own.
 
+Where other instances of the zone watch the store for this one, the task rests (see `sharing`).
 A watch waits briefly, so that a connection that went silent for good is noticed within the wait and
 a margin; the call is then made anew on another connection. When the history that a watch needs is
 gone, or a call was lost, the kind is listed. A configuration never goes back to an older version.
@@ -10,14 +11,13 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final
 
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
 
 from wigeonarch_gateway.options import StoreOptions
 from wigeonarch_gateway.ports import (
-    Change,
-    Changes,
     HistoryGone,
     Kinds,
     Listing,
@@ -25,24 +25,23 @@
     StoredObject,
     Unavailable,
 )
+from wigeonarch_gateway.sharing import Sharing
+
+TOLD_LOOK: Final = 0.3  # Seconds between looks whether the keeper still tells.
 
 
 @dataclass(frozen=True, slots=True)
-class Follower:
+class Watched:
     """What a watch tells of.
 
     Attributes:
         kind: The kind that is watched.
         listed: Called with all objects.
-        changed: Called with each change.
-        returned: Called when the store answers after an outage, before anything else.
         gather: Seconds to wait after news, so that several changes cost one call.
     """
 
     kind: Kinds
     listed: Callable[[tuple[StoredObject, ...]], None]
-    changed: Callable[[Change], None]
-    returned: Callable[[], None]
     gather: float = 0.0
 
 
@@ -80,46 +79,50 @@
         return bool(self._away)
 
 
-async def follow(
-    store: ObjectStore, state: StoreState, opts: StoreOptions, follower: Follower
+async def keep_watching(
+    store: ObjectStore, state: StoreState, opts: StoreOptions, sharing: Sharing, watched: Watched
 ) -> None:
-    """Keeps a follower up to date; runs until cancelled."""
-    since: int | None = None
+    """Keeps a kind up to date, by itself while no keeper does; runs until cancelled."""
+    kind = watched.kind
+    feed = sharing.feed(kind)
+    gone = False
     while True:
-        if since is None:
-            since = await _list(store, state, opts, follower)
+        since = feed.as_of
+        if since is None or gone:
+            gone = not await _list(store, state, sharing, watched)
+            if gone:
+                await asyncio.sleep(opts.retry)
+            continue
+        if sharing.told_lately(kind):
+            await asyncio.sleep(TOLD_LOOK)
             continue
-        result = await store.watch(follower.kind, since, opts.watch)
+        wait = opts.watch_followed if sharing.followed else opts.watch
+        result = await store.watch(kind, since, wait)
         if isinstance(result, Unavailable):
-            state.unreachable(follower.kind, result.reason)
+            state.unreachable(kind, result.reason)
+            sharing.store_lost(kind)
             await asyncio.sleep(opts.retry)
             continue
-        if state.reachable(follower.kind):
-            follower.returned()
+        sharing.store_answered(kind, state.reachable(kind))
         if isinstance(result, HistoryGone):
-            log("store_history_gone", "WARNING", kind=follower.kind.value, since=since)
-            since = None
+            log("store_history_gone", "WARNING", kind=kind.value, since=since)
+            gone = True
             continue
-        since = _apply(follower, result, since)
-        if result.changes and follower.gather:
-            await asyncio.sleep(follower.gather)
-
-
-def _apply(follower: Follower, result: Changes, since: int) -> int:
-    for change in result.changes:
-        follower.changed(change)
-    return max(since, result.as_of)
-
-
-async def _list(
-    store: ObjectStore, state: StoreState, opts: StoreOptions, follower: Follower
-) -> int | None:
-    result = await store.list(follower.kind)
-    if isinstance(result, Listing):
-        if state.reachable(follower.kind):
-            follower.returned()
-        follower.listed(result.objects)
-        return result.as_of
-    state.unreachable(follower.kind, result.reason)
-    await asyncio.sleep(opts.retry)
-    return None
+        sharing.watched(kind, result.changes, result.as_of)
+        if result.changes and watched.gather:
+            await asyncio.sleep(watched.gather)
+
+
+async def _list(store: ObjectStore, state: StoreState, sharing: Sharing, watched: Watched) -> bool:
+    """Reads a kind whole; returns whether that brought a state to go on from."""
+    kind = watched.kind
+    result = await store.list(kind)
+    if not isinstance(result, Listing):
+        state.unreachable(kind, result.reason)
+        sharing.store_lost(kind)
+        return False
+    sharing.store_answered(kind, state.reachable(kind))
+    if not sharing.feed(kind).listed(result.objects, result.as_of):
+        return False
+    watched.listed(result.objects)
+    return True
--- /dev/null
+++ b/tests/test_gateway_sharing.py
@@ -0,0 +1,137 @@
+"""Some instances of a zone watch the store for the others: what that saves, and without them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from gateway_world import World, configuration, until_true, world
+from standins.store import Trouble
+from wigeonarch_gateway.node import Node
+from wigeonarch_gateway.ports import EndpointState
+
+INSTANCES = 5  # Of which three are keepers.
+
+
+def followers(found: World) -> list[Node]:
+    return [node for node in found.nodes if node._sharing.following]
+
+
+def keepers(found: World) -> list[Node]:
+    return [node for node in found.nodes if not node._sharing.following]
+
+
+async def settled(found: World) -> list[Node]:
+    """Waits until those that are no keepers are told by one; returns them."""
+
+    def told() -> bool:
+        lately = [
+            all(map(node._sharing.told_lately, node._sharing.kinds())) for node in found.nodes
+        ]
+        return lately.count(True) == INSTANCES - 3
+
+    await until_true(told)
+    return followers(found)
+
+
+def versions(nodes: list[Node]) -> set[int]:
+    tables = [node._catalogue.table for node in nodes]
+    return {0 if table is None else table.version for table in tables}
+
+
+def cut_from_store(node: Node) -> None:
+    node._store._store._base = "http://127.0.0.1:1/nowhere"  # type: ignore[attr-defined]
+
+
+def silence(node: Node) -> None:
+    """Ends an instance without a word, as a power cut does."""
+    for task in node._tasks:
+        task.cancel()
+    node._links.close()
+
+
+async def test_followers_learn_of_all_changes_without_a_watch() -> None:
+    async with world(nodes=INSTANCES) as found:
+        told = await settled(found)
+        await asyncio.sleep(1.0)  # A watch that was under way ends.
+        before = [node._store.calls["watch"] for node in told]
+        await found.store.put("config", "main", configuration(2))
+        await until_true(lambda: versions(found.nodes) == {2})
+        leaving = {**found.replicas[1].record(), "state": "draining"}
+        await found.store.put("servers", "i-desk", leaving)
+
+        def obeyed() -> bool:
+            records = [node._endpoints.get("i-desk") for node in found.nodes]
+            return all(r is not None and r.state is EndpointState.LEAVING for r in records)
+
+        await until_true(obeyed)
+        await found.store.delete("servers", "i-desk")
+        await until_true(lambda: all(n._endpoints.get("i-desk") is None for n in found.nodes))
+        assert [node._store.calls["watch"] for node in told] == before
+
+
+async def test_only_keepers_hold_leases_and_engines() -> None:
+    async with world(nodes=INSTANCES) as found:
+        told = await settled(found)
+        await until_true(lambda: not any(node._lease_left()[1] for node in told))
+        await found.served("/write/x", adapter="a1")
+        names = [node._opts.instance for node in keepers(found)]
+        assert found.holder("i-llm") in names
+
+
+async def test_without_a_keeper_a_follower_watches_for_itself() -> None:
+    async with world(nodes=INSTANCES) as found:
+        await settled(found)
+        for keeper in keepers(found):
+            silence(keeper)
+        left = followers(found)
+        await found.store.put("config", "main", configuration(2))
+        await until_true(lambda: versions(left) == {2})
+        # Those that are left are keepers now.
+        await until_true(lambda: not any(node._sharing.following for node in left))
+
+
+async def test_a_keeper_that_lost_the_store_is_not_relied_on() -> None:
+    async with world(nodes=INSTANCES) as found:
+        told = await settled(found)
+        for keeper in keepers(found):
+            cut_from_store(keeper)
+        await found.store.put("config", "main", configuration(2))
+        await until_true(lambda: versions(told) == {2})
+
+
+async def test_endpoints_that_lapse_in_an_outage_stay_in_use_at_followers() -> None:
+    async with world(nodes=INSTANCES) as found:
+        await settled(found)
+        found.store.trouble = Trouble.BUSY
+        await asyncio.sleep(1.5)
+        await found.store.delete("servers", "i-desk")
+        found.store.trouble = Trouble.NONE
+        nodes = found.nodes
+        await until_true(lambda: not any(node._state.away for node in nodes))
+        assert all(node._endpoints.get("i-desk") is not None for node in nodes)
+        await found.store.put("servers", "i-desk", found.replicas[1].record())
+        await asyncio.sleep(1.5)
+        assert all(node._endpoints.get("i-desk") is not None for node in nodes)
+
+
+async def test_a_follower_whose_messages_are_lost_watches_for_itself() -> None:
+    async with world(nodes=INSTANCES) as found:
+        told = await settled(found)
+        for node in told:
+            node._links._transport = None  # It hears, and says nothing any more.
+        await found.store.put("config", "main", configuration(2))
+        await until_true(lambda: versions(told) == {2})
+
+
+async def test_dropped_history_and_lost_messages_leave_no_gap() -> None:
+    async with world(nodes=INSTANCES) as found:
+        told = await settled(found)
+        deliver = {id(node): node._links._deliver for node in told}
+        for node in told:
+            node._links._deliver = lambda message: None
+        await found.store.put("config", "main", configuration(2))
+        await found.store.forget_history()
+        await until_true(lambda: versions(keepers(found)) == {2})
+        for node in told:
+            node._links._deliver = deliver[id(node)]
+        await until_true(lambda: versions(told) == {2})
