Between large zones a few instances speak for each, and relays hand messages on

Change: beyond three instances of a zone, only keepers are heard in other zones, by way of two instances there, by turns, that hand each message on; the first keeper adds the loads of its whole zone. Heartbeats within a zone come as often as its own size allows. An instance that started less than 4 s ago, and one that uses an engine far away, still speaks for itself. Instances that rest count by their leases for the retry bound. Keepers: who was there in the first 2.5 s counts as settled, as the set flipped at 5 s. Before: tests/test_gateway_zones.py fails. After: it passes.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -20,7 +20,15 @@
 
 from wigeonarch_gateway.engineviews import to_adapter
 from wigeonarch_gateway.links import Links
-from wigeonarch_gateway.messages import Beat, LoadShare, Message, RenewalPlea, Uses, encode
+from wigeonarch_gateway.messages import (
+    Beat,
+    LoadShare,
+    Message,
+    Relay,
+    RenewalPlea,
+    Uses,
+    encode,
+)
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.options import Options
 from wigeonarch_gateway.ports import Kinds, Listing, ObjectStore, StoredObject
@@ -48,7 +56,13 @@
 LIST_YOUNG: Final = 2.0  # Seconds after the start in which they are five times as frequent.
 KEEPERS_LEAST: Final = 3  # Keepers of a zone, at least, so that two may be lost at once.
 ZONE_PER_KEEPER: Final = 8  # Instances of a zone per keeper of it.
+RELAYS: Final = 2  # Instances of another zone that hand messages on there, by turns.
+RELAY_KEY: Final = "relay "
+# Seconds after its start in which an instance makes itself known to all.
+KNOWN_AFTER: Final = 4.0
 KEEPERS_KEY: Final = "keepers"
+# Seconds after its own start in which an instance finds those that started with it.
+START_TOGETHER: Final = 2.5
 FORGET_ADDRESS: Final = 30.0  # Seconds without a heartbeat until an address is given up.
 
 
@@ -88,9 +102,11 @@
         "_on_silent",
         "_on_started",
         "_opts",
+        "_relayed",
         "_revisions",
         "_started",
         "_traffic",
+        "_zones",
         "leaving",
     )
 
@@ -137,6 +153,8 @@
         self._metrics = metrics
         self._members: dict[str, Member] = {}
         self._addresses: dict[str, float] = {}
+        self._zones: dict[str, str] = {}  # Availability zones of addresses.
+        self._relayed = 0
         self.leaving = False
         self.seeds(opts.seeds)
 
@@ -186,11 +204,14 @@
             return []
         return sorted({*(member.name for member in usable), *mine})
 
-    def _settled(self, names: Collection[str]) -> set[str]:
-        now = monotonic()
+    def _settled(self, names: Collection[str], together: float = 0.0) -> set[str]:
+        """Returns those heard for long; with `together`, also from this one's first seconds."""
+        latest = monotonic() - SETTLED
+        if together:
+            latest = max(latest, self._started + together)
         since = {member.name: member.since for member in self._members.values()}
         since[self._opts.instance] = self._started
-        return {name for name in names if now - since[name] >= SETTLED}
+        return {name for name in names if since[name] <= latest}
 
     def keepers(self) -> list[str]:
         """Returns those of the zone that watch the store for the others, and order its endpoints.
@@ -200,7 +221,7 @@
         """
         nearby = {n for n in self.heard() if self._serves_zone(self._members[n])}
         mine = set() if self.leaving else {self._opts.instance}
-        names = self._settled(nearby | mine) or nearby | mine
+        names = self._settled(nearby | mine, START_TOGETHER) or nearby | mine
         most = max(KEEPERS_LEAST, math.ceil(len(nearby | mine) / ZONE_PER_KEEPER))
         return ranked(KEEPERS_KEY, sorted(names))[:most]
 
@@ -212,8 +233,10 @@
         return member.zone == self._opts.zone and not member.leaving
 
     def count(self) -> int:
-        """Returns the number of instances, this one included."""
-        return 1 + len(self.heard())
+        """Returns the number of instances, this one included, with those that only rest."""
+        now = monotonic()
+        listed = {name for name, (_, at) in self._listed.items() if now - at < FORGET_ADDRESS}
+        return len(listed | {self._opts.instance, *self.heard()})
 
     def uses(self, endpoint: str) -> set[AdapterName]:
         """Returns the adapters that other instances use at an endpoint held here."""
@@ -239,10 +262,51 @@
         return member is not None and self._links.send_frame(member.address, frame)
 
     def send_all(self, message: Message) -> None:
-        """Sends a message to all instances heard."""
+        """Sends a message to all instances heard; in large zones far away, by way of a relay."""
         frame = encode(message)
+        far = self._relays()
+        for name in self.heard():
+            member = self._members[name]
+            if member.zone not in far:
+                self._links.send_frame(member.address, frame)
+        if far:
+            self._send_relayed(far, frame)
+
+    def relay(self, relayed: Relay) -> None:
+        """Hands a message on to the instances of the own zone."""
         for name in self.heard():
-            self._links.send_frame(self._members[name].address, frame)
+            member = self._members[name]
+            if member.zone == self._opts.zone:
+                self._links.send_frame(member.address, relayed.frame)
+
+    def _send_relayed(self, relays: Mapping[str, Sequence[str]], frame: bytes) -> None:
+        wrapped = encode(Relay(frame))
+        self._relayed += 1
+        for names in relays.values():
+            # By turns, so that one that has just died loses every other message only.
+            name = names[self._relayed % len(names)]
+            self._links.send_frame(self._members[name].address, wrapped)
+
+    def _relays(self) -> dict[str, list[str]]:
+        """Returns who hands messages on in each other zone that is large.
+
+        What goes between zones then does not grow with the number of instances there.
+        """
+        found: dict[str, list[str]] = {}
+        for name in self.heard():
+            member = self._members[name]
+            far = member.zone != self._opts.zone and self._is_large(member.zone)
+            if far and member.holds and not member.leaving:
+                found.setdefault(member.zone, []).append(name)
+        return {
+            zone: ranked(f"{RELAY_KEY}{self._opts.instance}", names)[:RELAYS]
+            for zone, names in found.items()
+        }
+
+    def _is_large(self, zone: str) -> bool:
+        """Tells whether only a few instances of a zone speak for it."""
+        known = sum(listed == zone for listed, _ in self._listed.values())
+        return known > KEEPERS_LEAST
 
     def plead(self, plea: RenewalPlea) -> None:
         """Asks all for promises, and a few, drawn anew each time, for a renewal."""
@@ -283,7 +347,7 @@
             now,
             uses,
         )
-        self._know(beat.address)
+        self._know(beat.address, beat.zone)
         self._traffic.heard(beat.sender, beat.loads)
         if started and self._first_to_tell(beat.sender):
             self._on_started(beat.sender)
@@ -291,6 +355,10 @@
     def _first_to_tell(self, started: str) -> bool:
         """Tells whether this instance is the one that tells a newcomer what was seen before."""
         others = [name for name in self.heard() if name != started]
+        if self._is_large(self._opts.zone):
+            if self._members[started].zone != self._opts.zone:
+                return False
+            others = [n for n in others if self._members[n].zone == self._opts.zone]
         return self._opts.instance == min([self._opts.instance, *others])
 
     async def keep_beating(self) -> None:
@@ -302,7 +370,12 @@
 
     def pause(self) -> float:
         """Returns the seconds between heartbeats."""
-        return min(BEAT_MOST, max(BEAT_LEAST, len(self._addresses) / BEATS_PER_SECOND))
+        told = len(self._addresses)
+        if self._is_large(self._opts.zone):
+            told = sum(
+                self._zones.get(a, self._opts.zone) == self._opts.zone for a in self._addresses
+            )
+        return min(BEAT_MOST, max(BEAT_LEAST, told / BEATS_PER_SECOND))
 
     def _silence(self) -> float:
         """Returns the seconds without a heartbeat after which an instance is not heard."""
@@ -330,7 +403,7 @@
             if self._revisions.get(lease.name) != lease.revision:
                 self._revisions[lease.name] = lease.revision
                 self._listed[lease.name] = (zone, sign)
-                self._know(address)
+                self._know(address, zone)
 
     def _nothing_listed(self) -> None:
         """Counts all as alive that were when the store was last read."""
@@ -339,9 +412,11 @@
             if now - at < GONE:
                 self._listed[name] = (zone, now)
 
-    def _know(self, address: str) -> None:
+    def _know(self, address: str, zone: str = "") -> None:
         if address == self._address:
             return
+        if zone:
+            self._zones[address] = zone
         if address not in self._addresses:
             self._links.connect(address)
         self._addresses[address] = monotonic()
@@ -351,14 +426,41 @@
         plain = encode(self._beat(loads, []))
         holders = {self._held_by(load.endpoint) for load in loads}
         names = {member.address: member.name for member in self._members.values()}
+        spoken_for = self._spoken_for()
         for address in list(self._addresses):
+            far = self._zones.get(address) in spoken_for
+            holder = names.get(address) in holders
+            if far and not holder:
+                continue
             frame = plain
-            if names.get(address) in holders:
+            if holder:
                 uses = self._uses_at(names[address], [load.endpoint for load in loads])
-                frame = encode(self._beat(loads, uses))
+                frame = encode(self._beat([] if far else loads, uses))
             self._links.send_frame(address, frame)
+        if spoken_for:
+            self._beat_far()
         self._metrics.peers.set(len(self.heard()))
 
+    def _spoken_for(self) -> set[str]:
+        """Returns the other zones in which only the keepers of the own zone make it heard.
+
+        An instance that just started makes itself known everywhere.
+        """
+        if monotonic() - self._started < KNOWN_AFTER or not self._is_large(self._opts.zone):
+            return set()
+        return set(self._relays())
+
+    def _beat_far(self) -> None:
+        """Tells the other zones that a keeper lives; the first one adds the zone's loads."""
+        keepers = self.keepers()
+        if self._opts.instance not in keepers:
+            return
+        loads: list[LoadShare] = []
+        if keepers[0] == self._opts.instance:
+            nearby = [n for n in self.heard() if self._members[n].zone == self._opts.zone]
+            loads = self._traffic.shares_with(nearby)
+        self._send_relayed(self._relays(), encode(self._beat(loads, [])))
+
     def _beat(self, loads: list[LoadShare], uses: list[Uses]) -> Beat:
         return Beat(
             self._opts.instance,
@@ -389,4 +491,5 @@
         for address, at in list(self._addresses.items()):
             if now - at >= FORGET_ADDRESS:
                 del self._addresses[address]
+                self._zones.pop(address, None)
                 self._links.disconnect(address)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -151,6 +151,12 @@
     number: int
 
 
+class Relay(msgspec.Struct, array_like=True, tag="relay"):
+    """A message that the receiver hands to all instances of its availability zone."""
+
+    frame: bytes
+
+
 class Follow(msgspec.Struct, array_like=True, tag="follow"):
     """The sender asks to be told of the store's changes, and says what it has.
 
@@ -203,6 +209,7 @@
     | RenewalPlea
     | RenewalDone
     | PromiseMade
+    | Relay
     | Follow
     | Told
     | Untold
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -32,12 +32,14 @@
     Message,
     PlacesNews,
     PromiseMade,
+    Relay,
     Remembered,
     RenewalDone,
     RenewalPlea,
     Told,
     Untold,
     Used,
+    decode,
 )
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.options import Options
@@ -377,6 +379,8 @@
                 asyncio.create_task(self._renew_for(message))  # noqa: RUF006 - ends by itself.
             case RenewalDone():
                 self._leasing.renewed_by_peer(message)
+            case Relay():
+                self._relay(message)
             case Follow():
                 self._sharing.asked(message)
             case Told():
@@ -384,6 +388,14 @@
             case Untold():
                 self._sharing.untold(message)
 
+    def _relay(self, relayed: Relay) -> None:
+        inner = decode(relayed.frame)
+        if inner is None or isinstance(inner, Relay):
+            log("relayed_message_unknown", "WARNING", bytes=len(relayed.frame))
+            return
+        self._members.relay(relayed)
+        self._receive(inner)
+
     def _used(self, message: Used) -> None:
         orderer = self._holders.orderer(message.endpoint)
         if orderer is not None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/traffic.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/traffic.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -120,11 +121,22 @@
 
     def shares(self) -> list[LoadShare]:
         """Returns this instance's part, to tell others."""
-        return [
-            LoadShare(endpoint, load.running, int(load.waiting_tokens), int(load.kv_tokens))
-            for endpoint, load in self._own.items()
-        ]
+        return [_share(endpoint, load) for endpoint, load in self._own.items()]
+
+    def shares_with(self, senders: Iterable[str]) -> list[LoadShare]:
+        """Returns the parts of this instance and of some others, added up."""
+        sums = {endpoint: Load() for endpoint in self._own}
+        for endpoint, load in self._own.items():
+            sums[endpoint].add(load)
+        for sender in senders:
+            for share in self._others.get(sender, ()):
+                sums.setdefault(share.endpoint, Load()).add(share)
+        return [_share(endpoint, load) for endpoint, load in sums.items()]
 
     def in_use(self, endpoint: str) -> list[AdapterKey]:
         """Returns the adapters that this instance's requests use at an endpoint."""
         return list(self._uses.get(endpoint, ()))
+
+
+def _share(endpoint: str, load: Load) -> LoadShare:
+    return LoadShare(endpoint, load.running, int(load.waiting_tokens), int(load.kv_tokens))
--- /dev/null
+++ b/tests/test_gateway_zones.py
@@ -0,0 +1,215 @@
+"""Large zones: a few instances speak for each, and what goes between zones goes by relays."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from wigeonarch_core.engine_places import AdapterKey
+from wigeonarch_gateway import members as module
+from wigeonarch_gateway.links import Links
+from wigeonarch_gateway.members import KEEPERS_LEAST, KNOWN_AFTER, SETTLED, Members
+from wigeonarch_gateway.messages import Beat, LoadShare, Message, Relay, Used, decode, encode
+from wigeonarch_gateway.metrics import Metrics
+from wigeonarch_gateway.options import Options
+from wigeonarch_gateway.ports import StoredObject
+from wigeonarch_gateway.traffic import Traffic
+
+PORT = 7700
+ZONE_SIZE = 10
+HERE, THERE = "a", "b"
+SHARE = LoadShare("i-1", 2, 30, 400)
+
+
+class RecordingLinks(Links):
+    """Keeps what is sent, by address."""
+
+    def __init__(self) -> None:
+        super().__init__("127.0.0.1:1", lambda message: None)
+        self.sent: list[tuple[str, Message]] = []
+
+    def send_frame(self, address: str, frame: bytes) -> bool:
+        message = decode(frame)
+        assert message is not None
+        self.sent.append((address, message))
+        return True
+
+
+class Clock:
+    """A clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def address(name: str) -> str:
+    zone, _, number = name.partition("-")
+    return f"10.{ord(zone)}.0.{number}:{PORT}"
+
+
+class Deployment:
+    """One instance's members, in two zones of a size."""
+
+    def __init__(self, clock: Clock, me: str, size: int, holder: str = "") -> None:
+        self.clock = clock
+        self.links = RecordingLinks()
+        self.traffic = Traffic()
+        ip = address(me).partition(":")[0]
+        opts = Options(me, me[0], ip, f"{ip}:1", f"{ip}:2", PORT, 3)
+        self.members = Members(
+            opts,
+            "boot",
+            self.links,
+            self.traffic,
+            lambda: (1, 1000),
+            lambda name, revision, left: None,
+            lambda endpoint: holder,
+            lambda name: None,
+            lambda name: None,
+            Metrics(),
+        )
+        self.names = [f"{zone}-{n}" for zone in (HERE, THERE) for n in range(size)]
+        self.others = [name for name in self.names if name != me]
+        objects = [
+            StoredObject(name, 1, {"address": address(name), "zone": name[0]})
+            for name in self.names
+        ]
+        self.members._leases_listed(objects)
+        self.hear_all()
+
+    def hear_all(self) -> None:
+        for name in self.others:
+            self.hear(name)
+
+    def hear(self, name: str, leaving: bool = False) -> None:
+        self.members.beat(Beat(name, "boot", address(name), name[0], leaving, 5, 3000, [SHARE], []))
+
+    def told(self) -> Counter[str]:
+        """Sends heartbeats; returns how many went to each zone."""
+        self.links.sent.clear()
+        self.members._beat_all()
+        return Counter(self.zone(to) for to, _ in self.links.sent)
+
+    def zone(self, to: str) -> str:
+        return chr(int(to.split(".")[1]))
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    found = Clock()
+    monkeypatch.setattr(module, "monotonic", found)
+    return found
+
+
+def grown(clock: Clock, keeper: bool, size: int = ZONE_SIZE, holder: str = "") -> Deployment:
+    """Returns the view of an instance that is a keeper, or is not, some time after the start."""
+    names = Deployment(clock, f"{HERE}-0", size).members.keepers()
+    other = [name for name in (f"{HERE}-{n}" for n in range(size)) if name not in names]
+    found = Deployment(clock, names[0] if keeper else other[0], size, holder)
+    clock.now += SETTLED + KNOWN_AFTER
+    found.hear_all()
+    return found
+
+
+def test_all_instances_of_a_zone_agree_on_its_keepers(clock: Clock) -> None:
+    views = {
+        tuple(Deployment(clock, f"{HERE}-{n}", ZONE_SIZE).members.keepers())
+        for n in range(ZONE_SIZE)
+    }
+    assert len(views) == 1
+    assert len(views.pop()) == KEEPERS_LEAST
+
+
+def test_all_of_a_small_zone_are_keepers_and_tell_everybody(clock: Clock) -> None:
+    found = grown(clock, True, size=KEEPERS_LEAST)
+    assert len(found.members.keepers()) == KEEPERS_LEAST
+    assert found.told() == {HERE: KEEPERS_LEAST - 1, THERE: KEEPERS_LEAST}
+
+
+def test_a_keeper_that_leaves_is_replaced(clock: Clock) -> None:
+    found = grown(clock, True)
+    gone = found.members.keepers()[1]
+    found.hear(gone, leaving=True)
+    assert gone not in found.members.keepers()
+    assert len(found.members.keepers()) == KEEPERS_LEAST
+
+
+def test_a_newcomer_is_no_keeper_before_it_has_stayed_for_a_while(clock: Clock) -> None:
+    found = grown(clock, True)
+    before = found.members.keepers()
+    newcomers = [f"{HERE}-{n}" for n in range(100, 100 + ZONE_SIZE)]
+    for name in newcomers:
+        found.hear(name)
+    assert not set(newcomers) & set(found.members.keepers())
+    assert set(before) <= set(found.members.keepers())
+
+
+def test_one_that_just_started_makes_itself_known_to_all(clock: Clock) -> None:
+    found = Deployment(clock, f"{HERE}-0", ZONE_SIZE)
+    assert found.told() == {HERE: ZONE_SIZE - 1, THERE: ZONE_SIZE}
+
+
+@pytest.mark.parametrize(("keeper", "far"), [(True, 1), (False, 0)])
+def test_heartbeats_between_large_zones(clock: Clock, keeper: bool, far: int) -> None:
+    found = grown(clock, keeper)
+    assert found.told() == Counter({HERE: ZONE_SIZE - 1, THERE: far} if far else {HERE: 9})
+    relayed = [message for _, message in found.links.sent if isinstance(message, Relay)]
+    assert len(relayed) == far
+
+
+def test_the_first_keeper_tells_other_zones_of_all_loads_of_its_own(clock: Clock) -> None:
+    found = grown(clock, True)
+    found.traffic.begin("i-1", 5, 7, AdapterKey("m", "x", 1))
+    found.told()
+    inner = [decode(m.frame) for _, m in found.links.sent if isinstance(m, Relay)]
+    assert [beat.loads for beat in inner if isinstance(beat, Beat)] == [
+        [LoadShare("i-1", 2 * (ZONE_SIZE - 1) + 1, 30 * (ZONE_SIZE - 1) + 5, 3607)]
+    ]
+
+
+def test_who_uses_an_engine_far_away_tells_its_holder(clock: Clock) -> None:
+    found = grown(clock, False, holder=f"{THERE}-4")
+    found.traffic.begin("i-1", 5, 7, AdapterKey("m", "x", 1))
+    found.told()
+    beats = [m for to, m in found.links.sent if to == address(f"{THERE}-4")]
+    assert [(b.loads, len(b.uses)) for b in beats if isinstance(b, Beat)] == [([], 1)]
+
+
+def test_what_all_should_know_goes_to_one_of_each_other_zone(clock: Clock) -> None:
+    found = grown(clock, True)
+    reached = set()
+    for _ in range(4):
+        found.links.sent.clear()
+        found.members.send_all(Used("me", "i-1", ("m", "x", 1)))
+        assert Counter(found.zone(to) for to, _ in found.links.sent) == {HERE: 9, THERE: 1}
+        reached |= {to for to, message in found.links.sent if isinstance(message, Relay)}
+    assert len(reached) == 2  # By turns.
+
+
+def test_a_relay_that_fell_silent_is_replaced(clock: Clock) -> None:
+    found = grown(clock, True)
+    used = {name for names in found.members._relays().values() for name in names}
+    clock.now += 2 * SETTLED
+    for name in found.others:
+        if name not in used:
+            found.hear(name)
+    assert not used & {name for names in found.members._relays().values() for name in names}
+
+
+def test_a_relay_hands_on_in_its_own_zone_only(clock: Clock) -> None:
+    found = grown(clock, True)
+    found.links.sent.clear()
+    found.members.relay(Relay(encode(Used("you", "i-1", ("m", "x", 1)))))
+    assert Counter(found.zone(to) for to, _ in found.links.sent) == {HERE: ZONE_SIZE - 1}
+
+
+def test_instances_that_are_not_heard_count_for_the_retry_bound(clock: Clock) -> None:
+    found = grown(clock, True)
+    found.members._leases_listed(
+        [StoredObject(name, 2, {"address": address(name), "zone": name[0]}) for name in found.names]
+    )
+    clock.now += 2 * SETTLED  # Nobody is heard.
+    assert found.members.count() == len(found.names)
