--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -9,6 +9,7 @@
 import asyncio
 import math
 import random
+from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -102,8 +103,10 @@
         "_on_silent",
         "_on_started",
         "_opts",
+        "_pause",
         "_relayed",
         "_revisions",
+        "_sizes",
         "_started",
         "_traffic",
         "_zones",
@@ -154,6 +157,8 @@
         self._members: dict[str, Member] = {}
         self._addresses: dict[str, float] = {}
         self._zones: dict[str, str] = {}  # Availability zones of addresses.
+        self._sizes: Counter[str] = Counter()  # Instances of each zone by their leases.
+        self._pause = BEAT_LEAST
         self._relayed = 0
         self.leaving = False
         self.seeds(opts.seeds)
@@ -305,8 +310,7 @@
 
     def _is_large(self, zone: str) -> bool:
         """Tells whether only a few instances of a zone speak for it."""
-        known = sum(listed == zone for listed, _ in self._listed.values())
-        return known > KEEPERS_LEAST
+        return self._sizes[zone] > KEEPERS_LEAST
 
     def plead(self, plea: RenewalPlea) -> None:
         """Asks all for promises, and a few, drawn anew each time, for a renewal."""
@@ -364,18 +368,21 @@
     async def keep_beating(self) -> None:
         """Sends heartbeats; runs until cancelled."""
         while True:
+            self._set_pause()
             self._beat_all()
             self._forget_silent()
             await asyncio.sleep(self.pause())
 
     def pause(self) -> float:
         """Returns the seconds between heartbeats."""
+        return self._pause
+
+    def _set_pause(self) -> None:
         told = len(self._addresses)
         if self._is_large(self._opts.zone):
-            told = sum(
-                self._zones.get(a, self._opts.zone) == self._opts.zone for a in self._addresses
-            )
-        return min(BEAT_MOST, max(BEAT_LEAST, told / BEATS_PER_SECOND))
+            zones = (self._zones.get(address, self._opts.zone) for address in self._addresses)
+            told = sum(zone == self._opts.zone for zone in zones)
+        self._pause = min(BEAT_MOST, max(BEAT_LEAST, told / BEATS_PER_SECOND))
 
     def _silence(self) -> float:
         """Returns the seconds without a heartbeat after which an instance is not heard."""
@@ -404,6 +411,7 @@
                 self._revisions[lease.name] = lease.revision
                 self._listed[lease.name] = (zone, sign)
                 self._know(address, zone)
+        self._sizes = Counter(zone for zone, _ in self._listed.values())
 
     def _nothing_listed(self) -> None:
         """Counts all as alive that were when the store was last read."""
