An instance that others speak for is not logged as silent and heard again

Ruled out: real silences (1.3 to 2.1 s, within the zone; those are still logged). Change: such lines come for the own zone and for keepers.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -308,6 +308,10 @@
             for zone, names in found.items()
         }
 
+    def _is_spoken_for(self, zone: str, holds: bool) -> bool:
+        """Tells whether others speak for an instance, so that its silence means nothing."""
+        return zone != self._opts.zone and not holds and self._is_large(zone)
+
     def _is_large(self, zone: str) -> bool:
         """Tells whether only a few instances of a zone speak for it."""
         return self._sizes[zone] > KEEPERS_LEAST
@@ -332,10 +336,8 @@
         before = self._members.get(beat.sender)
         now = monotonic()
         started = before is None or before.incarnation != beat.incarnation
-        if started:
-            log("peer_heard", peer=beat.sender, address=beat.address, incarnation=beat.incarnation)
-        elif before is not None and now - before.heard >= self._silence():
-            log("peer_heard_again", peer=beat.sender, seconds=now - before.heard)
+        if not self._is_spoken_for(beat.zone, left > 0.0):
+            self._note_heard(beat, before, now)
         uses = {
             use.endpoint: [(model, adapter) for model, adapter, _ in use.adapters]
             for use in beat.uses
@@ -356,6 +358,14 @@
         if started and self._first_to_tell(beat.sender):
             self._on_started(beat.sender)
 
+    def _note_heard(self, beat: Beat, before: Member | None, now: float) -> None:
+        """Logs an instance that is new or was silent."""
+        peer = beat.sender
+        if before is None or before.incarnation != beat.incarnation:
+            log("peer_heard", peer=peer, address=beat.address, incarnation=beat.incarnation)
+        elif now - before.heard >= self._silence():
+            log("peer_heard_again", peer=peer, seconds=now - before.heard)
+
     def _first_to_tell(self, started: str) -> bool:
         """Tells whether this instance is the one that tells a newcomer what was seen before."""
         others = [name for name in self.heard() if name != started]
@@ -492,7 +502,8 @@
         now = monotonic()
         for name, member in list(self._members.items()):
             if now - member.heard >= self._silence() and self._traffic.forget(name):
-                log("peer_silent", "WARNING", peer=name, seconds=now - member.heard)
+                if not self._is_spoken_for(member.zone, member.holds):
+                    log("peer_silent", "WARNING", peer=name, seconds=now - member.heard)
                 self._on_silent(name)
             if now - member.heard >= FORGET_ADDRESS:
                 del self._members[name]
