--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -307,9 +307,12 @@
                     found.setdefault(zone, []).append(self._lease_addresses[name])
         return found
 
-    def _is_spoken_for(self, zone: str, holds: bool) -> bool:
-        """Tells whether others speak for an instance, so that its silence means nothing."""
-        return zone != self._opts.zone and not holds and self._is_large(zone)
+    def _is_spoken_for(self, zone: str) -> bool:
+        """Tells whether a few speak for the instances of a zone, whose silence then means little.
+
+        All are heard as they start, and those that use an engine held here, for a while.
+        """
+        return zone != self._opts.zone and self._is_large(zone)
 
     def _is_large(self, zone: str) -> bool:
         """Tells whether only a few instances of a zone speak for it."""
@@ -335,7 +338,7 @@
         before = self._members.get(beat.sender)
         now = monotonic()
         started = before is None or before.incarnation != beat.incarnation
-        if not self._is_spoken_for(beat.zone, left > 0.0):
+        if not self._is_spoken_for(beat.zone):
             self._note_heard(beat, before, now)
         uses = {
             use.endpoint: [(model, adapter) for model, adapter, _ in use.adapters]
@@ -502,7 +505,7 @@
         now = monotonic()
         for name, member in list(self._members.items()):
             if now - member.heard >= self._silence() and self._traffic.forget(name):
-                if not self._is_spoken_for(member.zone, member.holds):
+                if not self._is_spoken_for(member.zone):
                     log("peer_silent", "WARNING", peer=name, seconds=now - member.heard)
                 self._on_silent(name)
             if now - member.heard >= FORGET_ADDRESS:
