The time of loads is learned, not taken from one deployment

Cause: the orderer expected 0.25 s times the loads under way over 8, the figures of the first two sites. The grown sites load 48 and 64 at full speed, in 0.288 s; with 30 loads under way the belief was 1 s, and requests, which are sent when a load should have ended, were held for it. Ruled out: reading it from the store (neither number is there), reports (100 ms old, with a price).

--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -12,12 +12,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-# A load of an adapter that an engine held recently, and of one that must be fetched, in seconds.
-# The second is what the engines of both present deployments state; the first a tenth of it.
-WARM_LOAD: Final = 0.025
-COLD_LOAD: Final = 0.25
-# Adapters on their way from the store at once, over all engines, from which on each takes longer.
-FETCHES_AT_ONCE: Final = 8
+from wigeonarch_core.load_pace import COLD_LOAD, WARM_LOAD
+
 # Adapters on their way to one engine at once; engines refuse more.
 LOADS_AT_ONCE: Final = 4
 # What a load costs besides its time, in seconds of waiting. A fetch has a price of its own: about
@@ -167,13 +163,3 @@
         wait += MEMORY_COST
     wait += price + FAILURE_COST * state.failing
     return Choice(state.endpoint, not state.holds, wait)
-
-
-def load_time(warm: bool, under_way: int) -> float:
-    """Returns the expected seconds of a load.
-
-    Args:
-        warm: Whether the engine held the adapter recently.
-        under_way: Other loads begun within the time that a fetch takes, over all engines.
-    """
-    return WARM_LOAD if warm else COLD_LOAD * max(1.0, (under_way + 1) / FETCHES_AT_ONCE)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from wigeonarch_core.engine_choice import COLD_LOAD
 from wigeonarch_core.engine_places import AdapterKey, AdapterName, satisfies
+from wigeonarch_core.load_pace import COLD_LOAD
 from wigeonarch_entry.clock import monotonic
 
 from wigeonarch_gateway.messages import Adapter, PlacesNews
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -9,8 +9,8 @@
 from typing import Any, Final
 
 from wigeonarch_core.doubt import Doubts
-from wigeonarch_core.engine_choice import load_time
 from wigeonarch_core.engine_places import AdapterName
+from wigeonarch_core.load_pace import LoadPace
 from wigeonarch_core.retry_window import RetryWindow
 from wigeonarch_core.routes import EngineSpec
 from wigeonarch_entry.clock import monotonic
@@ -89,6 +89,7 @@
         self._doubts = Doubts()
         self._traffic = Traffic()
         self._views = EngineViews()
+        self._pace = LoadPace()
         self._endpoints = Endpoints(opts.store.returned, self._gone)
         self._catalogue = Catalogue(dialect.decode_configuration, dialect.decode_version)
         retries = opts.retries
@@ -296,6 +297,8 @@
             in_progress=self._door.in_progress,
             configuration=table.version if table is not None else 0,
             store_away=self._state.away,
+            loads_at_once=round(self._pace.at_once),
+            load_time=self._pace.base,
             store_calls=",".join(f"{call}:{n}" for call, n in self._store.calls.items()),
             connections=self._pools.opened,
             peer_messages_dropped=self._links.dropped,
@@ -468,7 +471,8 @@
             self._catalogue.outdated,
             self._publish,
             lambda: self._members.news_pause(),
-            lambda warm: load_time(warm, self._views.loads_under_way()),
+            self._pace,
+            self._views.loads_under_way,
             lambda endpoint, key: self._views.get(endpoint).warm(key),
             self._model_turn,
         )
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
@@ -15,6 +15,7 @@
 
 from wigeonarch_core.engine_choice import LOADS_AT_ONCE
 from wigeonarch_core.engine_places import AdapterKey, AdapterName, Places
+from wigeonarch_core.load_pace import LoadPace
 from wigeonarch_core.routes import EngineSpec, ModelSpec
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
@@ -49,6 +50,9 @@
 WISH_VALID: Final = 0.4  # Seconds that a wish counts; requests repeat theirs while they need it.
 HOST_COPIES: Final = 120  # Adapters that an engine keeps copies of, about.
 LATE_PAUSE: Final = 0.03  # Seconds after which a load that is late is expected again.
+# Seconds within which it is known here that an engine refused a request for lack of an adapter.
+MISSED_WITHIN: Final = 0.08
+FETCH_FORGOTTEN: Final = 3.0  # Seconds after which a fetch that nobody used tells nothing.
 LOAD_MARGIN: Final = 0.012  # Seconds added to a load's time, for the way of the order.
 RETRY: Final = 0.03  # Seconds until a wish is tried again that no place could be found for.
 TIMER_SLACK: Final = 0.002  # Seconds added so that a timer is not early.
@@ -63,6 +67,21 @@
     renewed: float
 
 
+@dataclass(slots=True)
+class Fetch:
+    """A load that is not warm, until it is known whether it was there in time.
+
+    Attributes:
+        under_way: Other loads on their way as it began.
+        due: Time at which it was expected to end, in seconds.
+        tried: Time of the first request sent after that; None before.
+    """
+
+    under_way: int
+    due: float
+    tried: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Right:
     """The right to order an engine, judged by the holder of the lease.
@@ -89,7 +108,8 @@
         outdated: Tells whether a newer version of an adapter was named.
         publish: Sends news to all instances, this one included.
         news_pause: Returns the seconds between repeated news.
-        load_time: Returns the expected seconds of a load, warm or cold.
+        pace: What was learned of the time of loads.
+        loads_under_way: Returns the loads on their way, over all engines.
         was_seen: Tells whether an engine was seen with an adapter before.
         model_turn: Tells whether a load of a base model may begin now.
     """
@@ -102,7 +122,8 @@
     outdated: Callable[[AdapterKey], bool]
     publish: Callable[[PlacesNews], None]
     news_pause: Callable[[], float]
-    load_time: Callable[[bool], float]
+    pace: LoadPace
+    loads_under_way: Callable[[], int]
     was_seen: Callable[[str, AdapterKey], bool]
     model_turn: Callable[[], bool]
 
@@ -118,6 +139,7 @@
         "_busy",
         "_conflicts",
         "_endpoint",
+        "_fetches",
         "_models",
         "_news",
         "_news_fence",
@@ -145,6 +167,7 @@
         self._accepted = 0  # Least sequence number that the engine can have, by its answers.
         self._answered = 0.0  # Time of the last answer that moved it on.
         self._wishes: dict[AdapterKey, Wish] = {}
+        self._fetches: dict[AdapterName, Fetch] = {}
         self._wake = asyncio.Event()
         self._news = 0
         self._news_fence = 0
@@ -157,6 +180,8 @@
         self._places.used(key.name, now)
         if missing and not self._places.not_yet(key.name, now, LATE_PAUSE):
             self._report_due = min(self._report_due, now)
+        if missing:
+            self._note_late(key.name)
         wish = self._wishes.get(key)
         if wish is None:
             self._wishes[key] = Wish(priority, now, now)
@@ -167,12 +192,33 @@
 
     def used(self, name: AdapterName) -> None:
         """Notes that a request is sent to the engine."""
-        self._places.used(name, monotonic())
+        now = monotonic()
+        self._places.used(name, now)
+        fetch = self._fetches.get(name)
+        if fetch is not None and now >= fetch.due and fetch.tried is None:
+            fetch.tried = now
+
+    def _note_late(self, name: AdapterName) -> None:
+        """Learns that a fetch took longer than expected."""
+        fetch = self._fetches.pop(name, None)
+        if fetch is not None and fetch.tried is not None:
+            self._around.pace.late(fetch.under_way)
+
+    def _note_in_time(self) -> None:
+        """Learns from the fetches whose copies were used and not missed."""
+        now = monotonic()
+        for name, fetch in list(self._fetches.items()):
+            if fetch.tried is not None and now - fetch.tried > MISSED_WITHIN:
+                self._around.pace.in_time(fetch.under_way)
+                del self._fetches[name]
+            elif now - fetch.due > FETCH_FORGOTTEN:
+                del self._fetches[name]
 
     async def run(self) -> None:
         """Carries out wishes; runs until cancelled."""
         while True:
             pause = await self._step()
+            self._note_in_time()
             self._tell_in_turn()
             try:
                 async with asyncio.timeout(pause):
@@ -261,7 +307,11 @@
         result = await self._order(record, load=True, key=key)
         now = monotonic()
         if result is OrderResult.STARTED:
-            self._places.began(key, now, self._around.load_time(warm) + LOAD_MARGIN)
+            under_way = self._around.loads_under_way()
+            takes = self._around.pace.expected(warm, under_way) + LOAD_MARGIN
+            self._places.began(key, now, takes)
+            if not warm:
+                self._fetches[key.name] = Fetch(under_way, now + takes)
             return True
         if result is OrderResult.HOLDS:
             self._places.there(key, now)
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 import pytest
-from wigeonarch_core.engine_choice import COLD_LOAD, EngineState, choose, choose_again, load_time
+from wigeonarch_core.engine_choice import EngineState, choose, choose_again
 from wigeonarch_core.service_choice import ServiceState, choose_plain
 
 IDLE = EngineState(
@@ -93,13 +93,6 @@
     assert (choice.endpoint if choice else None) == endpoint
 
 
-def test_fetches_beyond_the_stores_limit_take_longer() -> None:
-    assert load_time(False, 0) == COLD_LOAD
-    assert load_time(False, 7) == COLD_LOAD
-    assert load_time(False, 15) == 2 * COLD_LOAD
-    assert load_time(True, 15) < COLD_LOAD / 2
-
-
 PLAIN = ServiceState("p", True, 6, 0, 0.0)
 
 
