A case that a holder learns the time of loads

Cause: the wiring between orderer and core.load_pace had only the core's tests. Ruled out: nothing, no fault seen. Change: a case with an engine that takes longer than expected, and one that does not.

--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -9,6 +9,7 @@
 from gateway_world import HOST, World, until, until_true, world
 from standins.replica import Replica
 from standins.store import Trouble
+from wigeonarch_core.load_pace import COLD_LOAD
 from wigeonarch_entry.clock import monotonic
 
 
@@ -190,3 +191,14 @@
         found.nodes[0].stop()
         await asyncio.wait_for(found.tasks[0], 20)
         assert swallowed == 1
+
+
+@pytest.mark.parametrize(("takes", "slower"), [(0.5, True), (0.05, False)])
+async def test_a_holder_learns_how_long_loads_take(takes: float, slower: bool) -> None:
+    async with world() as found:
+        found.replicas[0].load_time = takes
+        pace = found.nodes[0]._pace
+        for number in range(4):
+            await found.served("/write/x", adapter=f"a{number}")
+        await asyncio.sleep(0.5)
+        assert (pace.base > COLD_LOAD) is slower
