explain names the endpoint of a request that failed there, and why it was not sent again

Ruled out: lines lost (the line before had it). Change: the cause is then taken from the line before; a denied repeat is added to the sentence. Before: the new row of test_ctl_logtrace fails. After: it passes.

--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
@@ -31,13 +31,14 @@
     ("refused", "timed_out"): "not run: its time was over before an endpoint could take it",
     ("failed", "lost"): "may have run: the connection to {last_endpoint} was lost ({how})",
     ("failed", "silent"): "may have run: {last_endpoint} did not answer in the time for one try",
-    ("failed", "failed"): "ran and failed: the answer of {last_endpoint} could not be passed on",
+    ("failed", "failed"): "ran and failed at {last_endpoint}, whose answer could not be passed on",
     ("timed_out", ""): "may have run: no whole answer within the route's timeout or the deadline",
     ("caller_left", ""): "the caller left after {sends} sends; the endpoint was told",
     ("no_route", ""): "no route of version {version} for host {host}",
 }
 NO_END: Final = "no end is logged: the instance stopped, or its lines were dropped"
 NOTHING: Final = "no line names this request"
+NOT_REPEATED: Final = "; it was not sent again, as the bound on repeated sends was reached"
 STREAM_BROKE: Final = "; the stream had {events} events by then and was cut off"
 
 
@@ -96,6 +97,9 @@
 
 def _cause(own: list[Line]) -> str:
     end = own[-1]
+    if end.event == "answered" and not end.pairs.get("endpoint") and len(own) > 1:
+        # What the instance answered by itself: why is in the line before.
+        end = own[-2] if (own[-2].event, own[-2].pairs.get("reason", "")) in CAUSES else end
     text = CAUSES.get((end.event, end.pairs.get("reason", ""))) or CAUSES.get((end.event, ""))
     if text is None:
         return NO_END
@@ -106,6 +110,8 @@
             known["last_endpoint"] = line.pairs["endpoint"]
     if end.event == "failed" and end.pairs.get("begun") == "True":
         text += STREAM_BROKE
+    if any(line.event == "retry_denied" for line in own):
+        text += NOT_REPEATED
     return text.format_map(_Known(known))
 
 
--- a/tests/test_ctl_logtrace.py
+++ b/tests/test_ctl_logtrace.py
@@ -50,6 +50,16 @@
             [line(1, "answered", "request=r1 endpoint=i-9 status=200 sends=1 took=0.2")],
             ["answered with 200 by i-9"],
         ),
+        (
+            [
+                line(1, "sent", "request=r1 endpoint=i-9"),
+                line(2, "try_failed", "request=r1 endpoint=i-9 reason=failed"),
+                line(3, "retry_denied", "request=r1 service=desk"),
+                line(4, "failed", "request=r1 reason=failed sends=1 begun=False events=0"),
+                line(5, "answered", "request=r1 endpoint= status=500 sends=1 took=0.05"),
+            ],
+            ["ran and failed at i-9", "bound on repeated sends"],
+        ),
         (LOST[:1], [logtrace.NO_END]),
         ([], [logtrace.NOTHING]),
         ([line(1, "refused", "request=r1 reason=no_endpoint")], ["of ? ready endpoints"]),
