Zones of up to six instances stay as they were: each watches, speaks and orders for itself

Cause: with the limit at three, a zone of the smaller deployments that grows by one (added or replaced instances, whose old leases are still listed) would change its way of working in the middle of trouble, for a handful of calls. Ruled out: a count of live instances only for the limit (the zones of 7 and more would still cross it).

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -55,7 +55,10 @@
 ZONE_EMPTY: Final = 15.0
 LIST_EVERY: Final = 5.0  # Seconds between looks for instances that were never heard.
 LIST_YOUNG: Final = 2.0  # Seconds after the start in which they are five times as frequent.
-KEEPERS_LEAST: Final = 3  # Keepers of a zone, at least, so that two may be lost at once.
+# Instances of a zone up to which each speaks, watches and orders for itself: what keepers spare
+# grows with the zone, and is little there.
+LARGE_ZONE: Final = 6
+KEEPERS_LEAST: Final = 3  # Keepers of a large zone, at least, so that two may be lost at once.
 ZONE_PER_KEEPER: Final = 8  # Instances of a zone per keeper of it.
 # Seconds since an instance's lease was seen to change in which it may hand messages on: those that
 # rest renew each 10 s, and the leases are read each 5 s.
@@ -227,8 +230,11 @@
         """
         nearby = {n for n in self.heard() if self._serves_zone(self._members[n])}
         mine = set() if self.leaving else {self._opts.instance}
-        names = self._settled(nearby | mine, START_TOGETHER) or nearby | mine
-        most = max(KEEPERS_LEAST, math.ceil(len(nearby | mine) / ZONE_PER_KEEPER))
+        present = nearby | mine
+        if len(present) <= LARGE_ZONE:
+            return sorted(present)
+        names = self._settled(present, START_TOGETHER) or present
+        most = max(KEEPERS_LEAST, math.ceil(len(present) / ZONE_PER_KEEPER))
         return ranked(KEEPERS_KEY, sorted(names))[:most]
 
     def is_keeper(self) -> bool:
@@ -316,7 +322,7 @@
 
     def _is_large(self, zone: str) -> bool:
         """Tells whether only a few instances of a zone speak for it."""
-        return self._sizes[zone] > KEEPERS_LEAST
+        return self._sizes[zone] > LARGE_ZONE
 
     def plead(self, plea: RenewalPlea) -> None:
         """Asks all for promises, and a few, drawn anew each time, for a renewal."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -1,6 +1,6 @@
 """Who watches the store for whom: a few instances of each availability zone tell the others.
 
-In a zone of more than a few instances, some (the keepers, see `Members.keepers`) watch the store
+In a large zone some instances (the keepers, see `Members.keepers`) watch the store
 and the rest follow one of them each: a follower says about each second what state it has, and is
 answered with what it lacks; news are sent on at once. A watch by each of 68 instances cost 1.6
 calls a second and instance.
