After a watch that failed the kind is read whole, and a configuration is asked for each 1.4 s

Ruled out: keepers (zones of three), the connection (a new one), a stale read (the list was right). Change: a list follows a failed watch; the configuration's watch waits 1.4 s at most, so that one which began in such a second is late by less than the bound.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -319,10 +319,11 @@
         )
 
     def _watched(self) -> list[Watched]:
+        opts = self._opts.store
         return [
-            Watched(Kinds.CONFIGURATION, self._catalogue.tables_listed),
-            Watched(Kinds.VERSIONS, self._catalogue.versions_listed),
-            Watched(Kinds.ENDPOINTS, self._endpoints_listed, self._opts.store.gather),
+            Watched(Kinds.CONFIGURATION, self._catalogue.tables_listed, opts.watch_configuration),
+            Watched(Kinds.VERSIONS, self._catalogue.versions_listed, opts.watch),
+            Watched(Kinds.ENDPOINTS, self._endpoints_listed, opts.watch, opts.gather),
         ]
 
     def _endpoints_listed(self, objects: tuple[StoredObject, ...]) -> None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
@@ -45,6 +45,8 @@
     Attributes:
         watch: Longest wait of one watch call. A connection that went silent for good is noticed
             only when the wait is over; each call has a price, also one that only waits.
+        watch_configuration: The same for the configuration: a new one must be in force within two
+            seconds, also where a watch hears nothing of it.
         watch_followed: The same for an instance that watches for others, who notice no sooner.
         gather: Pause after news of endpoints, so that several changes cost one call.
         retry: Pause after a failed call.
@@ -53,6 +55,7 @@
     """
 
     watch: float = 3.5
+    watch_configuration: float = 1.4
     watch_followed: float = 2.0
     gather: float = 0.9
     retry: float = 0.25
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
@@ -37,11 +37,13 @@
     Attributes:
         kind: The kind that is watched.
         listed: Called with all objects.
+        wait: Seconds that one call waits at most.
         gather: Seconds to wait after news, so that several changes cost one call.
     """
 
     kind: Kinds
     listed: Callable[[tuple[StoredObject, ...]], None]
+    wait: float
     gather: float = 0.0
 
 
@@ -98,13 +100,15 @@
         if sharing.told_lately(kind):
             await asyncio.sleep(TOLD_LOOK)
             continue
-        wait = opts.watch_followed if sharing.followed else opts.watch
+        wait = min(watched.wait, opts.watch_followed) if sharing.followed else watched.wait
         result = await store.watch(kind, since, wait)
         if isinstance(result, Unavailable):
             state.unreachable(kind, result.reason)
             sharing.store_lost(kind)
             await asyncio.sleep(_pause(opts, sharing, failures))
             failures += 1
+            # A list tells what is so now; a watch may wait in vain where history is being dropped.
+            gone = True
             continue
         failures = 0
         sharing.store_answered(kind, state.reachable(kind))
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -42,6 +42,11 @@
     node._store._store._base = "http://127.0.0.1:1/nowhere"  # type: ignore[attr-defined]
 
 
+def asked(node: Node) -> int:
+    """Returns how often an instance has asked the store what changed, or what is so."""
+    return node._store.calls["watch"] + node._store.calls["list"]
+
+
 def silence(node: Node) -> None:
     """Ends an instance without a word, as a power cut does."""
     for task in node._tasks:
@@ -104,10 +109,10 @@
         told = await settled(found)
         found.store.trouble = Trouble.BUSY
         await until_true(lambda: all(node._state.away for node in found.nodes))
-        before = [node._store.calls["watch"] for node in found.nodes]
+        before = [asked(node) for node in found.nodes]
         await asyncio.sleep(2.0)
         calls = {
-            node._opts.instance: node._store.calls["watch"] - old
+            node._opts.instance: asked(node) - old
             for node, old in zip(found.nodes, before, strict=True)
         }
         most = max(calls[node._opts.instance] for node in told)
--- /dev/null
+++ b/tests/test_gateway_watching.py
@@ -0,0 +1,118 @@
+"""What a watch does after calls that failed, against a store that answers by a script."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+from wigeonarch_gateway.options import StoreOptions
+from wigeonarch_gateway.ports import (
+    Change,
+    Changes,
+    HistoryGone,
+    Kinds,
+    Listing,
+    StoredObject,
+    Unavailable,
+)
+from wigeonarch_gateway.sharing import Sharing
+from wigeonarch_gateway.watching import StoreState, Watched, keep_watching
+
+OPTS = StoreOptions(retry=0.0)
+KIND = Kinds.CONFIGURATION
+
+
+class Script:
+    """Answers calls in turn, then waits for ever."""
+
+    def __init__(self, *answers: Any) -> None:
+        self.answers = list(answers)
+        self.calls: list[tuple[str, int]] = []
+        self.waits: list[float] = []
+
+    async def list(self, kind: Kinds, stale: bool = False) -> Any:
+        return await self._next("list", 0)
+
+    async def watch(self, kind: Kinds, since: int, wait: float) -> Any:
+        self.waits.append(wait)
+        return await self._next("watch", since)
+
+    async def _next(self, call: str, since: int) -> Any:
+        self.calls.append((call, since))
+        if not self.answers:
+            await asyncio.get_running_loop().create_future()
+        return self.answers.pop(0)
+
+
+def found(revision: int) -> StoredObject:
+    return StoredObject("main", revision, revision)
+
+
+def listing(as_of: int) -> Listing:
+    return Listing((found(as_of),), as_of)
+
+
+NEWS = Changes((Change(found(12), False),), 12)
+NOTHING = Changes((), 12)
+
+
+@pytest.mark.parametrize(
+    ("answers", "calls", "seen"),
+    [
+        ([listing(10)], [("list", 0), ("watch", 10)], [10]),
+        ([listing(10), NEWS], [("list", 0), ("watch", 10), ("watch", 12)], [10, 12]),
+        ([listing(10), NOTHING], [("list", 0), ("watch", 10), ("watch", 12)], [10]),
+        # A watch may wait in vain where history is being dropped: a list tells what is so.
+        (
+            [listing(10), Unavailable("silent"), listing(15)],
+            [("list", 0), ("watch", 10), ("list", 0), ("watch", 15)],
+            [10, 15],
+        ),
+        (
+            [listing(10), HistoryGone(), Unavailable("busy"), listing(15)],
+            [("list", 0), ("watch", 10), ("list", 0), ("list", 0), ("watch", 15)],
+            [10, 15],
+        ),
+        # An answer of a copy that lags does not count, and is asked for again.
+        (
+            [listing(10), HistoryGone(), listing(9), listing(11)],
+            [("list", 0), ("watch", 10), ("list", 0), ("list", 0), ("watch", 11)],
+            [10, 11],
+        ),
+        (
+            [Unavailable("busy"), Unavailable("busy"), listing(10)],
+            [("list", 0), ("list", 0), ("list", 0), ("watch", 10)],
+            [10],
+        ),
+    ],
+)
+async def test_calls_and_what_is_seen(
+    answers: list[Any], calls: list[tuple[str, int]], seen: list[int]
+) -> None:
+    store, state, told = Script(*answers), StoreState(), []
+    sharing = Sharing("me", OPTS, lambda: ["me"], lambda name, frame: True)
+
+    def changed(change: Change) -> bool:
+        told.append(change.found.revision)
+        return True
+
+    def listed(objects: tuple[StoredObject, ...]) -> None:
+        told.extend(one.revision for one in objects)
+
+    sharing.add(KIND, changed, lambda: None)
+    watched = Watched(KIND, listed, OPTS.watch_configuration)
+    task = asyncio.create_task(
+        keep_watching(store, state, OPTS, sharing, watched)  # type: ignore[arg-type]
+    )
+    async with asyncio.timeout(10.0):
+        while store.answers or len(store.calls) < len(calls):  # noqa: ASYNC110 - outside.
+            await asyncio.sleep(0)
+    task.cancel()
+    assert store.calls == calls
+    assert told == seen
+    assert set(store.waits) <= {OPTS.watch_configuration}
+
+
+def test_a_configuration_is_asked_for_within_the_time_in_which_it_must_be_in_force() -> None:
+    assert OPTS.watch_configuration < 2.0
