What a keeper tells at once is complete for followers that have the last change told

Cause, found by reading: a keeper's news began at its own last revision, which moves with each engine's adapter and each wait that ends; followers keep the revision of the last thing told. So nearly each message had a gap, and was made good by the answer to the next question, up to 0.7 s later. Ruled out: a loss (the answer has all). Change: news begin at the last change that was kept for followers. Before: the new test of test_feeding.py has nothing to call; with the old beginning its third change is refused. After: it passes, with the others of sharing.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/feeding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/feeding.py
@@ -69,6 +69,10 @@
         while len(self._kept) > KEPT_MOST:
             self._floor = self._kept.popleft()[0]
 
+    def kept_up_to(self) -> int:
+        """Returns the revision of the last change kept: who has it lacks none of them."""
+        return self._kept[-1][0] if self._kept else self._floor
+
     def after(self, revision: int) -> list[Change] | None:
         """Returns what changed after a revision; None when that is not known any more."""
         if self.as_of is None or revision < self._floor:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -146,9 +146,12 @@
         shared = self._kinds[kind]
         since = shared.feed.as_of
         assert since is not None
+        # Between the last change that was told and this state was nothing that followers need, so
+        # one that has that change lacks none.
+        told_up_to = shared.feed.kept_up_to()
         needed = self._apply(shared, changes, since, as_of)
         if needed:
-            self._tell(kind, since, needed, self._live_followers())
+            self._tell(kind, told_up_to, needed, self._live_followers())
 
     def _apply(
         self, shared: Shared, changes: Sequence[Change], since: int, as_of: int
--- a/tests/test_feeding.py
+++ b/tests/test_feeding.py
@@ -64,6 +64,17 @@
     assert len(after) == KEPT_MOST
 
 
+def test_a_peer_that_has_the_last_change_kept_needs_no_earlier_one() -> None:
+    teller, peer = feed(as_of=10), feed(as_of=10)
+    for revision, needed in ((12, True), (14, False), (16, True)):
+        up_to = teller.kept_up_to()
+        fresh = teller.take([put(f"o{revision}", revision)], revision - 2, revision)
+        assert fresh
+        if needed:
+            teller.keep(fresh)
+            assert peer.take(fresh, up_to, revision) == fresh
+
+
 def test_nothing_can_be_told_before_the_first_list() -> None:
     assert Feed().after(0) is None
     assert Feed().take([put("a", 2)], 0, 2) is None
