A message with a gap before it does not make a follower rely on its keeper

Ruled out: the store, at the others (they learnt within 0.3 s); a full link; the pause after news (0.9 s). Change: a message with a gap leaves its receiver as old as it was; a keeper says nothing of the store's return until it has news or is asked, after its list. Before: the new tests of test_gateway_sharing fail. After: they pass, with its others.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -164,7 +164,11 @@
 
     def store_lost(self, kind: Kinds) -> None:
         """Notes that the own watch got no answer, and tells the followers."""
-        self._set_away(kind, True)
+        shared = self._kinds[kind]
+        if not shared.away and shared.feed.as_of is not None:
+            shared.away = True
+            self._tell(kind, shared.feed.as_of, [], self._live_followers())
+        shared.away = True
 
     def store_answered(self, kind: Kinds, back: bool) -> None:
         """Notes an answer to the own watch; `back` when it was without one before."""
@@ -174,17 +178,9 @@
             shared.outage = False
             shared.returned = shared.answered
             shared.store_returned()
-        if back:
-            self._set_away(kind, False)
-
-    def _set_away(self, kind: Kinds, away: bool) -> None:
-        shared = self._kinds[kind]
-        if shared.away is away:
-            return
-        shared.away = away
-        since = shared.feed.as_of
-        if since is not None:
-            self._tell(kind, since, [], self._live_followers())
+        # Followers hear of it with the next news or answer: what this instance missed is not read
+        # yet, and a word before that would seem to say that nothing had changed.
+        shared.away = False
 
     # The follower's side.
 
@@ -234,11 +230,15 @@
         shared = self._kinds.get(KINDS[told.kind]) if told.kind < len(KINDS) else None
         if shared is None or told.sender != self.following:
             return
-        shared.told, shared.told_age = monotonic(), told.age_ms / 1000
         if told.away:
             shared.outage = True
             self._leave_keeper("store_away")
             return
+        if shared.feed.as_of is None or told.since > shared.feed.as_of:
+            # What lies between is missing: it comes with the next answer, or from the own watch.
+            # Until then this instance is not up to date, however young the message is.
+            return
+        shared.told, shared.told_age = monotonic(), told.age_ms / 1000
         if told.returned and shared.told - shared.returned >= self._opts.returned:
             shared.returned = shared.told
             shared.store_returned()
@@ -246,7 +246,6 @@
             Change(StoredObject(name, revision, spec), deleted)
             for name, revision, spec, deleted in told.changes
         ]
-        # None where a message was lost: what lies between comes with the next answer.
         self._apply(shared, changes, told.since, told.as_of)
 
     def untold(self, message: Untold) -> None:
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -4,11 +4,16 @@
 
 import asyncio
 
+import pytest
 from gateway_world import World, configuration, until_true, world
 from standins.store import Trouble
+from wigeonarch_gateway.messages import Follow, Told, Untold
 from wigeonarch_gateway.node import Node
-from wigeonarch_gateway.ports import EndpointState
+from wigeonarch_gateway.options import StoreOptions
+from wigeonarch_gateway.ports import EndpointState, Kinds
+from wigeonarch_gateway.sharing import KINDS, Sharing
 
+KIND = Kinds.ENDPOINTS
 INSTANCES = 8  # Of which three are keepers.
 
 
@@ -162,3 +167,45 @@
         for node in told:
             node._links._deliver = deliver[id(node)]
         await until_true(lambda: versions(told) == {2})
+
+
+def follower() -> tuple[Sharing, list[bytes]]:
+    """Returns the sharing of an instance that follows `k` and has the state of revision 10."""
+    sent: list[bytes] = []
+
+    def send(name: str, frame: bytes) -> bool:
+        sent.append(frame)
+        return True
+
+    sharing = Sharing("me", StoreOptions(), lambda: ["k"], send)
+    sharing.add(KIND, lambda change: True, lambda: None)
+    sharing.feed(KIND).listed([], 10)
+    sharing._ask()
+    return sharing, sent
+
+
+def message(since: int, as_of: int) -> Told:
+    return Told("k", KINDS.index(KIND), since, as_of, 0, False, False, [])
+
+
+@pytest.mark.parametrize(("since", "lately"), [(10, True), (8, True), (12, False)])
+def test_a_message_with_a_gap_before_it_does_not_bring_a_follower_up_to_date(
+    since: int, lately: bool
+) -> None:
+    sharing, _ = follower()
+    sharing.told(message(since, 14))
+    assert sharing.told_lately(KIND) is lately
+    # After it is known that the keeper lacks what is needed, only a message without a gap counts.
+    sharing.untold(Untold("k", KINDS.index(KIND)))
+    assert not sharing.told_lately(KIND)
+    sharing.told(message(30, 31))
+    assert not sharing.told_lately(KIND)
+
+
+def test_a_keeper_says_nothing_of_the_stores_return_before_it_has_read_what_it_missed() -> None:
+    sharing, sent = follower()
+    sharing.asked(Follow("f", []))
+    sharing.store_lost(KIND)
+    before = len(sent)
+    sharing.store_answered(KIND, True)
+    assert len(sent) == before
