Only what a keeper was relied on for may have been missed in its outage

Logs of riga-d: the others dropped the removed engine at 23.85 s, the followers of edge-riga-d-22 at 27.79. They had watched for themselves since 17.5 s, when that keeper lost the store; each 3 s they turned to it again, heard that it was away, and took their next own answer for the end of an outage, in which an endpoint that is missing is kept for 2.2 s. From 25.5 s to 27.79 that was so for the removed one. Ruled out: gaps in what is told (they were not following), the watch itself (7 other events came at 25.5 s). Change: an outage is noted for the kinds for which the keeper was relied on at the moment, all of them; what was watched meanwhile was not away. Before: the new row of test_gateway_sharing (not relied on) fails. After: passes.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -51,8 +51,8 @@
         away: Whether the own watch is without an answer.
         told: Time of the last word of the keeper, if it can be relied on.
         told_age: Seconds since the store had answered the keeper, at that time.
-        outage: Whether the keeper said that it is without an answer; the own watch tells whether
-            that was an outage for this instance too.
+        outage: Whether the keeper that was relied on said that it is without an answer, so that an
+            outage may have passed unseen.
     """
 
     feed: Feed
@@ -231,7 +231,7 @@
         if shared is None or told.sender != self.following:
             return
         if told.away:
-            shared.outage = True
+            self._note_outage()
             self._leave_keeper("store_away")
             return
         if shared.feed.as_of is None or told.since > shared.feed.as_of:
@@ -248,6 +248,16 @@
         ]
         self._apply(shared, changes, told.since, told.as_of)
 
+    def _note_outage(self) -> None:
+        """Notes what may have been missed: all that this instance relied on the keeper for.
+
+        What it has watched for itself meanwhile was not away. To count that as an outage, too,
+        kept endpoints that were removed for the 2.2 s in which lapsed ones may come back.
+        """
+        for kind, shared in self._kinds.items():
+            if self.told_lately(kind):
+                shared.outage = True
+
     def untold(self, message: Untold) -> None:
         """Notes that the keeper lacks what this instance needs; the own watch finds it."""
         shared = self._kinds.get(KINDS[message.kind]) if message.kind < len(KINDS) else None
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -209,3 +209,20 @@
     before = len(sent)
     sharing.store_answered(KIND, True)
     assert len(sent) == before
+
+
+@pytest.mark.parametrize(("relied_on", "returns"), [(True, 1), (False, 0)])
+def test_only_what_a_keeper_was_relied_on_for_may_have_been_missed(
+    relied_on: bool, returns: int
+) -> None:
+    sharing, _ = follower()
+    returned: list[Kinds] = []
+    for kind in sharing.kinds():
+        sharing._kinds[kind].store_returned = lambda kind=kind: returned.append(kind)  # type: ignore[misc]
+    if relied_on:
+        sharing.told(message(10, 12))
+    away = Told("k", KINDS.index(KIND), 12, 12, 0, True, False, [])
+    sharing.told(away)
+    sharing.store_answered(KIND, False)
+    sharing.store_answered(KIND, False)
+    assert len(returned) == returns
