What followers rely on has an age; endpoints that start again; foreign entries

Ruled out: lost messages and gaps (mended before), an instance's own watch (it hears at once).

Bounds of endpoints, configuration and versions come from the settings. In test_gateway_sharing the message that brings a follower up to date now says which word it answers, as only such messages vouch.

Endpoints say the start of their incarnation (`born`); a new one ends what was believed of places, warm copies, sequence, loads, base model, doubts and idle connections, in whatever order entry, report and holder's news come, and an older one never comes back. Two places stay empty for 13 s, as an order meant for the old incarnation may still be carried out.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from wigeonarch_gateway.links import is_address
+from wigeonarch_gateway.ownobjects import read_lease
 from wigeonarch_gateway.ports import StoredObject
 
 LIST_EVERY: Final = 5.0  # Seconds between looks at the leases.
@@ -64,12 +66,12 @@
         before, self.entries = self.entries, {}
         changed = []
         for lease in leases:
-            address, zone = lease.spec.get("address"), lease.spec.get("zone")
-            if not isinstance(address, str) or not isinstance(zone, str):
+            content = read_lease(lease)
+            if content is None or not is_address(content.address):
                 continue
             entry = before.get(lease.name)
             if entry is None or entry.revision != lease.revision:
-                entry = Entry(lease.revision, address, zone, sign)
+                entry = Entry(lease.revision, content.address, content.zone, sign)
                 changed.append(entry)
             self.entries[lease.name] = entry
         self._sizes = Counter(self.entries[name].zone for name in self.present(now))
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
@@ -2,34 +2,63 @@
 
 While the store is away, entries of living endpoints lapse and come back shortly after its return.
 So what is missing just after an outage is kept for a moment, unless it had said that it leaves.
+
+An endpoint may start again under its id. Its incarnations are told apart by the time of their
+start, which only grows: what an older one said is void however late it comes. An entry that can't
+be read was written by somebody else, and names no endpoint to use.
 """
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
+from typing import Final
 
+from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
 
 from wigeonarch_gateway.ports import EndpointRecord, EndpointState
 
+# Endpoints whose last start is remembered, gone ones included; a deployment has some hundred.
+STARTS_KEPT: Final = 4000
+
 
 class Endpoints:
     """The endpoints of all services.
 
     Attributes:
         on_gone: Called with the id of an endpoint that is gone.
+        on_restarted: Called with the record of an endpoint that started again under its id.
     """
 
-    __slots__ = ("_by_service", "_missing", "_records", "_returned", "_tentative_until", "on_gone")
-
-    def __init__(self, returned: float, on_gone: Callable[[str], None]) -> None:
+    __slots__ = (
+        "_born",
+        "_by_service",
+        "_missing",
+        "_records",
+        "_restarted",
+        "_returned",
+        "_tentative_until",
+        "on_gone",
+        "on_restarted",
+    )
+
+    def __init__(
+        self,
+        returned: float,
+        on_gone: Callable[[str], None],
+        on_restarted: Callable[[EndpointRecord], None],
+    ) -> None:
         """Knows no endpoint; `returned` is the time in which lapsed ones come back."""
+        self._born: OrderedDict[str, int] = OrderedDict()
+        self._restarted: dict[str, float] = {}
         self._records: dict[str, EndpointRecord] = {}
         self._by_service: dict[str, dict[str, EndpointRecord]] = {}
         self._missing: dict[str, float] = {}
         self._returned = returned
         self._tentative_until = 0.0
         self.on_gone = on_gone
+        self.on_restarted = on_restarted
 
     def get(self, endpoint: str) -> EndpointRecord | None:
         """Returns an endpoint that is not gone."""
@@ -44,13 +73,25 @@
         found = self._by_service.get(service, {})
         return [record for record in found.values() if record.state is EndpointState.READY]
 
+    def since_restart(self, endpoint: str) -> float:
+        """Returns the seconds since an endpoint was seen to start again; infinity if never."""
+        return monotonic() - self._restarted.get(endpoint, float("-inf"))
+
     def store_returned(self, now: float) -> None:
         """Notes that the store answers again after an outage."""
         self._tentative_until = now + self._returned
 
-    def put(self, record: EndpointRecord) -> None:
-        """Takes over what an endpoint says of itself."""
+    def put(self, record: EndpointRecord) -> bool:
+        """Takes over what an endpoint says of itself; returns whether it counts."""
+        known = self._born.get(record.endpoint, 0)
+        if known and not record.born:
+            # Endpoints say their start always or never, so somebody else wrote this.
+            self.unreadable(record.endpoint)
+            return False
+        if record.born < known:
+            return False
         before = self._records.get(record.endpoint)
+        self._note_start(record, known)
         self._missing.pop(record.endpoint, None)
         self._records[record.endpoint] = record
         self._by_service.setdefault(record.service, {})[record.endpoint] = record
@@ -64,6 +105,26 @@
                 state=record.state.value,
             )
 
+        return True
+
+    def _note_start(self, record: EndpointRecord, known: int) -> None:
+        """Notes the start of an endpoint; ends what was believed of an earlier incarnation."""
+        if not record.born:
+            return
+        endpoint = record.endpoint
+        self._born[endpoint] = record.born
+        self._born.move_to_end(endpoint)
+        while len(self._born) > STARTS_KEPT:
+            self._restarted.pop(self._born.popitem(last=False)[0], None)
+        if known and record.born > known:
+            log("endpoint_restarted", "WARNING", endpoint=endpoint, born=record.born, before=known)
+            self._restarted[endpoint] = monotonic()
+            self.on_restarted(record)
+
+    def unreadable(self, endpoint: str) -> None:
+        """Notes that the entry of an endpoint names none any more: nothing is sent there."""
+        self._drop(endpoint, "unreadable")
+
     def removed(self, endpoint: str, now: float) -> None:
         """Notes that an entry is not in the store any more."""
         record = self._records.get(endpoint)
@@ -74,8 +135,12 @@
             return
         self._drop(endpoint, "removed")
 
-    def listed(self, records: Iterable[EndpointRecord], now: float) -> None:
-        """Takes over a whole list."""
+    def listed(
+        self, records: Iterable[EndpointRecord], now: float, unreadable: Iterable[str] = ()
+    ) -> None:
+        """Takes over a whole list, and the names of its entries that can't be read."""
+        for endpoint in unreadable:
+            self.unreadable(endpoint)
         found = {record.endpoint: record for record in records}
         for record in found.values():
             self.put(record)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
@@ -43,6 +43,7 @@
         orders: Whether the holder may order now.
         tried: When a copy that should just have come was first asked for.
         began: When the loads under way were first heard of.
+        born: Start of the engine's incarnation; 0 when it is not known.
     """
 
     holder: str = ""
@@ -57,6 +58,11 @@
     seen: OrderedDict[AdapterName, None] = field(default_factory=OrderedDict)
     tried: dict[AdapterName, float] = field(default_factory=dict)
     began: dict[AdapterName, float] = field(default_factory=dict)
+    born: int = 0
+
+    def names(self) -> set[AdapterName]:
+        """Returns the adapters that it holds or that are on their way."""
+        return {*self.ready, *(key.name for key in self.loading)}
 
     def holds(self, key: AdapterKey, now: float) -> bool:
         """Tells whether requests for an adapter can be sent.
@@ -117,13 +123,25 @@
 
     def get(self, endpoint: str) -> EngineView:
         """Returns the view of an engine; an empty one when nothing is known."""
-        return self._views.setdefault(endpoint, EngineView())
+        view = self._views.get(endpoint)
+        if view is None:
+            # Not by `setdefault`, which would make a view at each of some thousand calls a second.
+            view = self._views[endpoint] = EngineView()
+        return view
 
     def news(self, news: PlacesNews) -> None:
-        """Takes over what a holder tells; news of an older holder or out of order are void."""
+        """Takes over what a holder tells; news of an older holder or out of order are void.
+
+        So are those of an earlier incarnation of the engine; the first ones of a new incarnation
+        end all that is believed of the one before.
+        """
         view = self.get(news.endpoint)
-        if (news.fence, news.number) <= (view.fence, view.number):
+        if news.born < view.born or (news.fence, news.number) <= (view.fence, view.number):
             return
+        if view.born:
+            self.restarted(news.endpoint, news.born)
+            view = self.get(news.endpoint)
+        view.born = news.born
         now = monotonic()
         view.holder = news.sender
         view.fence = news.fence
@@ -131,6 +149,7 @@
         view.heard = now
         view.models = frozenset(news.models)
         models = news.models
+        before = view.names()
         view.ready = {(models[place], name): version for place, name, version in news.ready}
         view.loading = {
             AdapterKey(models[place], name, version): now + ms / 1000
@@ -140,7 +159,8 @@
         view.tried = {name: at for name, at in view.tried.items() if now - at < TRIAL}
         view.free = news.free
         view.orders = news.orders
-        for name in (*view.ready, *(key.name for key in view.loading)):
+        # What stays is remembered as it leaves.
+        for name in before ^ view.names():
             self._remember(view, name)
         self.wake(news.endpoint)
 
@@ -191,6 +211,19 @@
         for name in (*names, *known):
             self._remember(view, name)
 
+    def restarted(self, endpoint: str, born: int) -> None:
+        """Forgets what was believed of an engine before its incarnation that started at `born`.
+
+        Its holder goes on with the same numbers, so these stay.
+        """
+        old = self.get(endpoint)
+        if old.born >= born:
+            return
+        self._views[endpoint] = EngineView(
+            holder=old.holder, fence=old.fence, number=old.number, born=born
+        )
+        self.wake(endpoint)
+
     def forget(self, endpoint: str) -> None:
         """Forgets an engine that is gone."""
         self._views.pop(endpoint, None)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
@@ -20,6 +20,7 @@
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.options import HoldingOptions
 from wigeonarch_gateway.orderer import Orderer, Right, Surroundings
+from wigeonarch_gateway.ownobjects import HolderContent, content, read_holder
 from wigeonarch_gateway.ports import (
     Absent,
     EndpointRecord,
@@ -40,6 +41,9 @@
 # Seconds after the start until the peers of a common start are found and heard; until then an
 # instance only resumes what it held.
 SETTLE: Final = 2.4
+# Stands for whoever a holder object names that can't be read: it has no lease, and after a term
+# without one the endpoint may be taken over as from an instance that is gone.
+UNKNOWN_HOLDER: Final = "unreadable"
 READ_EVERY: Final = 1.0  # Seconds between reads of the holder object of one engine.
 
 
@@ -181,8 +185,12 @@
         """Reads once, at the start, which engines this instance held before."""
         found = await self._store.list(Kinds.HOLDERS)
         if isinstance(found, Listing):
-            own = (one for one in found.objects if one.spec.get("holder") == self._me)
-            self._own = {one.name for one in own}
+            holders = {one.name: read_holder(one) for one in found.objects}
+            self._own = {
+                name
+                for name, holder in holders.items()
+                if holder is not None and holder.holder == self._me
+            }
             self._resumed = True
 
     def _concerns(self, record: EndpointRecord) -> bool:
@@ -215,9 +223,10 @@
             return
         holder = None
         if isinstance(found, StoredObject):
-            name = str(found.spec.get("holder", ""))
+            read = read_holder(found) or HolderContent(UNKNOWN_HOLDER)
+            name = read.holder
             # This process knows by itself when it may order what it took over.
-            taken = bool(found.spec.get("taken_over")) and endpoint not in self._held
+            taken = read.taken_over and endpoint not in self._held
             holder = HolderRecord(endpoint, name, found.revision, taken)
             if name not in (self._me, *self._members.holding()):
                 await self._observe(name)
@@ -257,11 +266,11 @@
         name = wanted.endpoint
         # Each write must change the object, as only a change gives a new fencing number.
         nonce = os.urandom(NONCE_BYTES).hex()
-        content = {"holder": self._me, "taken_over": wanted.pause > 0.0, "nonce": nonce}
+        stored = content(HolderContent(self._me, wanted.pause > 0.0, nonce))
         if wanted.revision:
-            result = await self._store.replace(Kinds.HOLDERS, name, content, wanted.revision)
+            result = await self._store.replace(Kinds.HOLDERS, name, stored, wanted.revision)
         else:
-            result = await self._store.create(Kinds.HOLDERS, name, content)
+            result = await self._store.create(Kinds.HOLDERS, name, stored)
         ok = isinstance(result, StoredObject)
         log(
             "claim",
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/intake.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/intake.py
@@ -24,7 +24,14 @@
 class Intake:
     """Takes over what the store tells."""
 
-    __slots__ = ("_catalogue", "_decode_endpoint", "_endpoints", "_opts", "_views")
+    __slots__ = (
+        "_catalogue",
+        "_decode_endpoint",
+        "_endpoints",
+        "_opts",
+        "_unreadable",
+        "_views",
+    )
 
     def __init__(
         self,
@@ -40,6 +47,7 @@
         self._endpoints = endpoints
         self._views = views
         self._decode_endpoint = decode_endpoint
+        self._unreadable: dict[str, int] = {}
 
     def share(self, sharing: Sharing) -> None:
         """Says what becomes of changes, whoever tells of them."""
@@ -61,8 +69,11 @@
         ]
 
     def _endpoints_listed(self, objects: tuple[StoredObject, ...]) -> None:
-        records = [record for found in objects if (record := self._decode(found)) is not None]
-        self._endpoints.listed(records, monotonic())
+        read = {found.name: self._decode(found) for found in objects}
+        records = [record for record in read.values() if record is not None]
+        unreadable = [name for name, record in read.items() if record is None]
+        self._unreadable = {n: r for n, r in self._unreadable.items() if n in unreadable}
+        self._endpoints.listed(records, monotonic(), unreadable)
         for record in records:
             self._first_seen(record)
 
@@ -77,20 +88,26 @@
             return True
         record = self._decode(change.found)
         if record is None:
+            self._endpoints.unreadable(change.found.name)
             return True
         before = self._endpoints.get(record.endpoint)
-        self._endpoints.put(record)
-        self._first_seen(record)
+        if self._endpoints.put(record):
+            self._first_seen(record)
         return before is None or replace(before, models=record.models) != record
 
     def _decode(self, found: StoredObject) -> EndpointRecord | None:
         try:
             return self._decode_endpoint(found)
         except ValueError as exc:
-            log("endpoint_unreadable", "ERROR", name=found.name, reason=str(exc))
+            # Once for each change of it: lists bring the same ones again.
+            if self._unreadable.get(found.name) != found.revision:
+                self._unreadable[found.name] = found.revision
+                log("endpoint_unreadable", "ERROR", name=found.name, reason=str(exc))
             return None
 
     def _first_seen(self, record: EndpointRecord) -> None:
+        if self._endpoints.get(record.endpoint) is not record:
+            return  # Of an earlier incarnation.
         adapters = {key.name: key.version for model in record.models for key in model.adapters}
         models = frozenset(model.model for model in record.models)
         self._views.first_seen(record.endpoint, models, adapters)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
@@ -19,6 +19,7 @@
 
 from wigeonarch_gateway.messages import PromiseMade, RenewalDone, RenewalPlea
 from wigeonarch_gateway.options import HoldingOptions
+from wigeonarch_gateway.ownobjects import LeaseContent, content
 from wigeonarch_gateway.ports import Absent, Conflict, Kinds, ObjectStore, StoredObject, Unavailable
 
 # Seconds without an answer to a renewal after which peers are asked; the store usually takes a few
@@ -29,11 +30,6 @@
 RESTING_RENEWAL: Final = 10.0
 
 
-def lease_spec(incarnation: str, address: str, zone: str, count: int) -> dict[str, object]:
-    """Returns the content of a lease object; the count makes each renewal a change."""
-    return {"incarnation": incarnation, "address": address, "zone": zone, "count": count}
-
-
 class Leasing:
     """The own lease.
 
@@ -177,7 +173,8 @@
         self._outpaced = False
         self.lease.trying(sent)
         self._count += 1
-        spec = lease_spec(self._incarnation, self._address, self._zone, self._count)
+        lease = LeaseContent(self._incarnation, self._address, self._zone, self._count)
+        spec = content(lease)
         result: StoredObject | Absent | Conflict | Unavailable
         if self._revision:
             result = await self._store.replace(Kinds.LEASES, self._name, spec, self._revision)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/links.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/links.py
@@ -13,6 +13,7 @@
 
 import asyncio
 from collections.abc import Callable
+from ipaddress import IPv4Address
 from typing import Final, cast
 
 from wigeonarch_entry.logs import log
@@ -21,6 +22,7 @@
 
 # Bytes of one message; less than the largest datagram, which the system takes apart for the way.
 MESSAGE_BOUND: Final = 60_000
+PORT_MOST: Final = 65_535
 
 
 class Links(asyncio.DatagramProtocol):
@@ -89,3 +91,13 @@
     """Returns the parts of `IP:PORT`."""
     host, _, port = address.rpartition(":")
     return host, int(port)
+
+
+def is_address(text: str) -> bool:
+    """Tells whether a text is `IP:PORT`."""
+    host, _, port = text.rpartition(":")
+    try:
+        IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdecimal() and 0 < int(port) <= PORT_MOST
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -37,6 +37,9 @@
 
 BEAT_LEAST: Final = 0.2  # Seconds between heartbeats in a small deployment.
 BEATS_PER_SECOND: Final = 60.0  # Heartbeats sent in all per second at most, so cost stays bounded.
+# The same in a large zone, where each also hears as many: 2,945 of them took 0.44 s of the 39 s of
+# an instance under a profiler, besides sending and receiving.
+LARGE_BEATS_PER_SECOND: Final = 40.0
 BEAT_MOST: Final = 1.0
 # Peers that are asked to renew a lease; each takes two calls to the store.
 RENEWERS: Final = 2
@@ -363,11 +366,12 @@
         return self._pause
 
     def _set_pause(self) -> None:
-        told = len(self._addresses)
+        told, most = len(self._addresses), BEATS_PER_SECOND
         if self._directory.is_large(self._opts.zone):
+            most = LARGE_BEATS_PER_SECOND
             zones = (self._zones.get(address, self._opts.zone) for address in self._addresses)
             told = sum(zone == self._opts.zone for zone in zones)
-        self._pause = min(BEAT_MOST, max(BEAT_LEAST, told / BEATS_PER_SECOND))
+        self._pause = min(BEAT_MOST, max(BEAT_LEAST, told / most))
 
     def _silence(self) -> float:
         """Returns the seconds without a heartbeat after which an instance is not heard."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -74,6 +74,7 @@
         loading: Adapters on their way, in the same form, with the milliseconds left.
         free: Places that are empty or idle.
         orders: Whether the holder may give orders now.
+        born: Start of the engine's incarnation of which this tells; 0 when it does not say.
     """
 
     sender: str
@@ -85,6 +86,7 @@
     loading: list[tuple[int, str, int, int]]
     free: int
     orders: bool
+    born: int = 0
 
 
 class LoadWish(msgspec.Struct, array_like=True, tag="wish"):
@@ -163,10 +165,12 @@
     Attributes:
         sender: Who asks.
         states: Place of each kind in `ports.Kinds`, and the revision of the sender's state of it.
+        number: Grows with each of the sender's; answers name it.
     """
 
     sender: str
     states: list[tuple[int, int]]
+    number: int = 0
 
 
 class Told(msgspec.Struct, array_like=True, tag="told"):
@@ -177,10 +181,12 @@
         kind: Place of the kind in `ports.Kinds`.
         since: Revision after which these changes are.
         as_of: Revision up to which they are all.
-        age_ms: Milliseconds since the store last answered the sender's watch.
+        age_ms: Milliseconds since the store last brought the sender up to date.
         away: Whether the sender is without an answer of the store.
         returned: Whether the store came back a moment ago.
         changes: Name, revision, content and whether removed; in order.
+        answers: Number of the receiver's word that this answers, which bounds the time that it was
+            on its way; 0 for news, of which nothing bounds it.
     """
 
     sender: str
@@ -191,6 +197,7 @@
     away: bool
     returned: bool
     changes: list[tuple[str, int, Any, bool]]
+    answers: int = 0
 
 
 class Untold(msgspec.Struct, array_like=True, tag="untold"):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -23,7 +23,7 @@
 from wigeonarch_gateway.finding import Finder
 from wigeonarch_gateway.holders import Holders
 from wigeonarch_gateway.intake import Intake
-from wigeonarch_gateway.leasing import Leasing, lease_spec
+from wigeonarch_gateway.leasing import Leasing
 from wigeonarch_gateway.links import Links, split_address
 from wigeonarch_gateway.members import Members
 from wigeonarch_gateway.messages import (
@@ -45,6 +45,7 @@
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.options import Options
 from wigeonarch_gateway.orderer import Surroundings
+from wigeonarch_gateway.ownobjects import content, read_lease
 from wigeonarch_gateway.passing import Passing
 from wigeonarch_gateway.pools import Pools
 from wigeonarch_gateway.ports import (
@@ -89,7 +90,7 @@
         self._traffic = Traffic()
         self._views = EngineViews()
         self._pace = LoadPace()
-        self._endpoints = Endpoints(opts.store.returned, self._gone)
+        self._endpoints = Endpoints(opts.store.returned, self._gone, self._restarted)
         self._catalogue = Catalogue(dialect.decode_configuration, dialect.decode_version)
         self._intake = Intake(
             opts.store, self._catalogue, self._endpoints, self._views, dialect.decode_endpoint
@@ -312,6 +313,15 @@
         self._views.forget(endpoint)
         self._doubts.forget(endpoint)
 
+    def _restarted(self, record: EndpointRecord) -> None:
+        """Ends all that was believed of an endpoint's last incarnation."""
+        self._pools.forget(record.endpoint)
+        self._doubts.forget(record.endpoint)
+        self._views.restarted(record.endpoint, record.born)
+        orderer = self._holders.orderer(record.endpoint)
+        if orderer is not None:
+            orderer.look()
+
     # What peers tell.
 
     def _receive(self, message: Message) -> None:
@@ -383,14 +393,14 @@
     async def _renew_for(self, plea: RenewalPlea) -> None:
         """Renews a peer's lease in its name."""
         found = await self._store.get(Kinds.LEASES, plea.sender)
-        if not isinstance(found, StoredObject):
+        lease = read_lease(found) if isinstance(found, StoredObject) else None
+        if not isinstance(found, StoredObject) or lease is None:
             return
-        spec = found.spec
-        if spec.get("incarnation") != plea.incarnation:
+        if lease.incarnation != plea.incarnation:
             return
-        count = int(spec.get("count", 0)) + 1
-        renewed = lease_spec(plea.incarnation, spec["address"], spec["zone"], count)
-        result = await self._store.replace(Kinds.LEASES, plea.sender, renewed, found.revision)
+        lease.count += 1
+        spec = content(lease)
+        result = await self._store.replace(Kinds.LEASES, plea.sender, spec, found.revision)
         if isinstance(result, StoredObject):
             done = RenewalDone(self._opts.instance, plea.number, result.revision)
             self._members.send(plea.sender, done)
@@ -422,6 +432,7 @@
             self._views.loads_under_way,
             lambda endpoint, key: self._views.get(endpoint).warm(key),
             self._model_turn,
+            self._endpoints.since_restart,
         )
 
     def _in_use(self, endpoint: str) -> set[AdapterName]:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
@@ -38,6 +38,15 @@
     pause: float = 3.3
 
 
+@dataclass(frozen=True, slots=True)
+class ObeyedOptions:
+    """Times within which what the store accepted must be in force everywhere, in seconds."""
+
+    endpoints: float = 2.0
+    configuration: float = 2.0
+    versions: float = 5.0
+
+
 @dataclass(frozen=True, slots=True)
 class StoreOptions:
     """Times of the watches of the store, in seconds.
@@ -47,8 +56,10 @@
             only when the wait is over; each call has a price, also one that only waits.
         watch_configuration: The same for the configuration: a new one must be in force within two
             seconds, also where a watch hears nothing of it.
-        watch_followed: The same for an instance that watches for others, who notice no sooner.
         gather: Pause after news of endpoints, so that several changes cost one call.
+        obeyed: Time from the store's acceptance of a change until each instance that reaches the
+            store must act on it: a leaving endpoint, a configuration, a version. What a follower
+            takes from its keeper may not be older than this, less what its own call takes.
         retry: Pause after a failed call.
         retry_most: Longest such pause of an instance that has keepers; it doubles until then.
         returned: Time after an outage in which a missing endpoint may still come back.
@@ -56,11 +67,11 @@
 
     watch: float = 3.5
     watch_configuration: float = 1.4
-    watch_followed: float = 2.0
     gather: float = 0.9
     retry: float = 0.25
     retry_most: float = 1.6
     returned: float = 2.2
+    obeyed: ObeyedOptions = field(default_factory=ObeyedOptions)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
@@ -43,6 +43,14 @@
 CONFLICT_MOST: Final = 0.5
 # Orders without an answer in a row after which the report is read before the next one.
 UNKNOWNS_BORNE: Final = 3
+# An order may be carried out so many seconds after it was given, the known worst case and one more;
+# one meant for an earlier incarnation of the engine may then take effect on the next one, when that
+# has the sequence number named.
+ORDERS_LATE: Final = 13.0
+# Places of an engine that are kept empty for that time: a load that comes on top of full places
+# crashes the engine. After each that takes effect the next own order is refused for its number, and
+# the report is read, so these can't pile up unseen.
+KEPT_FOR_LATE: Final = 2
 MODEL_POLL: Final = 0.4  # Seconds between reports while a base model is loaded; it takes seconds.
 REPORT_LAG_MOST: Final = 0.8  # Seconds after which a report shows all orders answered before.
 REPORT_EVERY: Final = 4.0  # Seconds between reports while all goes well; each one has a price.
@@ -112,6 +120,7 @@
         loads_under_way: Returns the loads on their way, over all engines.
         was_seen: Tells whether an engine was seen with an adapter before.
         model_turn: Tells whether a load of a base model may begin now.
+        since_restart: Returns the seconds since an endpoint was seen to start again under its id.
     """
 
     pools: Pools
@@ -126,6 +135,7 @@
     loads_under_way: Callable[[], int]
     was_seen: Callable[[str, AdapterKey], bool]
     model_turn: Callable[[], bool]
+    since_restart: Callable[[str], float]
 
 
 class Orderer:
@@ -136,6 +146,7 @@
         "_answered",
         "_around",
         "_blocked_until",
+        "_born",
         "_busy",
         "_conflicts",
         "_endpoint",
@@ -158,7 +169,17 @@
         self._spec = spec
         self._right = right
         self._around = around
-        self._places = Places(spec.places, HOST_COPIES)
+        self._born = 0  # Start of the engine's incarnation; 0 when it does not say.
+        self._wishes: dict[AdapterKey, Wish] = {}
+        self._wake = asyncio.Event()
+        self._news = 0
+        self._news_fence = 0
+        self._told = 0.0
+        self._know_nothing()
+
+    def _know_nothing(self) -> None:
+        """Sets what is believed of an engine of which nothing is known."""
+        self._places = Places(self._spec.places, HOST_COPIES)
         self._models: set[str] = set()
         self._conflicts = 0  # Orders in a row that were not accepted.
         self._blocked_until = 0.0
@@ -166,14 +187,18 @@
         self._sequence: int | None = None  # None while it is in doubt.
         self._accepted = 0  # Least sequence number that the engine can have, by its answers.
         self._answered = 0.0  # Time of the last answer that moved it on.
-        self._wishes: dict[AdapterKey, Wish] = {}
         self._fetches: dict[AdapterName, Fetch] = {}
-        self._wake = asyncio.Event()
-        self._news = 0
-        self._news_fence = 0
-        self._told = 0.0
         self._report_due = 0.0
 
+    def _note_start(self, born: int) -> None:
+        """Notes the start of the engine's incarnation, which may be a new one."""
+        if born <= self._born:
+            return
+        if self._born:
+            log("engine_restarted", "WARNING", endpoint=self._endpoint, sequence=self._sequence)
+            self._know_nothing()
+        self._born = born
+
     def wish(self, key: AdapterKey, priority: int, missing: bool) -> None:
         """Notes that a request needs an adapter; `missing` if the engine just refused one."""
         now = monotonic()
@@ -190,6 +215,10 @@
             wish.renewed = now
         self._wake.set()
 
+    def look(self) -> None:
+        """Looks at the engine anew, as something about it has changed."""
+        self._wake.set()
+
     def used(self, name: AdapterName) -> None:
         """Notes that a request is sent to the engine."""
         now = monotonic()
@@ -233,6 +262,9 @@
         record = self._around.record(self._endpoint)
         if record is None or not self._right.fence():
             return IDLE
+        self._note_start(record.born)
+        late = self._around.since_restart(self._endpoint) < ORDERS_LATE
+        self._places.capacity = max(1, self._spec.places - KEPT_FOR_LATE * late)
         if now < self._blocked_until:
             return self._blocked_until - now + TIMER_SLACK
         if self._sequence is None or now >= self._report_due:
@@ -411,6 +443,9 @@
 
     def _adopt(self, report: EngineReport) -> bool:
         now = monotonic()
+        if report.born and report.born < self._born:
+            return False  # Of an earlier incarnation.
+        self._note_start(report.born)
         if report.sequence < self._accepted and now - self._answered < REPORT_LAG_MOST:
             # Sampled before the last order that the engine accepted: it tells nothing new. Later
             # the report is right, and what was counted was not: some answers move nothing on.
@@ -466,6 +501,7 @@
             ],
             free=self._places.idle(in_use, now),
             orders=bool(fence) and self._sequence is not None,
+            born=self._born,
         )
         if self._news_fence:
             self._around.publish(news)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
@@ -141,13 +141,15 @@
     """What an endpoint says of itself.
 
     Attributes:
-        endpoint: Its id; each start of an endpoint has another one.
+        endpoint: Its id.
         service: Service that it belongs to.
         address: `IP:PORT`.
         zone: Its availability zone.
         slots: Requests that it runs at once.
         state: Whether it takes new work.
         models: Models that it held when it last described itself.
+        born: Time of its start by its own clock, in milliseconds; only compared with others of the
+            same id, where a greater one is a later incarnation. 0 when it does not say.
     """
 
     endpoint: str
@@ -157,6 +159,7 @@
     slots: int
     state: EndpointState
     models: tuple[HeldModel, ...]
+    born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,12 +171,14 @@
         models: Models and adapters that it held.
         pending: Adapters on their way to it.
         busy: Whether it was carrying out an order that keeps it from others.
+        born: As in `EndpointRecord`.
     """
 
     sequence: int
     models: tuple[HeldModel, ...]
     pending: tuple[AdapterKey, ...]
     busy: bool
+    born: int = 0
 
 
 class OrderResult(enum.Enum):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -5,14 +5,24 @@
 answered with what it lacks; news are sent on at once. A watch by each of 68 instances cost 1.6
 calls a second and instance.
 
-It is safe because a follower trusts its keeper only while answers come, are young, and say that the
-store answers the keeper. Without them it watches the store itself, as a keeper does, from the
-revision that it has. A lost message leaves a gap, which the next answer fills.
+It is safe because a follower sends to an endpoint only while something vouches, within a stated
+age, that the endpoint had not begun to leave: its own watch, or its keeper's. The age counts from
+the last answer of the store that brought the keeper up to date, over all messages in between: an
+answer of the keeper counts as sent when its question was, as messages may be late. So a keeper
+whose way to the store fell silent vouches for nothing however promptly it answers. The follower's
+own call begins before the age reaches the time in which a change must be in force:
+
+    keeper's pause + keeper's wait + FOLLOW_EVERY + WAY <= age relied on = bound - OWN_CALL
+
+The left side is what a sound keeper reaches (`watch_times` fits its pause and wait), the right side
+what is relied on (`Sharing.told_for`). Without a keeper an instance watches the store itself, from
+the revision that it has. A lost message leaves a gap, which the next answer fills.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -30,6 +40,11 @@
 FOLLOW_EVERY: Final = 0.7  # Seconds between a follower's words to its keeper.
 # Seconds without an answer after which a keeper is not relied on: two lost answers.
 SILENT: Final = 1.6
+# Seconds for a call to the store by a follower that does not rely on its keeper any more: it takes
+# some milliseconds, and on links of 5 Mbit/s that are busy a tenth of a second.
+OWN_CALL: Final = 0.4
+WAY: Final = 0.15  # Seconds that the store's answer and the keeper's message take, at most.
+WAIT_LEAST: Final = 0.2  # Seconds that a keeper's watch waits at least.
 # Seconds for which a follower is told of news after its last word.
 FOLLOWS: Final = 2.5
 # Seconds for which an instance that fell back watches for itself before it follows again, so that
@@ -46,11 +61,12 @@
         feed: The state.
         apply: Called with each change that is news; returns whether followers need it, too.
         store_returned: Called when the store is back after an outage, before its news.
-        answered: Time of the last answer of the store to this instance's own watch.
+        answered: Time at which the own watch last brought the state up to date.
         returned: Time at which the store was last back.
         away: Whether the own watch is without an answer.
-        told: Time of the last word of the keeper, if it can be relied on.
-        told_age: Seconds since the store had answered the keeper, at that time.
+        told: Time of the last answer of the keeper.
+        vouched: Time up to which the keeper vouches for the state.
+        bound: Seconds within which a change must be in force here.
         outage: Whether the keeper that was relied on said that it is without an answer, so that an
             outage may have passed unseen.
     """
@@ -58,11 +74,12 @@
     feed: Feed
     apply: Callable[[Change], bool]
     store_returned: Callable[[], None]
+    bound: float
     answered: float = float("-inf")
     returned: float = float("-inf")
     away: bool = False
     told: float = float("-inf")
-    told_age: float = 0.0
+    vouched: float = float("-inf")
     outage: bool = False
 
 
@@ -75,6 +92,8 @@
 
     __slots__ = (
         "_alone_until",
+        "_asked",
+        "_asked_at",
         "_followers",
         "_keepers",
         "_kinds",
@@ -106,13 +125,35 @@
         self._kinds: dict[Kinds, Shared] = {}
         self._followers: dict[str, float] = {}
         self.following = ""
+        self._asked = 0
+        self._asked_at: dict[int, float] = {}  # Times of the last words to the keeper.
         self._alone_until = float("-inf")
 
     def add(
         self, kind: Kinds, apply: Callable[[Change], bool], store_returned: Callable[[], None]
     ) -> None:
         """Makes the state of a kind, which its watch and its keeper both bring up to date."""
-        self._kinds[kind] = Shared(Feed(), apply, store_returned)
+        self._kinds[kind] = Shared(Feed(), apply, store_returned, self._bound(kind))
+
+    def _bound(self, kind: Kinds) -> float:
+        obeyed = self._opts.obeyed
+        bounds = {
+            Kinds.CONFIGURATION: obeyed.configuration,
+            Kinds.ENDPOINTS: obeyed.endpoints,
+            Kinds.VERSIONS: obeyed.versions,
+        }
+        return bounds[kind]
+
+    def watch_times(self, kind: Kinds, pause: float, wait: float) -> tuple[float, float]:
+        """Returns the seconds for which a watch pauses after news, and for which it waits.
+
+        An instance that is followed keeps both so short that what it tells is young enough.
+        """
+        if not self.followed:
+            return pause, wait
+        most = self._kinds[kind].bound - OWN_CALL - FOLLOW_EVERY - WAY
+        wait = min(wait, max(WAIT_LEAST, most - pause))
+        return max(0.0, min(pause, most - wait)), wait
 
     def keeper(self) -> bool:
         """Tells whether this instance watches the store for others, or would."""
@@ -133,17 +174,32 @@
 
     def told_lately(self, kind: Kinds) -> bool:
         """Tells whether the keeper keeps this instance up to date of a kind."""
+        return self.told_for(kind) > 0.0
+
+    def told_for(self, kind: Kinds) -> float:
+        """Returns the seconds for which the keeper may be relied on without a further word."""
         shared, now = self._kinds[kind], monotonic()
         if not self.following or shared.feed.as_of is None:
-            return False
-        silent = now - shared.told
-        return silent < SILENT and silent + shared.told_age < self._oldest()
+            return 0.0
+        silent, age = now - shared.told, now - shared.vouched
+        return min(SILENT - silent, shared.bound - OWN_CALL - age)
 
     # What the own watch finds.
 
+    def listed(
+        self, kind: Kinds, objects: Sequence[StoredObject], as_of: int, asked: float
+    ) -> bool:
+        """Takes over a list that was asked for at a time; returns whether it counts."""
+        shared = self._kinds[kind]
+        if not shared.feed.listed(objects, as_of):
+            return False
+        shared.answered = asked
+        return True
+
     def watched(self, kind: Kinds, changes: Sequence[Change], as_of: int) -> None:
         """Takes over what the own watch told, and tells the followers."""
         shared = self._kinds[kind]
+        shared.answered = monotonic()
         since = shared.feed.as_of
         assert since is not None
         # Between the last change that was told and this state was nothing that followers need, so
@@ -171,12 +227,14 @@
         shared.away = True
 
     def store_answered(self, kind: Kinds, back: bool) -> None:
-        """Notes an answer to the own watch; `back` when it was without one before."""
+        """Notes an answer to the own watch; `back` when it was without one before.
+
+        That alone does not bring the state up to date: the answer may be that history is gone.
+        """
         shared = self._kinds[kind]
-        shared.answered = monotonic()
         if back or shared.outage:
             shared.outage = False
-            shared.returned = shared.answered
+            shared.returned = monotonic()
             shared.store_returned()
         # Followers hear of it with the next news or answer: what this instance missed is not read
         # yet, and a word before that would seem to say that nothing had changed.
@@ -200,7 +258,10 @@
                 for kind, shared in self._kinds.items()
                 if shared.feed.as_of is not None
             ]
-            self._send(self.following, encode(Follow(self._me, states)))
+            self._asked += 1
+            self._asked_at = {n: at for n, at in self._asked_at.items() if now - at < SILENT}
+            self._asked_at[self._asked] = now
+            self._send(self.following, encode(Follow(self._me, states, self._asked)))
 
     def _choose(self, now: float) -> None:
         """Follows a keeper, unless this instance is one or the last one fell silent just now."""
@@ -214,7 +275,7 @@
             return
         self.following = ranked(self._me, keepers)[0]
         for shared in self._kinds.values():
-            shared.told, shared.told_age = now, self._oldest()
+            shared.told, shared.vouched = now, float("-inf")
         log("following", peer=self.following)
 
     def _leave_keeper(self, reason: str) -> None:
@@ -238,9 +299,13 @@
             # What lies between is missing: it comes with the next answer, or from the own watch.
             # Until then this instance is not up to date, however young the message is.
             return
-        shared.told, shared.told_age = monotonic(), told.age_ms / 1000
-        if told.returned and shared.told - shared.returned >= self._opts.returned:
-            shared.returned = shared.told
+        now = monotonic()
+        asked = self._asked_at.get(told.answers)
+        if asked is not None:
+            shared.told = now
+            shared.vouched = max(shared.vouched, asked - told.age_ms / 1000)
+        if told.returned and now - shared.returned >= self._opts.returned:
+            shared.returned = now
             shared.store_returned()
         changes = [
             Change(StoredObject(name, revision, spec), deleted)
@@ -262,7 +327,7 @@
         """Notes that the keeper lacks what this instance needs; the own watch finds it."""
         shared = self._kinds.get(KINDS[message.kind]) if message.kind < len(KINDS) else None
         if shared is not None and message.sender == self.following:
-            shared.told, shared.told_age = monotonic(), self._oldest()
+            shared.told, shared.vouched = monotonic(), float("-inf")
 
     # The keeper's side.
 
@@ -278,43 +343,45 @@
             if changes is None:
                 self._send(follow.sender, encode(Untold(self._me, place)))
             else:
-                self._tell(kind, since, changes, [follow.sender])
+                self._tell(kind, since, changes, [follow.sender], follow.number)
 
     def _live_followers(self) -> list[str]:
         now = monotonic()
         self._followers = {name: at for name, at in self._followers.items() if now - at < FOLLOWS}
         return list(self._followers)
 
-    def _tell(self, kind: Kinds, since: int, changes: Sequence[Change], names: list[str]) -> None:
+    def _tell(
+        self,
+        kind: Kinds,
+        since: int,
+        changes: Sequence[Change],
+        names: list[str],
+        answers: int = 0,
+    ) -> None:
         if not names:
             return
         shared, now = self._kinds[kind], monotonic()
         as_of = shared.feed.as_of
         assert as_of is not None
         place = KINDS.index(kind)
-        age = min(now - shared.answered, now - shared.told + shared.told_age, self._oldest())
+        # It may have followed a keeper itself until a moment ago.
+        age = min(now - max(shared.answered, shared.vouched), shared.bound)
         told = Told(
             self._me,
             place,
             since,
             max(since, as_of),
-            int(age * 1000),
+            math.ceil(age * 1000),
             shared.away,
             now - shared.returned < self._opts.returned,
             [
                 (change.found.name, change.found.revision, change.found.spec, change.deleted)
                 for change in changes
             ],
+            answers,
         )
         frame = encode(told)
         if len(frame) > MESSAGE_BOUND:
             frame = encode(Untold(self._me, place))
         for name in names:
             self._send(name, frame)
-
-    def _oldest(self) -> float:
-        """Returns the age in seconds from which a keeper's knowledge is not relied on.
-
-        A keeper's watch that fell silent is noticed there within its wait and a margin.
-        """
-        return self._opts.watch_followed + SILENT
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
@@ -97,10 +97,11 @@
                 await asyncio.sleep(_pause(opts, sharing, failures))
             failures = failures + 1 if gone else 0
             continue
-        if sharing.told_lately(kind):
-            await asyncio.sleep(TOLD_LOOK)
+        told_for = sharing.told_for(kind)
+        if told_for > 0.0:
+            await asyncio.sleep(min(TOLD_LOOK, told_for))
             continue
-        wait = min(watched.wait, opts.watch_followed) if sharing.followed else watched.wait
+        pause, wait = sharing.watch_times(kind, watched.gather, watched.wait)
         result = await store.watch(kind, since, wait)
         if isinstance(result, Unavailable):
             state.unreachable(kind, result.reason)
@@ -117,8 +118,8 @@
             gone = True
             continue
         sharing.watched(kind, result.changes, result.as_of)
-        if result.changes and watched.gather:
-            await asyncio.sleep(watched.gather)
+        if result.changes and pause:
+            await asyncio.sleep(pause)
 
 
 def _pause(opts: StoreOptions, sharing: Sharing, failures: int) -> float:
@@ -135,13 +136,14 @@
 async def _list(store: ObjectStore, state: StoreState, sharing: Sharing, watched: Watched) -> bool:
     """Reads a kind whole; returns whether that brought a state to go on from."""
     kind = watched.kind
+    asked = monotonic()
     result = await store.list(kind)
     if not isinstance(result, Listing):
         state.unreachable(kind, result.reason)
         sharing.store_lost(kind)
         return False
     sharing.store_answered(kind, state.reachable(kind))
-    if not sharing.feed(kind).listed(result.objects, result.as_of):
+    if not sharing.listed(kind, result.objects, result.as_of, asked):
         return False
     watched.listed(result.objects)
     return True
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -27,9 +27,7 @@
 STEP = 0.03  # Seconds between looks at a condition.
 # Short leases, so that takeovers happen within a test.
 HOLDING = HoldingOptions(term=1.5, margin=0.3, renewal=0.3, pause=0.5)
-STORE = StoreOptions(
-    watch=0.5, watch_configuration=0.5, watch_followed=0.5, gather=0.05, retry=0.05, returned=0.6
-)
+STORE = StoreOptions(watch=0.5, watch_configuration=0.5, gather=0.05, retry=0.05, returned=0.6)
 
 
 def free_port(host: str) -> int:
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -85,6 +85,7 @@
     connections: int = 0
     address: str = ""
     _pending: dict[str, int] = field(default_factory=dict)
+    born: int = 0  # Start of its incarnation; 0 when it does not say.
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -115,8 +116,17 @@
             "slots": 8,
             "state": state,
             "models": models,
+            **({"born": self.born} if self.born else {}),
         }
 
+    def restart(self) -> None:
+        """Starts again under its id: it holds and knows nothing, and its counts begin anew."""
+        self.born += 1000
+        self.sequence = 0
+        self.held.clear()
+        self._pending.clear()
+        self.replacing = ""
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
@@ -157,6 +167,7 @@
             "seq": self.sequence,
             "busy": self.loading_model,
             "pending": pending,
+            **({"born": self.born} if self.born else {}),
         }
 
     async def _order(self, body: dict[str, Any], writer: asyncio.StreamWriter) -> bool:
@@ -230,7 +241,10 @@
         self.replacing = ""
 
     async def _load(self, name: str, version: int) -> None:
+        born = self.born
         await asyncio.sleep(self.load_time)
+        if self.born != born:
+            return
         self._pending.pop(name, None)
         self.held[name] = version
 
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -29,6 +29,7 @@
         troubled: Addresses that have the trouble.
         history_from: Oldest revision from which a watch may continue.
         calls: Method, kind and status of each call.
+        spoiled: Bytes that are put in the place of others in each answer's body.
     """
 
     def __init__(self) -> None:
@@ -36,6 +37,7 @@
         self.troubled: set[str] = set()
         self.history_from = 0
         self.calls: list[tuple[str, str, int]] = []
+        self.spoiled: dict[bytes, bytes] = {}
         self.revision = 1
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -116,7 +118,10 @@
         self.calls.append((request.method, kind, status))
         if trouble is Trouble.LOST and request.method != "GET":
             await asyncio.sleep(3600)
-        return web.json_response(document, status=status)
+        body = json.dumps(document).encode()
+        for good, bad in self.spoiled.items():
+            body = body.replace(good, bad)
+        return web.Response(body=body, status=status, content_type="application/json")
 
     async def _answer(self, request: web.BaseRequest, kind: str, name: str) -> tuple[int, Any]:
         if request.method == "GET" and "watch" in request.query:
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -185,7 +185,8 @@
 
 
 def message(since: int, as_of: int) -> Told:
-    return Told("k", KINDS.index(KIND), since, as_of, 0, False, False, [])
+    """Returns an answer to the first word of `follower`."""
+    return Told("k", KINDS.index(KIND), since, as_of, 0, False, False, [], answers=1)
 
 
 @pytest.mark.parametrize(("since", "lately"), [(10, True), (8, True), (12, False)])
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -118,7 +118,6 @@
     [
         ("ready", EndpointState.READY),
         ("draining", EndpointState.LEAVING),
-        ("new-word", EndpointState.LEAVING),
     ],
 )
 def test_endpoint(state: str, expected: EndpointState) -> None:
