--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
@@ -173,7 +173,7 @@
         self._outpaced = False
         self.lease.trying(sent)
         self._count += 1
-        lease = LeaseContent(self._incarnation, self._address, self._zone, self._count)
+        lease = LeaseContent(self._address, self._zone, self._incarnation, self._count)
         spec = content(lease)
         result: StoredObject | Absent | Conflict | Unavailable
         if self._revision:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/ownobjects.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/ownobjects.py
@@ -18,15 +18,15 @@
     """An instance's lease.
 
     Attributes:
-        incarnation: Incarnation of its process.
         address: Address for messages to it.
         zone: Its availability zone.
+        incarnation: Incarnation of its process.
         count: Grows with each renewal, which makes each one a change.
     """
 
-    incarnation: str
     address: str
     zone: str
+    incarnation: str = ""
     count: int = 0
 
 
