--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -31,6 +31,13 @@
 # What the traffic between availability zones is worth, in seconds of waiting; a cut between zones
 # also loses the streams that cross it.
 ZONE_COST: Final = 0.05
+# What it is worth not to make a stream pause for longer than allowed, in seconds of waiting.
+# Engines read prompts between the tokens of running requests; where prompts that take about the
+# longest pause are sent within that time, all streams there are late.
+PAUSE_COST: Final = 0.01
+PAUSES_MOST: Final = 4.0
+# Part of the longest pause that prompts sent lately may take until the next one is held back.
+CROWDED: Final = 0.6
 # An engine whose KV cache is nearly full preempts requests, which then start anew.
 MEMORY_FULL: Final = 0.88
 MEMORY_COST: Final = 2.0
@@ -60,6 +67,8 @@
         kv_tokens: Tokens that those may take in its KV cache.
         kv_total: Tokens that fit.
         failing: Recent share of failures, from 0 to 1.
+        recent_tokens: Prompt tokens sent to it lately, by all instances.
+        largest_pause: Longest pause between a stream's events that is in time; 0 if none.
     """
 
     endpoint: str
@@ -77,15 +86,25 @@
     kv_tokens: float
     kv_total: float
     failing: float
+    recent_tokens: float = 0.0
+    largest_pause: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """An engine, whether the adapter must be loaded first, and the expected wait in seconds."""
+    """An engine to send to, or to ask for a load.
+
+    Attributes:
+        endpoint: The engine.
+        load: Whether the adapter must be loaded first.
+        expected: What the choice went by, in seconds of waiting.
+        crowded: Whether streams there would pause for too long, were a prompt sent now.
+    """
 
     endpoint: str
     load: bool
     expected: float
+    crowded: bool = False
 
 
 def choose(
@@ -161,5 +180,19 @@
         wait += ZONE_COST
     if state.kv_total and state.kv_tokens + prompt_tokens > MEMORY_FULL * state.kv_total:
         wait += MEMORY_COST
-    wait += price + FAILURE_COST * state.failing
-    return Choice(state.endpoint, not state.holds, wait)
+    wait += price + FAILURE_COST * state.failing + _pausing(state, prompt_tokens)
+    crowded = state.running > 0 and stalls(state, 0) > CROWDED
+    return Choice(state.endpoint, not state.holds, wait, crowded)
+
+
+def stalls(state: EngineState, prompt_tokens: int) -> float:
+    """Returns how much of the longest pause in time is read there, were a prompt sent now."""
+    if not state.largest_pause:
+        return 0.0
+    return (state.recent_tokens + prompt_tokens) / READ_RATE / state.largest_pause
+
+
+def _pausing(state: EngineState, prompt_tokens: int) -> float:
+    """Returns what the pauses of running streams cost that a prompt adds to."""
+    part = stalls(state, prompt_tokens)
+    return PAUSE_COST * state.running * min(PAUSES_MOST, part * part)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/closing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/closing.py
@@ -120,6 +120,8 @@
             sends=job.sends,
             held=job.waited,
             took=monotonic() - job.req.received,
+            first_event=job.first_event - job.req.received if job.first_event else 0.0,
+            pause=job.pause,
         )
         self._metrics.requests.labels(job.route.name, "answered").inc()
         if job.terms.adapter:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
@@ -34,6 +34,9 @@
 # The same while an adapter is on its way: a request that is later than this earns little, and its
 # caller, told in time, may find another instance that can do better before it gives up.
 HOLD_MOST: Final = 2.0
+# Share of the objective for which a prompt is held back while its engine reads others: it costs the
+# request nothing, and streams there pause for less long.
+SPACED_SHARE: Final = 0.3
 # Seconds between looks while no endpoint can take a request.
 LOOK_AGAIN: Final = 0.03
 # Least and greatest seconds of a wait for a load, if no news come.
@@ -87,7 +90,12 @@
         while True:
             now = monotonic()
             if job.terms.model and job.spec is not None and job.spec.engine is not None:
-                found, hopeful = self._find_engine(job, now)
+                choice = self._choose_engine(job, now)
+                found, hopeful = self._use(job, choice, now), choice is not None
+                held_back = choice is not None and choice.crowded and self._can_wait(job, now)
+                if found is not None and held_back:
+                    await self._views.change(LOOK_AGAIN)
+                    continue
             else:
                 found, hopeful = self._find_plain(job, now), False
             if found is not None:
@@ -127,19 +135,23 @@
         fresh = fresh or [record for record in ready if record.endpoint not in job.ran]
         return [record for record in fresh if not self._doubts.shut(record.endpoint, now)]
 
-    def _find_engine(self, job: Job, now: float) -> tuple[EndpointRecord | None, bool]:
-        """Returns an engine to send to, or whether waiting for a load makes sense."""
-        choice = self._choose_engine(job, now)
+    @staticmethod
+    def _can_wait(job: Job, now: float) -> bool:
+        """Tells whether a request has time to let others' prompts be read first."""
+        return now - job.req.received < SPACED_SHARE * job.route.objective
+
+    def _use(self, job: Job, choice: Choice | None, now: float) -> EndpointRecord | None:
+        """Returns the chosen engine if the request can be sent; else asks it for the adapter."""
         if choice is None:
-            return None, False
+            return None
         if not choice.load:
-            return self._endpoints.get(choice.endpoint), True
+            return self._endpoints.get(choice.endpoint)
         if choice.endpoint != job.wished:
             self._note_wish(job, choice, now)
             job.wished = choice.endpoint
             job.wished_at = now
         self._wishes.wish(choice.endpoint, self.adapter(job), job.route.priority, missing=False)
-        return None, True
+        return None
 
     def _note_wish(self, job: Job, choice: Choice, now: float) -> None:
         view = self._views.get(choice.endpoint)
@@ -201,6 +213,8 @@
             kv_tokens=load.kv_tokens,
             kv_total=engine.kv_tokens if engine else 0,
             failing=self._doubts.failing(record.endpoint),
+            recent_tokens=load.recent_tokens,
+            largest_pause=job.route.largest_pause,
         )
 
     def inputs(self, job: Job) -> Inputs:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
@@ -48,6 +48,9 @@
         wished: Engine that was last asked for a load; empty if none was.
         wished_at: When that was, in seconds.
         waited: Seconds for which an endpoint was looked for.
+        first_event: Time of the first event that was passed on, in seconds; 0 before.
+        last_event: The same for the last one.
+        pause: Longest pause between events so far, in seconds.
     """
 
     req: Incoming
@@ -66,6 +69,17 @@
     wished: str = ""
     wished_at: float = 0.0
     waited: float = 0.0
+    first_event: float = 0.0
+    last_event: float = 0.0
+    pause: float = 0.0
+
+    def passed(self, now: float) -> None:
+        """Notes that events were passed on."""
+        if self.first_event:
+            self.pause = max(self.pause, now - self.last_event)
+        else:
+            self.first_event = now
+        self.last_event = now
 
     @property
     def key(self) -> str:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -20,12 +20,14 @@
         running: Requests that have not ended.
         waiting_tokens: Prompt tokens whose first token has not come.
         kv_tokens: Tokens that the requests may take in the KV cache.
+        recent_tokens: Prompt tokens sent lately, as in `traffic.Load`.
     """
 
     endpoint: str
     running: int
     waiting_tokens: int
     kv_tokens: int
+    recent_tokens: int = 0
 
 
 class Uses(msgspec.Struct, array_like=True):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -353,6 +353,7 @@
                 self._traffic.first_token(under)
                 self._doubts.answered(record.endpoint, failed=False)
             if events:
+                job.passed(monotonic())
                 await job.answer.write(events)
         if rest := job.splitter.rest():
             await job.answer.write(rest)
--- a/tests/test_gateway_zones.py
+++ b/tests/test_gateway_zones.py
@@ -107,6 +107,7 @@
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     found = Clock()
     monkeypatch.setattr(module, "monotonic", found)
+    monkeypatch.setattr("wigeonarch_gateway.traffic.monotonic", found)
     return found
 
 
@@ -172,7 +173,7 @@
     found.told()
     inner = [decode(m.frame) for _, m in found.links.sent if isinstance(m, Relay)]
     assert [beat.loads for beat in inner if isinstance(beat, Beat)] == [
-        [LoadShare("i-1", 2 * (ZONE_SIZE - 1) + 1, 30 * (ZONE_SIZE - 1) + 5, 3607)]
+        [LoadShare("i-1", 2 * (ZONE_SIZE - 1) + 1, 30 * (ZONE_SIZE - 1) + 5, 3607, 5)]
     ]
 
 
