--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -5,26 +5,10 @@
 from dataclasses import replace
 
 import pytest
+from engine_states import IDLE
 from wigeonarch_core.engine_choice import EngineState, choose, choose_again
 from wigeonarch_core.service_choice import ServiceState, choose_plain
 
-IDLE = EngineState(
-    endpoint="e",
-    same_zone=True,
-    holds=False,
-    loading_left=None,
-    warm=False,
-    replaces=False,
-    loadable=True,
-    free_places=5,
-    loading=0,
-    waiting_tokens=0.0,
-    running=0,
-    batch=64,
-    kv_tokens=0.0,
-    kv_total=100_000,
-    failing=0.0,
-)
 HOLDS = replace(IDLE, endpoint="holds", holds=True)
 COLD = replace(IDLE, endpoint="cold")
 WARM = replace(IDLE, endpoint="warm", warm=True)
--- a/tests/test_engine_pace.py
+++ b/tests/test_engine_pace.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
+from engine_states import IDLE
 from wigeonarch_core.engine_choice import EngineState, choose, until_first_token
 from wigeonarch_core.engine_pace import FADES, EnginePaces
 
@@ -68,22 +71,12 @@
 
 
 def engine(endpoint: str, slowness: float, running: int = 0, waiting: float = 0.0) -> EngineState:
-    return EngineState(
+    return replace(
+        IDLE,
         endpoint=endpoint,
-        same_zone=True,
         holds=True,
-        loading_left=None,
-        warm=False,
-        replaces=False,
-        loadable=True,
-        free_places=5,
-        loading=0,
         waiting_tokens=waiting,
         running=running,
-        batch=64,
-        kv_tokens=0.0,
-        kv_total=0.0,
-        failing=0.0,
         slowness=slowness,
     )
 
--- a/tests/test_pausing.py
+++ b/tests/test_pausing.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field, replace
 
 import pytest
+from engine_states import IDLE
 from wigeonarch_core.engine_choice import READ_RATE, EngineState, choose, stalls
 
 STEP = 0.0045  # Seconds of a step without a prompt.
@@ -66,22 +67,13 @@
     def state(self, now: float, heeded: bool) -> EngineState:
         while self.sent and now - self.sent[0][0] > RECENT:
             self.sent.popleft()
-        return EngineState(
+        return replace(
+            IDLE,
             endpoint=self.name,
-            same_zone=True,
             holds=True,
-            loading_left=None,
-            warm=False,
-            replaces=False,
-            loadable=True,
-            free_places=5,
-            loading=0,
             waiting_tokens=float(sum(self.waiting)),
             running=len(self.streams) + len(self.waiting),
             batch=32,
-            kv_tokens=0.0,
-            kv_total=0.0,
-            failing=0.0,
             recent_tokens=float(sum(tokens for _, tokens in self.sent)),
             largest_pause=ALLOWED if heeded else 0.0,
         )
@@ -129,7 +121,7 @@
     assert after < 0.6 * before
 
 
-IDLE = replace(Engine("e").state(0.0, True), running=10)
+BUSY = replace(Engine("e").state(0.0, True), running=10)
 
 
 @pytest.mark.parametrize(
@@ -142,18 +134,18 @@
     ],
 )
 def test_where_a_prompt_is_held_back(recent: float, running: int, crowded: bool) -> None:
-    choice = choose([replace(IDLE, recent_tokens=recent, running=running)], 800)
+    choice = choose([replace(BUSY, recent_tokens=recent, running=running)], 800)
     assert choice is not None
     assert choice.crowded is crowded
 
 
 def test_a_prompt_goes_where_fewer_streams_pause() -> None:
-    busy = replace(IDLE, endpoint="busy", running=25, recent_tokens=4_000.0)
-    quiet = replace(IDLE, endpoint="quiet", running=25)
+    busy = replace(BUSY, endpoint="busy", running=25, recent_tokens=4_000.0)
+    quiet = replace(BUSY, endpoint="quiet", running=25)
     choice = choose([busy, quiet], 4_000)
     assert choice is not None
     assert choice.endpoint == "quiet"
 
 
 def test_without_a_bound_on_pauses_nothing_stalls() -> None:
-    assert stalls(replace(IDLE, recent_tokens=50_000.0, largest_pause=0.0), 800) == 0.0
+    assert stalls(replace(BUSY, recent_tokens=50_000.0, largest_pause=0.0), 800) == 0.0
