A keeper that lost the store for less than entries take to lapse was no outage for its followers

The follower left it in time and read the removal, but had noted an outage, so it kept the missing engine for the 2.2 s in which lapsed entries may come back, and sent to it 3.115 s after it had gone (bound 3.0).

Change: a keeper's outage counts for a follower only if it relied on knowledge of 3.0 s or older, as entries lapse after three heartbeats of 1.2 s. An outage that goes on is seen by the own watch.

Before: the row of an age under that in test_gateway_sharing noted an outage; after: it does not, and the row at that age still does (the table had one row for both, with an age of 0).

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -44,6 +44,9 @@
 # some milliseconds, and on links of 5 Mbit/s that are busy a tenth of a second.
 OWN_CALL: Final = 0.4
 WAY: Final = 0.15  # Seconds that the store's answer and the keeper's message take, at most.
+# Seconds without the store in which an entry may lapse: three heartbeats of an endpoint, 1.2 s
+# each, of which half of the first may have passed before.
+LAPSE: Final = 3.0
 WAIT_LEAST: Final = 0.2  # Seconds that a keeper's watch waits at least.
 # Seconds for which a follower is told of news after its last word.
 FOLLOWS: Final = 2.5
@@ -314,13 +317,16 @@
         self._apply(shared, changes, told.since, told.as_of)
 
     def _note_outage(self) -> None:
-        """Notes what may have been missed: all that this instance relied on the keeper for.
+        """Notes what may have been missed: what this instance relied on the keeper for so long.
 
-        What it has watched for itself meanwhile was not away. To count that as an outage, too,
-        kept endpoints that were removed for the 2.2 s in which lapsed ones may come back.
+        What it has watched for itself meanwhile was not away, and in less time no entry lapses. To
+        count that as an outage, too, kept endpoints that were removed for the 2.2 s in which lapsed
+        ones may come back, which with the age of the keeper's knowledge was over the bound. An
+        outage that goes on is seen by the own watch, which begins now.
         """
+        now = monotonic()
         for kind, shared in self._kinds.items():
-            if self.told_lately(kind):
+            if self.told_lately(kind) and now - shared.vouched >= LAPSE:
                 shared.outage = True
 
     def untold(self, message: Untold) -> None:
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -9,9 +9,9 @@
 from standins.store import Trouble
 from wigeonarch_gateway.messages import Follow, Told, Untold
 from wigeonarch_gateway.node import Node
-from wigeonarch_gateway.options import StoreOptions
+from wigeonarch_gateway.options import ObeyedOptions, StoreOptions
 from wigeonarch_gateway.ports import EndpointState, Kinds
-from wigeonarch_gateway.sharing import KINDS, Sharing
+from wigeonarch_gateway.sharing import KINDS, LAPSE, Sharing
 
 KIND = Kinds.ENDPOINTS
 INSTANCES = 8  # Of which three are keepers.
@@ -169,7 +169,7 @@
         await until_true(lambda: versions(told) == {2})
 
 
-def follower() -> tuple[Sharing, list[bytes]]:
+def follower(opts: StoreOptions | None = None) -> tuple[Sharing, list[bytes]]:
     """Returns the sharing of an instance that follows `k` and has the state of revision 10."""
     sent: list[bytes] = []
 
@@ -177,16 +177,17 @@
         sent.append(frame)
         return True
 
-    sharing = Sharing("me", StoreOptions(), lambda: ["k"], send)
+    sharing = Sharing("me", opts or StoreOptions(), lambda: ["k"], send)
     sharing.add(KIND, lambda change: True, lambda: None)
     sharing.feed(KIND).listed([], 10)
     sharing._ask()
     return sharing, sent
 
 
-def message(since: int, as_of: int) -> Told:
+def message(since: int, as_of: int, age: float = 0.0) -> Told:
     """Returns an answer to the first word of `follower`."""
-    return Told("k", KINDS.index(KIND), since, as_of, 0, False, False, [], answers=1)
+    age_ms = int(age * 1000)
+    return Told("k", KINDS.index(KIND), since, as_of, age_ms, False, False, [], answers=1)
 
 
 @pytest.mark.parametrize(("since", "lately"), [(10, True), (8, True), (12, False)])
@@ -212,16 +213,25 @@
     assert len(sent) == before
 
 
-@pytest.mark.parametrize(("relied_on", "returns"), [(True, 1), (False, 0)])
+@pytest.mark.parametrize(
+    ("relied_on", "age", "returns"),
+    [
+        (True, LAPSE, 1),
+        (True, LAPSE - 0.5, 0),  # In less time no entry lapses: what is removed, is gone.
+        (True, 0.0, 0),
+        (False, LAPSE, 0),
+    ],
+)
 def test_only_what_a_keeper_was_relied_on_for_may_have_been_missed(
-    relied_on: bool, returns: int
+    relied_on: bool, age: float, returns: int
 ) -> None:
-    sharing, _ = follower()
+    # A bound that lets a follower rely on knowledge of that age.
+    sharing, _ = follower(StoreOptions(obeyed=ObeyedOptions(endpoints=2 * LAPSE)))
     returned: list[Kinds] = []
     for kind in sharing.kinds():
         sharing._kinds[kind].store_returned = lambda kind=kind: returned.append(kind)  # type: ignore[misc]
     if relied_on:
-        sharing.told(message(10, 12))
+        sharing.told(message(10, 12, age))
     away = Told("k", KINDS.index(KIND), 12, 12, 0, True, False, [])
     sharing.told(away)
     sharing.store_answered(KIND, False)
