Sight: what is missing after an outage is logged when it is noted, with how long it is kept

Cause: the two hypotheses that are left (too old a keeper, a missing entry kept too long) could be told apart only by the reason of the last line, endpoint_gone; when the entry was found missing, for how long it would be kept and how long it was used showed nowhere, and explain left it out. The tests' world takes options of the store; cut_from_store stands once. Behaviour is unchanged; tests of sharing and explain pass.

--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
@@ -16,7 +16,9 @@
 _PAIR: Final = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 
 # Events that say something of an endpoint to all its requests.
-ENDPOINT_EVENTS: Final = frozenset({"endpoint_state", "endpoint_gone", "endpoint_unreachable"})
+ENDPOINT_EVENTS: Final = frozenset(
+    {"endpoint_state", "endpoint_missing", "endpoint_gone", "endpoint_unreachable"}
+)
 
 # Sentences by the event that ended a request, and its reason where that tells more.
 CAUSES: Final[dict[tuple[str, str], str]] = {
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
@@ -131,7 +131,9 @@
         if record is None:
             return
         if now < self._tentative_until and record.state is EndpointState.READY:
-            self._missing.setdefault(endpoint, now)
+            if endpoint not in self._missing:
+                self._missing[endpoint] = now
+                log("endpoint_missing", endpoint=endpoint, kept_for=self._tentative_until - now)
             return
         self._drop(endpoint, "removed")
 
@@ -155,10 +157,11 @@
             self._drop(endpoint, "missing_after_outage")
 
     def _drop(self, endpoint: str, reason: str) -> None:
-        self._missing.pop(endpoint, None)
+        missing = self._missing.pop(endpoint, None)
         record = self._records.pop(endpoint, None)
         if record is None:
             return
         self._by_service[record.service].pop(endpoint, None)
-        log("endpoint_gone", endpoint=endpoint, service=record.service, reason=reason)
+        kept = 0.0 if missing is None else monotonic() - missing
+        log("endpoint_gone", endpoint=endpoint, service=record.service, reason=reason, kept=kept)
         self.on_gone(endpoint)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -105,6 +105,7 @@
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
     sent: int = 0
     peer_port: int = 0
+    store_options: StoreOptions = STORE
 
     async def add_replica(self, replica: Replica) -> Replica:
         """Starts a replica and enters it into the list."""
@@ -128,7 +129,7 @@
             unready_noticed=0.3,
             retries=RetryOptions(allowance=100.0),
             holding=HOLDING,
-            store=STORE,
+            store=self.store_options,
         )
         opts = replace(opts, seeds=tuple(f"127.0.0.{n}:1" for n in (10, 11, 12)))
         node = Node(opts, DIALECT, Store(self.store.address))
@@ -214,12 +215,12 @@
 
 
 @asynccontextmanager
-async def world(nodes: int = 1) -> AsyncIterator[World]:
+async def world(nodes: int = 1, store: StoreOptions = STORE) -> AsyncIterator[World]:
     """Makes a deployment of one engine, one plain endpoint and some gateways."""
-    store = StoreStandIn()
-    await store.start()
-    await store.put("config", "main", configuration())
-    found = World(store, peer_port=free_port("127.0.0.10"))
+    standin = StoreStandIn()
+    await standin.start()
+    await standin.put("config", "main", configuration())
+    found = World(standin, peer_port=free_port("127.0.0.10"), store_options=store)
     await found.add_replica(Replica("llm", model="m", name="i-llm"))
     await found.add_replica(Replica("desk", name="i-desk"))
     try:
@@ -232,7 +233,15 @@
         await asyncio.gather(*found.tasks, return_exceptions=True)
         for replica in found.replicas:
             await replica.stop()
-        await store.stop()
+        await standin.stop()
+
+
+def cut_from_store(node: Node) -> str:
+    """Makes the store unreachable for an instance; returns where it was."""
+    client = node._store._store
+    address: str = client._base  # type: ignore[attr-defined]
+    client._base = "http://127.0.0.1:1/nowhere"  # type: ignore[attr-defined]
+    return address
 
 
 def decoded(body: bytes) -> Any:
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from gateway_world import World, configuration, until_true, world
+from gateway_world import World, configuration, cut_from_store, until_true, world
 from standins.store import Trouble
 from wigeonarch_gateway.messages import Follow, Told, Untold
 from wigeonarch_gateway.node import Node
@@ -43,10 +43,6 @@
     return {0 if table is None else table.version for table in tables}
 
 
-def cut_from_store(node: Node) -> None:
-    node._store._store._base = "http://127.0.0.1:1/nowhere"  # type: ignore[attr-defined]
-
-
 def asked(node: Node) -> int:
     """Returns how often an instance has asked the store what changed, or what is so."""
     return node._store.calls["watch"] + node._store.calls["list"]
