A call without any answer casts doubt on the watches beside it

One that was silent for half a second just after a watch began could use a leaving endpoint for 0.6 s too long. Not for refusals (429, 503), which are answers: the other watches may go on, and asking again would cost a call each. Change: a call without any answer makes the kinds whose watches wait be listed at once. The sums after an outage are a test over the bounds of small, grown and large deployments, from settings and constants. Before: the new test fails (the kinds beside it are never listed).

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
@@ -4,6 +4,12 @@
 A watch waits briefly, so that a connection that went silent for good is noticed within the wait and
 a margin; the call is then made anew on another connection. When the history that a watch needs is
 gone, or a call was lost, the kind is listed. A configuration never goes back to an older version.
+
+A call without any answer casts doubt on the watches beside it, which may wait in vain for as long
+as they were to: those kinds are listed at once. So a way to the store that was silent for a moment
+is noticed for all kinds by the shortest wait, `watch_configuration`, and a margin; with the list
+that follows they take less than the time with a way to the store after which this instance must
+act on what the store accepted (`StoreOptions.contact`).
 """
 
 from __future__ import annotations
@@ -18,6 +24,7 @@
 
 from wigeonarch_gateway.options import StoreOptions
 from wigeonarch_gateway.ports import (
+    Changes,
     HistoryGone,
     Kinds,
     Listing,
@@ -50,9 +57,10 @@
 class StoreState:
     """Whether the store answers this instance's watches."""
 
-    __slots__ = ("_away",)
+    __slots__ = ("_away", "_silenced")
 
     def __init__(self) -> None:
+        self._silenced = asyncio.Event()
         self._away: set[Kinds] = set()
 
     def reachable(self, kind: Kinds) -> None:
@@ -61,11 +69,18 @@
             self._away.discard(kind)
             log("store_back", kind=kind.value)
 
-    def unreachable(self, kind: Kinds, reason: str) -> None:
-        """Notes a call without an answer."""
+    def unreachable(self, kind: Kinds, result: Unavailable) -> None:
+        """Notes a call that failed."""
         if kind not in self._away:
             self._away.add(kind)
-            log("store_lost", "WARNING", kind=kind.value, reason=reason)
+            log("store_lost", "WARNING", kind=kind.value, reason=result.reason)
+        if not result.undone:
+            self._silenced.set()
+            self._silenced = asyncio.Event()
+
+    async def silenced(self) -> None:
+        """Waits until a call got no answer; one that was refused got one."""
+        await self._silenced.wait()
 
     @property
     def away(self) -> bool:
@@ -94,9 +109,12 @@
             await asyncio.sleep(min(TOLD_LOOK, told_for))
             continue
         pause, wait = sharing.watch_times(kind, watched.gather, watched.wait)
-        result = await store.watch(kind, since, wait)
+        result = await _watch(store, state, kind, since, wait)
+        if result is None:
+            gone = True
+            continue
         if isinstance(result, Unavailable):
-            state.unreachable(kind, result.reason)
+            state.unreachable(kind, result)
             sharing.store_lost(kind)
             await asyncio.sleep(_pause(opts, sharing, failures))
             failures += 1
@@ -115,6 +133,20 @@
             await asyncio.sleep(pause)
 
 
+async def _watch(
+    store: ObjectStore, state: StoreState, kind: Kinds, since: int, wait: float
+) -> Changes | HistoryGone | Unavailable | None:
+    """Returns what a watch told; None when another call got no answer meanwhile."""
+    call = asyncio.ensure_future(store.watch(kind, since, wait))
+    silenced = asyncio.ensure_future(state.silenced())
+    try:
+        await asyncio.wait((call, silenced), return_when=asyncio.FIRST_COMPLETED)
+        return call.result() if call.done() else None
+    finally:
+        call.cancel()
+        silenced.cancel()
+
+
 def _pause(opts: StoreOptions, sharing: Sharing, failures: int) -> float:
     """Returns the seconds until a call that failed is made again.
 
@@ -132,7 +164,7 @@
     asked = monotonic()
     result = await store.list(kind)
     if not isinstance(result, Listing):
-        state.unreachable(kind, result.reason)
+        state.unreachable(kind, result)
         sharing.store_lost(kind)
         return False
     state.reachable(kind)
--- a/tests/test_gateway_watching.py
+++ b/tests/test_gateway_watching.py
@@ -115,5 +115,62 @@
     assert set(store.waits) <= {OPTS.watch_configuration}
 
 
+class SilentWatches:
+    """A store whose watches wait for ever but for one kind's first, which fails at a word.
+
+    An instance was without the store for half a second, in which the answers to its watches were
+    lost. Each learned of it only when its own wait was over, at 4.1 s for endpoints, after which
+    the instance should have been up to date for 0.6 s.
+    """
+
+    def __init__(self, failure: Unavailable) -> None:
+        self.failure = failure
+        self.fail = asyncio.Event()
+        self.watching: list[Kinds] = []
+        self.listed: list[Kinds] = []
+
+    async def list(self, kind: Kinds, stale: bool = False) -> Any:
+        self.listed.append(kind)
+        return listing(10 + len(self.listed))
+
+    async def watch(self, kind: Kinds, since: int, wait: float) -> Any:
+        self.watching.append(kind)
+        if kind is KIND and not self.fail.is_set():
+            await self.fail.wait()
+            return self.failure
+        return await asyncio.get_running_loop().create_future()
+
+
+@pytest.mark.parametrize(
+    ("failure", "listed_again"),
+    [
+        (Unavailable("TimeoutError"), {KIND, Kinds.ENDPOINTS, Kinds.VERSIONS}),
+        # A refusal is an answer: the other watches may go on.
+        (Unavailable("status 503", undone=True), {KIND}),
+    ],
+)
+async def test_a_call_without_an_answer_casts_doubt_on_the_watches_beside_it(
+    failure: Unavailable, listed_again: set[Kinds]
+) -> None:
+    store, state = SilentWatches(failure), StoreState()
+    sharing = Sharing("me", OPTS, lambda: ["me"], lambda name, frame: True, contact())
+    tasks = []
+    for kind in Kinds.CONFIGURATION, Kinds.ENDPOINTS, Kinds.VERSIONS:
+        sharing.add(kind, lambda change: True)
+        watched = Watched(kind, lambda objects: None, 100.0)
+        duty = keep_watching(store, state, OPTS, sharing, watched)  # type: ignore[arg-type]
+        tasks.append(asyncio.create_task(duty))
+    async with asyncio.timeout(10.0):
+        while len(store.watching) < 3:  # noqa: ASYNC110 - outside.
+            await asyncio.sleep(0)
+        store.listed.clear()
+        store.fail.set()
+        while len(store.watching) < 3 + len(listed_again):  # noqa: ASYNC110 - outside.
+            await asyncio.sleep(0)
+    for task in tasks:
+        task.cancel()
+    assert set(store.listed) == listed_again
+
+
 def test_a_configuration_is_asked_for_within_the_time_in_which_it_must_be_in_force() -> None:
     assert OPTS.watch_configuration < 2.0
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -8,6 +8,7 @@
 import pytest
 from wigeonarch_core.engine_places import AdapterKey
 from wigeonarch_core.routes import Kind, Share
+from wigeonarch_gateway.node import STILL_SENT
 from wigeonarch_gateway.ports import (
     AnswerHead,
     Dispatch,
@@ -17,8 +18,10 @@
     StoredObject,
     Verdict,
 )
+from wigeonarch_gateway.sharing import OWN_CALL
 from wigeonarch_platform import dialect, records
 from wigeonarch_platform.settings import BadSettings, read_settings
+from wigeonarch_platform.store import WATCH_MARGIN
 
 GOOD = {
     "node_name": "edge-1",
@@ -51,6 +54,21 @@
     assert (opts.store.watch, opts.store.gather) == pytest.approx((3.5, 0.9))
 
 
+@pytest.mark.parametrize(("contact_ms", "drain_ms"), [(3000, 2000), (4000, 3000), (5000, 4000)])
+def test_waits_after_an_outage_fit_the_time_in_which_an_instance_must_be_up_to_date(
+    contact_ms: int, drain_ms: int
+) -> None:
+    bounds = {"bounds__contact_ms": str(contact_ms), "bounds__drain_ms": str(drain_ms)}
+    store = read_settings(text(**bounds)).options.store
+    assert store.contact == contact_ms / 1000
+    # A silent way to the store, noticed by the shortest wait, and the lists that follow.
+    assert store.watch_configuration + WATCH_MARGIN + OWN_CALL < store.contact
+    # A refused call, the longest pause after it, and the list that follows.
+    assert store.retry_most + OWN_CALL < store.contact
+    # What is missing: a keeper's notice, the time to come back, and requests under way.
+    assert store.retry + store.returned + STILL_SENT <= store.contact
+
+
 @pytest.mark.parametrize(
     ("changes", "named"),
     [
