Read as a newcomer: constants of the contact explained, who witnesses an outage has its table

No behaviour changes. The start of the last failed call and the time before all times say what they are; Members.contacts reads in one pass, and its three cases (the zone's own, another's, one without instances) are a test table.

--- a/packages/wigeonarch-core/src/wigeonarch_core/store_contact.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/store_contact.py
@@ -21,8 +21,9 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Final
 
-NEVER = float("-inf")
+NEVER: Final = float("-inf")  # Before all times.
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +67,7 @@
         self._until = NEVER
         self._before = NEVER  # Last answer before the last outage.
         self._reached = NEVER  # Earliest time at which the way may have been back after it.
-        self._tried = NEVER
+        self._tried = NEVER  # Start of the last call that failed.
 
     def answered(self, at: float) -> None:
         """Notes an answer of the store, as of a time."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -253,11 +253,11 @@
         Those are the zone's other instances, also ones that are not heard any more: what they said
         of the past holds. Where a zone has no instance, all others speak for it.
         """
-        found = [member for member in self._members.values() if member.contact is not None]
-        nearby = [member for member in found if member.zone == zone]
-        if not nearby and zone != self._opts.zone:
-            nearby = found
-        return [member.contact for member in nearby if member.contact is not None]
+        told = [(m.zone, m.contact) for m in self._members.values() if m.contact is not None]
+        nearby = [contact for where, contact in told if where == zone]
+        if nearby or zone == self._opts.zone:
+            return nearby
+        return [contact for _, contact in told]
 
     def uses(self, endpoint: str) -> set[AdapterName]:
         """Returns the adapters that other instances use at an endpoint held here."""
@@ -508,6 +508,7 @@
 
 
 def _contact_of(beat: Beat, now: float) -> Contact | None:
+    """Returns the sender's contact with the store by this instance's clock."""
     if beat.contact_ms is None:
         return None
     return Contact(now - beat.contact_ms / 1000, now - beat.answered_ms / 1000)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -324,6 +324,7 @@
         )
 
     def _may_lapse_until(self, zone: str) -> float:
+        """Returns the time until which a missing entry of a zone may be one that lapsed."""
         return self._contact.may_lapse_until(self._members.contacts(zone))
 
     def _gone(self, endpoint: str) -> None:
--- a/tests/test_gateway_members.py
+++ b/tests/test_gateway_members.py
@@ -56,6 +56,29 @@
     return Beat(name, "boot", "127.0.0.1:9", zone, leaving, 5, left, [], [])
 
 
+@pytest.mark.parametrize(
+    ("zone", "heard", "witnesses"),
+    [
+        ("a", {"near": "a", "far": "b"}, ["near"]),
+        ("b", {"near": "a", "far": "b"}, ["far"]),
+        ("c", {"near": "a", "far": "b"}, ["near", "far"]),  # No instance lives there.
+        ("a", {"far": "b"}, []),  # Of the own zone nobody else can tell.
+    ],
+)
+def test_who_would_have_shared_an_outage_of_a_zone(
+    members: Members, clock: Clock, zone: str, heard: dict[str, str], witnesses: list[str]
+) -> None:
+    since = {}
+    for number, (name, where) in enumerate(heard.items()):
+        said = beat(name, zone=where)
+        said.contact_ms, said.answered_ms = 5000 + number, 700
+        since[name] = clock.now - said.contact_ms / 1000
+        members.beat(said)
+    members.beat(beat("started", zone=zone))  # It has had no answer yet.
+    clock.now += 60.0  # What they said of the past holds.
+    assert [contact.since for contact in members.contacts(zone)] == [since[n] for n in witnesses]
+
+
 def lease(name: str, revision: int, zone: str = "a") -> StoredObject:
     return StoredObject(name, revision, {"address": "127.0.0.1:9", "zone": zone})
 
