--- a/packages/wigeonarch-entry/src/wigeonarch_entry/configuration.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/configuration.py
@@ -105,6 +105,7 @@
         "_newest",
         "_notify",
         "_platform",
+        "_refused",
         "_snapshots",
         "_zone",
         "replica",
@@ -129,6 +130,7 @@
         self._list_grace = LIST_GRACE * timing.list_interval
         self._newest = 0
         self._behind_since: float | None = None
+        self._refused: Reason | None = Reason.NO_CONFIGURATION
         self._accepted = 0
 
     @property
@@ -326,8 +328,19 @@
     def _heard_of(self, number: int) -> None:
         self._newest = max(self._newest, number)
 
+    def _note_right(self) -> Reason | None:
+        """Returns why nothing may be served now, and logs when that changes."""
+        refused = self.refusal()
+        if refused is not self._refused:
+            self._refused = refused
+            leased = self._membership.period.holds(monotonic())
+            reason = "" if refused is None else refused.value
+            log("may_not_serve" if reason else "may_serve", reason=reason, leased=leased)
+        return refused
+
     def _due(self) -> bool:
         """Tells whether the log is to be read again."""
+        refused = self._note_right()
         now = monotonic()
         is_behind = self._newest > self.catalogue.applied or self.replica.has_gap
         if not is_behind:
@@ -335,7 +348,7 @@
         elif self._behind_since is None:
             self._behind_since = now
         patient = self._behind_since is None or now < self._behind_since + BEHIND_PATIENCE
-        return not patient or self.refusal() is Reason.NOT_CAUGHT_UP
+        return not patient or refused is Reason.NOT_CAUGHT_UP
 
 
 def _maybe_written(message: str = MAYBE_WRITTEN) -> ChangeReply:
