--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
@@ -22,10 +22,11 @@
 # Instances of a zone up to which each speaks, watches and orders for itself: what keepers spare
 # grows with the zone, and is little there.
 LARGE_ZONE: Final = 6
+LIST_RARELY: Final = 15.0  # The same by an instance that is no keeper.
 # Seconds since an instance's lease was seen to change in which it may hand messages on: those that
-# rest renew each 10 s, and the leases are read each 5 s.
-RELAY_SEEN: Final = 20.0
-PRESENT: Final = 30.0  # The same until an instance counts no more.
+# rest renew each 25 s, and the leases are read each 15 s.
+RELAY_SEEN: Final = 45.0
+PRESENT: Final = 60.0  # The same until an instance counts no more.
 
 
 @dataclass(slots=True)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
@@ -74,6 +74,10 @@
         """Returns all endpoints, leaving ones included."""
         return list(self._records.values())
 
+    def is_missing(self, endpoint: str) -> bool:
+        """Tells whether an endpoint is kept although its entry is missing."""
+        return endpoint in self._missing
+
     def ready(self, service: str) -> list[EndpointRecord]:
         """Returns the endpoints of a service that take new work."""
         found = self._by_service.get(service, {})
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/feeding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/feeding.py
@@ -36,18 +36,33 @@
         self._kept: deque[tuple[int, Change]] = deque()
         self._floor = 0
 
-    def listed(self, objects: Iterable[StoredObject], as_of: int) -> bool:
+    def listed(self, objects: Sequence[StoredObject], as_of: int) -> list[Change] | None:
         """Takes over a whole list.
 
         Returns:
-            Whether it counts; one that is older than the state does not.
+            What differs from the state before, none of it at the first list; None when the list
+            does not count, as it is older than the state.
         """
-        if self.as_of is not None and as_of < self.as_of:
-            return False
+        before = self.as_of
+        if before is not None and as_of < before:
+            return None
+        changes = self._differences(objects, as_of) if before is not None else []
         self._known = {found.name: found.revision for found in objects}
-        self._kept.clear()
-        self._floor = self.as_of = as_of
-        return True
+        self.as_of = as_of
+        if before is None:
+            self._floor = as_of
+        return changes
+
+    def _differences(self, objects: Sequence[StoredObject], as_of: int) -> list[Change]:
+        """Returns the changes that lead from the state to a list; peers need no list then."""
+        left = self._known.keys() - {found.name for found in objects}
+        removed = [Change(StoredObject(name, as_of, None), True) for name in sorted(left)]
+        put = [
+            Change(found, False)
+            for found in objects
+            if found.revision > self._known.get(found.name, 0)
+        ]
+        return removed + put
 
     def take(self, changes: Sequence[Change], since: int, as_of: int) -> list[Change] | None:
         """Takes over what changed from one revision to another.
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
@@ -78,6 +78,7 @@
     __slots__ = (
         "_around",
         "_engines",
+        "_had_holder",
         "_held",
         "_leasing",
         "_me",
@@ -123,6 +124,7 @@
         self._held: dict[str, Held] = {}
         self._started = monotonic()
         self._own: set[str] = set()  # Engines held at the last stop of this instance.
+        self._had_holder: set[str] = set()  # Engines with a holder object at the start, or since.
         self._read: dict[str, float] = {}  # Times of the last reads of holder objects.
         self._resumed = False
         self.leaving = False
@@ -182,8 +184,11 @@
                 await self._claim(record, spec)
 
     async def _find_own(self) -> None:
-        """Reads once, at the start, which engines this instance held before."""
-        found = await self._store.list(Kinds.HOLDERS)
+        """Reads once, at the start, which engines this instance held before.
+
+        The list may be some seconds old: each claim reads its holder anew.
+        """
+        found = await self._store.list(Kinds.HOLDERS, stale=True)
         if isinstance(found, Listing):
             holders = {one.name: read_holder(one) for one in found.objects}
             self._own = {
@@ -191,6 +196,7 @@
                 for name, holder in holders.items()
                 if holder is not None and holder.holder == self._me
             }
+            self._had_holder = set(holders)
             self._resumed = True
 
     def _concerns(self, record: EndpointRecord) -> bool:
@@ -218,7 +224,7 @@
     async def _claim(self, record: EndpointRecord, spec: EngineSpec) -> None:
         endpoint = record.endpoint
         self._read[endpoint] = monotonic()
-        found = await self._store.get(Kinds.HOLDERS, endpoint)
+        found = await self._find_holder(endpoint)
         if isinstance(found, Unavailable):
             return
         holder = None
@@ -250,6 +256,17 @@
             log("endpoint_lost_to", endpoint=endpoint, holder=holder.holder if holder else "")
             await self._drop(endpoint)
 
+    async def _find_holder(self, endpoint: str) -> StoredObject | Absent | Unavailable:
+        """Returns the holder object of an engine.
+
+        One that was never seen to exist is taken as absent once: what is written then is made only
+        if that is so, which the store decides.
+        """
+        if endpoint not in self._had_holder:
+            self._had_holder.add(endpoint)
+            return Absent()
+        return await self._store.get(Kinds.HOLDERS, endpoint)
+
     def _may_take(self, wanted: Claim) -> bool:
         """Tells whether the own lease has held long enough for a takeover to be safe."""
         return not wanted.pause or self._leasing.lease.settled(monotonic())
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/intake.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/intake.py
@@ -80,6 +80,7 @@
         told to eight followers would take 100 KB/s of a keeper's link.
         """
         if change.deleted:
+            self._unreadable.pop(change.found.name, None)
             self._endpoints.removed(change.found.name, monotonic())
             return True
         record = self._decode(change.found)
@@ -87,9 +88,11 @@
             self._endpoints.unreadable(change.found.name)
             return True
         before = self._endpoints.get(record.endpoint)
+        # Followers were told that it is missing: they must hear that it is back.
+        missed = self._endpoints.is_missing(record.endpoint)
         if self._endpoints.put(record):
             self._first_seen(record)
-        return before is None or replace(before, models=record.models) != record
+        return missed or before is None or replace(before, models=record.models) != record
 
     def _decode(self, found: StoredObject) -> EndpointRecord | None:
         try:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 from typing import Final
 
 from wigeonarch_core.lease import HeldLease
@@ -27,7 +27,7 @@
 UNANSWERED: Final = 0.3
 # Seconds between renewals by an instance that orders nothing: others find its address by the lease,
 # and it is that of a process that lives.
-RESTING_RENEWAL: Final = 10.0
+RESTING_RENEWAL: Final = 25.0
 
 
 class Leasing:
@@ -42,6 +42,7 @@
         "_count",
         "_held",
         "_incarnation",
+        "_last_seen",
         "_name",
         "_needed",
         "_opts",
@@ -66,6 +67,7 @@
         plead: Callable[[RenewalPlea], None],
         rivals: Callable[[], Collection[str]],
         needed: Callable[[], bool],
+        last_seen: Callable[[], Awaitable[int]],
     ) -> None:
         """Makes a lease that does not hold yet.
 
@@ -79,6 +81,7 @@
             plead: Sends a plea to all peers.
             rivals: Returns the instances that could take over from this one.
             needed: Tells whether this instance orders endpoints, or may have to.
+            last_seen: Returns the revision of the lease by a list that may be old; 0 without one.
         """
         self._store = store
         self._opts = opts
@@ -89,6 +92,7 @@
         self._plead = plead
         self._rivals = rivals
         self._needed = needed
+        self._last_seen = last_seen
         self._promises = PromisesHeld(opts.term)
         self._count = 0
         self._revision = 0
@@ -102,6 +106,7 @@
         While it is of no use, it is renewed only now and then, for its address.
         """
         began = float("-inf")
+        self._revision = await self._last_seen()
         while True:
             if not self._needed() and monotonic() - began < RESTING_RENEWAL:
                 await asyncio.sleep(self._opts.renewal / 4)
@@ -161,9 +166,7 @@
         self._plead(RenewalPlea(self._name, self._incarnation, number))
 
     async def _renew(self) -> bool:
-        """Renews the lease; a revision that is not known, or was wrong, is read first."""
-        if not self._revision and not await self._read_back():
-            return False
+        """Renews the lease; a revision that was wrong is read, and the lease written again."""
         if await self._write():
             return True
         return self._outpaced and await self._read_back() and await self._write()
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import random
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
@@ -19,16 +20,25 @@
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
 
-from wigeonarch_gateway.directory import GONE, LARGE_ZONE, LIST_EVERY, Directory
+from wigeonarch_gateway.directory import (
+    GONE,
+    LARGE_ZONE,
+    LIST_EVERY,
+    LIST_RARELY,
+    PRESENT,
+    Directory,
+)
 from wigeonarch_gateway.engineviews import to_adapter
-from wigeonarch_gateway.links import Links
+from wigeonarch_gateway.links import Links, is_address
 from wigeonarch_gateway.messages import (
     Beat,
+    Introduction,
     LoadShare,
     Message,
     Relay,
     RenewalPlea,
     Uses,
+    WhoIsThere,
     encode,
 )
 from wigeonarch_gateway.metrics import Metrics
@@ -55,15 +65,23 @@
 # Seconds without a sign of life of any instance of an availability zone, before others order its
 # endpoints.
 ZONE_EMPTY: Final = 15.0
+FIRST_LOOK: Final = 0.5  # Seconds for which the first look at the leases is waited for.
 LIST_YOUNG: Final = 2.0  # Seconds after the start in which leases are read five times as often.
 KEEPERS_LEAST: Final = 3  # Keepers of a large zone, at least, so that two may be lost at once.
-ZONE_PER_KEEPER: Final = 8  # Instances of a zone per keeper of it.
+ZONE_PER_KEEPER: Final = 16  # Instances of a zone per keeper of it.
+# Seconds without an answer of the store, by what its heartbeats say, after which a keeper comes
+# last among those that may watch for the others. One that follows another keeper stays below it.
+OUT_OF_CONTACT: Final = 5.0
 # Seconds after its start in which an instance makes itself known to all.
 KNOWN_AFTER: Final = 4.0
 KEEPERS_KEY: Final = "keepers"
+# Seconds after its start in which an instance hears from a seed, if one lives.
+INTRODUCED: Final = 0.4
 # Seconds after its own start in which an instance finds those that started with it.
 START_TOGETHER: Final = 2.5
-FORGET_ADDRESS: Final = 30.0  # Seconds without a heartbeat until an address is given up.
+# Seconds without a heartbeat or a changed lease until an address is given up: those of other large
+# zones are known by their leases only.
+FORGET_ADDRESS: Final = PRESENT
 
 
 @dataclass(slots=True)
@@ -102,6 +120,7 @@
         "_incarnation",
         "_lease",
         "_links",
+        "_looked",
         "_members",
         "_metrics",
         "_on_lease",
@@ -153,6 +172,7 @@
         self._lease = lease
         self._on_lease = on_lease
         self._directory = Directory()
+        self._looked = asyncio.Event()
         self._started = monotonic()
         self._held_by = held_by
         self._on_started = on_started
@@ -167,8 +187,12 @@
 
     def seeds(self, seeds: Sequence[str]) -> None:
         """Takes the hosts of some instances; all use the same port for messages."""
-        for seed in seeds:
-            self._know(f"{seed.rpartition(':')[0]}:{self._opts.peer_port}")
+        for address in self._seeds(seeds):
+            self._know(address)
+
+    def _seeds(self, seeds: Sequence[str]) -> list[str]:
+        hosts = [seed.rpartition(":")[0] for seed in seeds]
+        return [f"{host}:{self._opts.peer_port}" for host in hosts]
 
     def heard(self) -> list[str]:
         """Returns the instances heard lately, without this one."""
@@ -226,19 +250,46 @@
         All instances of a small zone are; of a larger one a few, so that calls to the store don't
         grow with its size. A rendezvous hash changes at most one as an instance comes or goes.
         """
-        nearby = {n for n in self.heard() if self._serves_zone(self._members[n])}
-        mine = set() if self.leaving else {self._opts.instance}
-        present = nearby | mine
+        present = self._present()
         if len(present) <= LARGE_ZONE:
             return sorted(present)
         names = self._settled(present, START_TOGETHER) or present
         most = max(KEEPERS_LEAST, math.ceil(len(present) / ZONE_PER_KEEPER))
         return ranked(KEEPERS_KEY, sorted(names))[:most]
 
+    def watchers(self) -> list[str]:
+        """Returns who may watch the store for the zone, best first; nobody in a small zone.
+
+        These are the keepers, those last that are said to be without the store.
+        """
+        if len(self._present()) <= LARGE_ZONE:
+            return []
+        return sorted(self.keepers(), key=self._is_out_of_contact)
+
+    def _is_out_of_contact(self, name: str) -> bool:
+        mine = name == self._opts.instance
+        contact = self._contact.contact() if mine else self._members[name].contact
+        return contact is None or monotonic() - contact.until > OUT_OF_CONTACT
+
+    def is_alone(self) -> bool:
+        """Tells whether the own zone seems small, so that each instance watches for itself.
+
+        Seeds and leases tell of the others; until they had the time to, nobody seems alone.
+        """
+        nearby = sum(zone == self._opts.zone for zone in self._zones.values())
+        if nearby >= LARGE_ZONE or self._directory.is_large(self._opts.zone):
+            return False
+        return monotonic() - self._started >= INTRODUCED
+
     def is_keeper(self) -> bool:
         """Tells whether this instance is one of them."""
         return self._opts.instance in self.keepers()
 
+    def _present(self) -> set[str]:
+        """Returns the instances of the zone that stay."""
+        nearby = {n for n in self.heard() if self._serves_zone(self._members[n])}
+        return nearby if self.leaving else nearby | {self._opts.instance}
+
     def _serves_zone(self, member: Member) -> bool:
         return member.zone == self._opts.zone and not member.leaving
 
@@ -380,6 +431,7 @@
         """Sends heartbeats; runs until cancelled."""
         while True:
             self._set_pause()
+            self._ask_a_seed()
             self._beat_all()
             self._forget_silent()
             await asyncio.sleep(self.pause())
@@ -401,16 +453,60 @@
         return max(HEARD, HEARD_BEATS * self.pause())
 
     async def keep_finding(self, store: ObjectStore) -> None:
-        """Looks for instances in the store; runs until cancelled."""
+        """Looks for instances in the store; runs until cancelled.
+
+        Keepers look often, as they must know who could take over from them; the others only where
+        else to send what concerns all.
+        """
+        looked = float("-inf")
         while True:
-            found = await store.list(Kinds.LEASES, stale=True)
-            if isinstance(found, Listing):
-                self._leases_listed(found.objects)
-            else:
-                self._nothing_listed()
+            if self.is_keeper() or monotonic() - looked >= LIST_RARELY:
+                looked = monotonic()
+                await self._find(store)
             young = monotonic() - self._started < LIST_YOUNG
             await asyncio.sleep(LIST_EVERY / 5 if young else LIST_EVERY)
 
+    async def _find(self, store: ObjectStore) -> None:
+        found = await store.list(Kinds.LEASES, stale=True)
+        self._looked.set()
+        if isinstance(found, Listing):
+            self._leases_listed(found.objects)
+        else:
+            self._nothing_listed()
+
+    async def own_lease(self) -> int:
+        """Returns the revision of this instance's lease by the first look; 0 when it has none."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_LOOK):
+                await self._looked.wait()
+        entry = self._directory.entries.get(self._opts.instance)
+        return entry.revision if entry is not None else 0
+
+    def _ask_a_seed(self) -> None:
+        """Asks who is there; leases tell the same some seconds later, also without a seed."""
+        seeds = [seed for seed in self._seeds(self._opts.seeds) if seed != self._address]
+        if seeds and monotonic() - self._started < START_TOGETHER:
+            question = WhoIsThere(self._opts.instance, self._address, self._opts.zone)
+            self._links.send(random.choice(seeds), question)
+
+    def asked(self, question: WhoIsThere) -> None:
+        """Tells an instance that just started who else is in its zone."""
+        self._know(question.address, question.zone)
+        nearby = [
+            address
+            for address, zone in self._zones.items()
+            if zone == question.zone and address != question.address
+        ]
+        if question.zone == self._opts.zone:
+            nearby.append(self._address)
+        self._links.send(question.address, Introduction(question.zone, nearby))
+
+    def introduced(self, introduction: Introduction) -> None:
+        """Takes over the addresses of instances, of which the heartbeats will tell the rest."""
+        for address in introduction.addresses:
+            if is_address(address):
+                self._know(address, introduction.zone)
+
     def _leases_listed(self, leases: Iterable[StoredObject]) -> None:
         for entry in self._directory.listed(leases, monotonic()):
             self._know(entry.address, entry.zone)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import Any, Final
 
 import msgspec
@@ -207,6 +208,21 @@
     answers: int = 0
 
 
+class WhoIsThere(msgspec.Struct, array_like=True, tag="who"):
+    """The sender just started, at an address in an availability zone, and knows few others."""
+
+    sender: str
+    address: str
+    zone: str
+
+
+class Introduction(msgspec.Struct, array_like=True, tag="intro"):
+    """Addresses of the instances of an availability zone that the sender knows."""
+
+    zone: str
+    addresses: list[str]
+
+
 class Untold(msgspec.Struct, array_like=True, tag="untold"):
     """The sender can't tell of a kind from the receiver's revision on: the store must be asked."""
 
@@ -214,6 +230,12 @@
     kind: int
 
 
+class Packed(msgspec.Struct, array_like=True, tag="packed"):
+    """An encoded message, compressed."""
+
+    frame: bytes
+
+
 Message = (
     Beat
     | PlacesNews
@@ -227,21 +249,44 @@
     | Follow
     | Told
     | Untold
+    | WhoIsThere
+    | Introduction
 )
 
+# Bytes from which a frame is compressed: what fits into one packet is not worth the work. Long
+# frames repeat themselves (routes, endpoints), and one that goes to a whole zone at once would fill
+# its sender's link.
+PACK_FROM: Final = 1200
+PACK_LEVEL: Final = 1
+UNPACKED_BOUND: Final = 1_000_000  # Bytes of a message that is taken in.
+
 _encoder: Final = msgspec.msgpack.Encoder()
-_decoder: Final = msgspec.msgpack.Decoder(Message)
+_decoder: Final = msgspec.msgpack.Decoder(Message | Packed)
 
 
 def encode(message: Message) -> bytes:
-    """Returns the MessagePack form of a message."""
-    return _encoder.encode(message)
+    """Returns the MessagePack form of a message, compressed when it is long."""
+    frame = _encoder.encode(message)
+    if len(frame) < PACK_FROM:
+        return frame
+    return _encoder.encode(Packed(zlib.compress(frame, PACK_LEVEL)))
 
 
 def decode(frame: bytes) -> Message | None:
     """Returns the message in a frame, or None when it is not one that this version knows."""
     try:
-        decoded: Message = _decoder.decode(frame)
-    except msgspec.DecodeError:
+        decoded: Message | Packed = _decoder.decode(frame)
+        if isinstance(decoded, Packed):
+            decoded = _decoder.decode(_unpack(decoded.frame))
+    except (msgspec.DecodeError, zlib.error):
         return None
-    return decoded
+    return None if isinstance(decoded, Packed) else decoded
+
+
+def _unpack(packed: bytes) -> bytes:
+    """Returns what was compressed, cut off at the bound, so that a small frame can't fill memory.
+
+    Raises:
+        zlib.error: It is no compressed frame.
+    """
+    return zlib.decompressobj().decompress(packed, UNPACKED_BOUND)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 WAIT_BUCKETS: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 2.0, 5.0, 15.0)
+AGE_BUCKETS: Final = (0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 6.0, 10.0)
 
 
 class Metrics:
@@ -55,6 +56,13 @@
             buckets=WAIT_BUCKETS,
             registry=reg,
         )
+        self.knowledge_age = Histogram(
+            "wigeonarch_gateway_knowledge_age_seconds",
+            "Time since the store last vouched for what is known of a kind, at each look",
+            ["kind"],
+            buckets=AGE_BUCKETS,
+            registry=reg,
+        )
         self.load_wait = Histogram(
             "wigeonarch_gateway_load_wait_seconds",
             "Time that requests waited for an adapter",
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -31,6 +31,7 @@
 from wigeonarch_gateway.messages import (
     Beat,
     Follow,
+    Introduction,
     LoadWish,
     Message,
     PlacesNews,
@@ -42,6 +43,7 @@
     Told,
     Untold,
     Used,
+    WhoIsThere,
     decode,
 )
 from wigeonarch_gateway.metrics import Metrics
@@ -118,6 +120,7 @@
             lambda plea: self._members.plead(plea),
             lambda: self._members.rivals({opts.zone, *self._holders.zones()}),
             lambda: self._members.is_keeper() or bool(self._holders.held()),
+            lambda: self._members.own_lease(),
         )
         self._members = Members(
             opts,
@@ -137,9 +140,10 @@
         self._sharing = Sharing(
             opts.instance,
             opts.store,
-            self._members.keepers,
+            self._members.watchers,
             self._members.send_frame,
             self._contact,
+            self._members.is_alone,
         )
         self._intake.share(self._sharing)
         self._holders = Holders(
@@ -297,6 +301,8 @@
             if monotonic() - told >= VITALS_EVERY:
                 told = monotonic()
                 self._log_vitals()
+            for kind in self._sharing.kinds():
+                self._metrics.knowledge_age.labels(kind.value).observe(self._sharing.age(kind))
             self._endpoints.tick(monotonic())
             self._pools.trim()
             self._metrics.log_lines_dropped.set(dropped())
@@ -315,6 +321,9 @@
             in_progress=self._door.in_progress,
             configuration=table.version if table is not None else 0,
             store_away=self._state.away,
+            following=self._sharing.following,
+            followers=self._sharing.followers(),
+            age=max(self._sharing.age(kind) for kind in self._sharing.kinds()),
             loads_at_once=round(self._pace.at_once),
             load_time=self._pace.base,
             store_calls=",".join(f"{call}:{n}" for call, n in self._store.calls.items()),
@@ -377,6 +386,10 @@
                 self._sharing.told(message)
             case Untold():
                 self._sharing.untold(message)
+            case WhoIsThere():
+                self._members.asked(message)
+            case Introduction():
+                self._members.introduced(message)
 
     def _relay(self, relayed: Relay) -> None:
         inner = decode(relayed.frame)
@@ -412,7 +425,9 @@
         self._members.send(plea.sender, PromiseMade(self._opts.instance, plea.number))
 
     async def _renew_for(self, plea: RenewalPlea) -> None:
-        """Renews a peer's lease in its name."""
+        """Renews a peer's lease in its name, unless the store does not answer here either."""
+        if self._state.away:
+            return
         found = await self._store.get(Kinds.LEASES, plea.sender)
         lease = read_lease(found) if isinstance(found, StoredObject) else None
         if not isinstance(found, StoredObject) or lease is None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Final
+
+RETRY_MOST: Final = 1.6  # Seconds, where the time in which an instance must be up to date is short.
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +37,7 @@
 
     term: float = 4.5
     margin: float = 0.4
-    renewal: float = 1.6
+    renewal: float = 2.0
     pause: float = 3.3
 
 
@@ -73,7 +76,7 @@
     watch_configuration: float = 1.4
     gather: float = 0.9
     retry: float = 0.25
-    retry_most: float = 1.6
+    retry_most: float = RETRY_MOST
     returned: float = 2.2
     lapse: float = 3.0
     contact: float = 3.0
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -1,9 +1,10 @@
-"""Who watches the store for whom: a few instances of each availability zone tell the others.
+"""Who watches the store for whom: one instance of each large availability zone tells the others.
 
-In a large zone some instances (the keepers, see `Members.keepers`) watch the store
-and the rest follow one of them each: a follower says about each second what state it has, and is
-answered with what it lacks; news are sent on at once. A watch by each of 68 instances cost 1.6
-calls a second and instance.
+In a large zone one instance watches the store (the first of `Members.watchers`) and the rest
+follow it: a follower says about each second what state it has, and is answered with what it lacks;
+news are sent on at once. So what watching costs does not grow with the zone. The next ones stand
+by. They need no agreement: whoever is followed watches, and a follower whose keeper fell silent or
+lost the store turns to the next one at once.
 
 It is safe because a follower sends to an endpoint only while something vouches, within a stated
 age, that the endpoint had not begun to leave: its own watch, or its keeper's. The age counts from
@@ -17,6 +18,10 @@
 The left side is what a sound keeper reaches (`watch_times` fits its pause and wait), the right side
 what is relied on (`Sharing.told_for`). Without a keeper an instance watches the store itself, from
 the revision that it has. A lost message leaves a gap, which the next answer fills.
+
+An instance that just started has read lists that may be some seconds old. It has the time until it
+counts as up to date (`StoreOptions.contact`) to find its keeper, and rests meanwhile, so that many
+that start at once don't all watch.
 """
 
 from __future__ import annotations
@@ -27,7 +32,6 @@
 from dataclasses import dataclass
 from typing import Final
 
-from wigeonarch_core.homes import ranked
 from wigeonarch_core.store_contact import StoreContact
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
@@ -48,10 +52,14 @@
 WAIT_LEAST: Final = 0.2  # Seconds that a keeper's watch waits at least.
 # Seconds for which a follower is told of news after its last word.
 FOLLOWS: Final = 2.5
-# Seconds for which an instance that fell back watches for itself before it follows again, so that
-# a keeper that answers now and then is not gone back to each time.
+# Seconds for which a keeper that failed is not followed again, so that one that answers now and
+# then is not gone back to each time.
 ALONE: Final = 3.0
+# Seconds after the start in which an instance may rest without a keeper. It must be up to date
+# `StoreOptions.contact` and a bound after its start.
+FINDING: Final = 2.8
 KINDS: Final = tuple(Kinds)
+NEVER: Final = float("-inf")  # Before all times.
 
 
 @dataclass(slots=True)
@@ -62,7 +70,7 @@
         feed: The state.
         apply: Called with each change that is news; returns whether followers need it, too.
         answered: Time at which the own watch last brought the state up to date.
-        away: Whether the own watch is without an answer.
+        away: Whether the own watch is without an answer, and no keeper vouched since.
         told: Time of the last answer of the keeper.
         vouched: Time up to which the keeper vouches for the state.
         bound: Seconds within which a change must be in force here.
@@ -71,10 +79,10 @@
     feed: Feed
     apply: Callable[[Change], bool]
     bound: float
-    answered: float = float("-inf")
+    answered: float = NEVER
     away: bool = False
-    told: float = float("-inf")
-    vouched: float = float("-inf")
+    told: float = NEVER
+    vouched: float = NEVER
 
 
 class Sharing:
@@ -85,16 +93,18 @@
     """
 
     __slots__ = (
-        "_alone_until",
         "_asked",
         "_asked_at",
         "_contact",
         "_followers",
+        "_is_alone",
         "_keepers",
         "_kinds",
+        "_left",
         "_me",
         "_opts",
         "_send",
+        "_started",
         "following",
     )
 
@@ -105,15 +115,17 @@
         keepers: Callable[[], Sequence[str]],
         send: Callable[[str, bytes], bool],
         contact: StoreContact,
+        is_alone: Callable[[], bool] = lambda: True,
     ) -> None:
         """Makes the sharing of no kinds.
 
         Args:
             me: Name of this instance.
             opts: Times of the watches.
-            keepers: Returns the keepers of the own zone.
+            keepers: Returns who may watch for the own zone, best first; none in a small zone.
             send: Sends an encoded message to an instance.
             contact: What is noted of the store's answers to the keeper.
+            is_alone: Tells whether the own zone is known to need no keeper.
         """
         self._me = me
         self._opts = opts
@@ -125,7 +137,9 @@
         self.following = ""
         self._asked = 0
         self._asked_at: dict[int, float] = {}  # Times of the last words to the keeper.
-        self._alone_until = float("-inf")
+        self._left: dict[str, float] = {}  # Keepers that failed, and when.
+        self._is_alone = is_alone
+        self._started = monotonic()
 
     def add(self, kind: Kinds, apply: Callable[[Change], bool]) -> None:
         """Makes the state of a kind, which its watch and its keeper both bring up to date."""
@@ -143,17 +157,22 @@
     def watch_times(self, kind: Kinds, pause: float, wait: float) -> tuple[float, float]:
         """Returns the seconds for which a watch pauses after news, and for which it waits.
 
-        An instance that is followed keeps both so short that what it tells is young enough.
+        An instance that is followed keeps both so short that what it tells is young enough; the
+        more so while it can vouch for nothing yet.
         """
         if not self.followed:
             return pause, wait
-        most = self._kinds[kind].bound - OWN_CALL - FOLLOW_EVERY - WAY
+        shared = self._kinds[kind]
+        most = shared.bound - OWN_CALL - FOLLOW_EVERY - WAY
         wait = min(wait, max(WAIT_LEAST, most - pause))
+        if shared.answered == NEVER:
+            wait = min(wait, WAIT_LEAST)
         return max(0.0, min(pause, most - wait)), wait
 
     def keeper(self) -> bool:
-        """Tells whether this instance watches the store for others, or would."""
-        return self._me in self._keepers()
+        """Tells whether this instance watches the store for others, or has nobody to follow."""
+        keepers = self._keepers()
+        return not keepers or keepers[0] == self._me
 
     def kinds(self) -> list[Kinds]:
         """Returns the kinds that are shared."""
@@ -168,17 +187,36 @@
         """Tells whether others follow this instance."""
         return bool(self._live_followers())
 
+    def followers(self) -> int:
+        """Returns how many follow this instance."""
+        return len(self._live_followers())
+
     def told_lately(self, kind: Kinds) -> bool:
         """Tells whether the keeper keeps this instance up to date of a kind."""
         return self.told_for(kind) > 0.0
 
     def told_for(self, kind: Kinds) -> float:
-        """Returns the seconds for which the keeper may be relied on without a further word."""
+        """Returns the seconds for which the keeper may be relied on without a further word.
+
+        An instance that is followed relies on nobody, as ages would add up along a chain.
+        """
         shared, now = self._kinds[kind], monotonic()
-        if not self.following or shared.feed.as_of is None:
+        if not self.following or shared.feed.as_of is None or shared.away or self.followed:
             return 0.0
-        silent, age = now - shared.told, now - shared.vouched
-        return min(SILENT - silent, shared.bound - OWN_CALL - age)
+        silent = now - shared.told
+        return min(SILENT - silent, shared.bound - OWN_CALL - self.age(kind))
+
+    def age(self, kind: Kinds) -> float:
+        """Returns the seconds since the store last vouched for the state, by whatever way."""
+        shared = self._kinds[kind]
+        return monotonic() - max(shared.answered, shared.vouched)
+
+    def rests_for(self, kind: Kinds) -> float:
+        """Returns the seconds for which this instance need not ask the store itself."""
+        if self._kinds[kind].feed.as_of is None or self.followed:
+            return 0.0
+        finding = 0.0 if self._is_alone() else self._started + FINDING - monotonic()
+        return max(self.told_for(kind), finding)
 
     # What the own watch finds.
 
@@ -187,9 +225,12 @@
     ) -> bool:
         """Takes over a list that was asked for at a time; returns whether it counts."""
         shared = self._kinds[kind]
-        if not shared.feed.listed(objects, as_of):
+        told_up_to = shared.feed.kept_up_to()
+        changes = shared.feed.listed(objects, as_of)
+        if changes is None:
             return False
         shared.answered = asked
+        self._keep_and_tell(kind, changes, told_up_to)
         return True
 
     def watched(self, kind: Kinds, changes: Sequence[Change], as_of: int) -> None:
@@ -201,15 +242,17 @@
         # Between the last change that was told and this state was nothing that followers need, so
         # one that has that change lacks none.
         told_up_to = shared.feed.kept_up_to()
-        needed = self._apply(shared, changes, since, as_of)
+        fresh = shared.feed.take(changes, since, as_of) or []
+        self._keep_and_tell(kind, fresh, told_up_to)
+
+    def _keep_and_tell(self, kind: Kinds, fresh: Sequence[Change], told_up_to: int) -> None:
+        """Takes over what is news, and tells the followers what of it they need."""
+        needed = self._apply(self._kinds[kind], fresh)
         if needed:
             self._tell(kind, told_up_to, needed, self._live_followers())
 
-    def _apply(
-        self, shared: Shared, changes: Sequence[Change], since: int, as_of: int
-    ) -> list[Change]:
-        """Takes changes over; returns and keeps those that followers need."""
-        fresh = shared.feed.take(changes, since, as_of) or []
+    def _apply(self, shared: Shared, fresh: Sequence[Change]) -> list[Change]:
+        """Takes over what is news; returns and keeps what followers need of it."""
         needed = [change for change in fresh if shared.apply(change)]
         shared.feed.keep(needed)
         return needed
@@ -255,27 +298,38 @@
             self._send(self.following, encode(Follow(self._me, states, self._asked)))
 
     def _choose(self, now: float) -> None:
-        """Follows a keeper, unless this instance is one or the last one fell silent just now."""
+        """Follows the first keeper that did not fail just now, unless this instance is that."""
         if self.following and now - self._last_word() >= SILENT:
             self._leave_keeper("silent")
-        keepers = self._keepers()
-        if self.following in keepers and self._me not in keepers:
+        self._left = {name: at for name, at in self._left.items() if now - at < ALONE}
+        usable = self._untried()
+        if not usable and any(shared.away for shared in self._kinds.values()):
+            # Nobody reaches the store: a keeper's answer will be the cheapest word of its return.
+            usable = list(self._keepers())
+        first = usable[0] if usable and usable[0] != self._me else ""
+        if first == self.following:
             return
-        self.following = ""
-        if not keepers or self._me in keepers or now < self._alone_until:
+        self.following = first
+        if not first:
             return
-        self.following = ranked(self._me, keepers)[0]
+        # What the last keeper vouched for stays true; only the new one's word is waited for.
         for shared in self._kinds.values():
-            shared.told, shared.vouched = now, float("-inf")
-        log("following", peer=self.following)
+            shared.told = now
+        if first not in self._left:
+            log("following", peer=first)
+
+    def _untried(self) -> list[str]:
+        """Returns the keepers that did not fail lately."""
+        return [name for name in self._keepers() if name not in self._left]
 
     def _leave_keeper(self, reason: str) -> None:
-        log("keeper_left", "WARNING", peer=self.following, reason=reason)
+        if self.following not in self._left:
+            log("keeper_left", "WARNING", peer=self.following, reason=reason)
+        self._left[self.following] = monotonic()
         self.following = ""
-        self._alone_until = monotonic() + ALONE
 
     def _last_word(self) -> float:
-        return max((shared.told for shared in self._kinds.values()), default=float("-inf"))
+        return max((shared.told for shared in self._kinds.values()), default=NEVER)
 
     def told(self, told: Told) -> None:
         """Takes over what the keeper tells."""
@@ -284,6 +338,8 @@
             return
         if told.away:
             self._leave_keeper("store_away")
+            if self._untried():
+                self._ask()
             return
         if shared.feed.as_of is None or told.since > shared.feed.as_of:
             # What lies between is missing: it comes with the next answer, or from the own watch.
@@ -291,21 +347,31 @@
             return
         now = monotonic()
         asked = self._asked_at.get(told.answers)
+        if asked is None and shared.away:
+            # Only with the answer it is known that the store was away, and what may have lapsed.
+            return
         if asked is not None:
             shared.told = now
-            shared.vouched = max(shared.vouched, asked - told.age_ms / 1000)
-            self._contact.answered(shared.vouched)
+            self._vouch(shared, asked, told.age_ms / 1000)
         changes = [
             Change(StoredObject(name, revision, spec), deleted)
             for name, revision, spec, deleted in told.changes
         ]
-        self._apply(shared, changes, told.since, told.as_of)
+        self._apply(shared, shared.feed.take(changes, told.since, told.as_of) or [])
+
+    def _vouch(self, shared: Shared, asked: float, age: float) -> None:
+        """Notes the time up to which a keeper vouches; one that is the bound's age vouches not."""
+        if age >= shared.bound:
+            return
+        shared.away = False
+        shared.vouched = max(shared.vouched, asked - age)
+        self._contact.answered(shared.vouched)
 
     def untold(self, message: Untold) -> None:
         """Notes that the keeper lacks what this instance needs; the own watch finds it."""
         shared = self._kinds.get(KINDS[message.kind]) if message.kind < len(KINDS) else None
         if shared is not None and message.sender == self.following:
-            shared.told, shared.vouched = monotonic(), float("-inf")
+            shared.told, shared.vouched = monotonic(), NEVER
 
     # The keeper's side.
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
@@ -32,9 +32,10 @@
     StoredObject,
     Unavailable,
 )
-from wigeonarch_gateway.sharing import Sharing
+from wigeonarch_gateway.sharing import NEVER, Sharing
 
 TOLD_LOOK: Final = 0.3  # Seconds between looks whether the keeper still tells.
+FOUND_LOOK: Final = 0.1  # The same whether there is a keeper, before there is a first word of one.
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +44,7 @@
 
     Attributes:
         kind: The kind that is watched.
-        listed: Called with all objects.
+        listed: Called with all objects of the first list; of later ones only what changed is told.
         wait: Seconds that one call waits at most.
         gather: Seconds to wait after news, so that several changes cost one call.
     """
@@ -57,22 +58,35 @@
 class StoreState:
     """Whether the store answers this instance's watches."""
 
-    __slots__ = ("_away", "_silenced")
+    __slots__ = ("_answered", "_away", "_silenced")
 
     def __init__(self) -> None:
+        self._answered = asyncio.Event()
         self._silenced = asyncio.Event()
-        self._away: set[Kinds] = set()
+        self._away: dict[Kinds, None] = {}  # In the order in which they were lost.
 
     def reachable(self, kind: Kinds) -> None:
         """Notes an answer."""
         if kind in self._away:
-            self._away.discard(kind)
+            del self._away[kind]
             log("store_back", kind=kind.value)
+            self._answered.set()
+            self._answered = asyncio.Event()
+
+    async def turn(self, kind: Kinds, pause: float) -> None:
+        """Waits until a call that failed is to be made again.
+
+        In an outage the kind that was lost first asks for all: the others wait for its answer.
+        """
+        if next(iter(self._away), kind) is kind:
+            await asyncio.sleep(pause)
+        else:
+            await self._answered.wait()
 
     def unreachable(self, kind: Kinds, result: Unavailable) -> None:
         """Notes a call that failed."""
         if kind not in self._away:
-            self._away.add(kind)
+            self._away[kind] = None
             log("store_lost", "WARNING", kind=kind.value, reason=result.reason)
         if not result.undone:
             self._silenced.set()
@@ -97,17 +111,21 @@
     gone = False
     failures = 0
     while True:
+        rests = sharing.rests_for(kind)
+        if rests > 0.0:
+            # What the keeper vouches for has no gap, whatever the own calls missed before.
+            gone, failures = False, 0
+            state.reachable(kind)
+            look = TOLD_LOOK if sharing.told_lately(kind) else FOUND_LOOK
+            await asyncio.sleep(min(look, rests))
+            continue
         since = feed.as_of
         if since is None or gone:
             gone = not await _list(store, state, sharing, watched)
             if gone:
-                await asyncio.sleep(_pause(opts, sharing, failures))
+                await state.turn(kind, _pause(opts, sharing, failures))
             failures = failures + 1 if gone else 0
             continue
-        told_for = sharing.told_for(kind)
-        if told_for > 0.0:
-            await asyncio.sleep(min(TOLD_LOOK, told_for))
-            continue
         pause, wait = sharing.watch_times(kind, watched.gather, watched.wait)
         result = await _watch(store, state, kind, since, wait)
         if result is None:
@@ -116,7 +134,7 @@
         if isinstance(result, Unavailable):
             state.unreachable(kind, result)
             sharing.store_lost(kind)
-            await asyncio.sleep(_pause(opts, sharing, failures))
+            await state.turn(kind, _pause(opts, sharing, failures))
             failures += 1
             # A list tells what is so now; a watch may wait in vain where history is being dropped.
             gone = True
@@ -159,10 +177,15 @@
 
 
 async def _list(store: ObjectStore, state: StoreState, sharing: Sharing, watched: Watched) -> bool:
-    """Reads a kind whole; returns whether that brought a state to go on from."""
+    """Reads a kind whole; returns whether that brought a state to go on from.
+
+    The first list may be some seconds old: what changed since, the watch or the keeper tells, and
+    until then nothing vouches for the state.
+    """
     kind = watched.kind
-    asked = monotonic()
-    result = await store.list(kind)
+    first = sharing.feed(kind).as_of is None
+    asked = NEVER if first else monotonic()
+    result = await store.list(kind, stale=first)
     if not isinstance(result, Listing):
         state.unreachable(kind, result)
         sharing.store_lost(kind)
@@ -171,5 +194,6 @@
     sharing.store_answered(kind)
     if not sharing.listed(kind, result.objects, result.as_of, asked):
         return False
-    watched.listed(result.objects)
+    if first:
+        watched.listed(result.objects)
     return True
--- /dev/null
+++ b/tests/test_gateway_messages.py
@@ -0,0 +1,57 @@
+"""Messages between instances: long ones are compressed, and what can't be read is no message."""
+
+from __future__ import annotations
+
+import zlib
+
+import msgspec
+import pytest
+from wigeonarch_gateway.messages import (
+    PACK_FROM,
+    UNPACKED_BOUND,
+    Follow,
+    Message,
+    Packed,
+    Relay,
+    Told,
+    Untold,
+    decode,
+    encode,
+)
+
+
+def routes(count: int) -> Told:
+    spec = {"routes": [{"host": "shop.example", "service": "desk", "n": n} for n in range(count)]}
+    return Told("k", 0, 1, 2, 3, False, [("main", 2, spec, False)], 7)
+
+
+@pytest.mark.parametrize("message", [Untold("k", 1), Follow("f", [(0, 12)], 3), routes(300)])
+def test_what_is_sent_is_received(message: Message) -> None:
+    assert decode(encode(message)) == message
+    assert decode(encode(Relay(encode(message)))) == Relay(encode(message))
+
+
+def test_a_long_message_that_repeats_itself_takes_a_fraction() -> None:
+    plain = msgspec.msgpack.encode(routes(300))
+    assert len(plain) > 5 * PACK_FROM
+    assert len(encode(routes(300))) < len(plain) / 4
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        b"",
+        b"\xc1",
+        msgspec.msgpack.encode(Packed(b"not compressed")),
+        msgspec.msgpack.encode(Packed(zlib.compress(b"\xc1"))),
+        msgspec.msgpack.encode(Packed(zlib.compress(encode(routes(300))[:50]))),
+        # Once only: a message inside a message inside a message is not one of ours.
+        msgspec.msgpack.encode(
+            Packed(zlib.compress(msgspec.msgpack.encode(Packed(zlib.compress(b"x")))))
+        ),
+        # A small frame that would fill the memory.
+        msgspec.msgpack.encode(Packed(zlib.compress(bytes(20 * UNPACKED_BOUND)))),
+    ],
+)
+def test_what_cannot_be_read_is_no_message(frame: bytes) -> None:
+    assert decode(frame) is None
