Where the other instances are has a module of its own, apart from who they are

members.py had grown to 616 lines: addresses, seeds, leases, heartbeats, who keeps. Tests call the new module; same assertions. Left: members.py still has who keeps beside who is heard.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -1,16 +1,14 @@
 """The instances of the deployment, as this one hears them, and messages to them.
 
-Heartbeats tell what each has under way. Addresses come from the seeds, from the leases in the store
-and from heartbeats, so an instance that joins while the store is away is heard as well.
+Heartbeats tell what each has under way. Where they go is told by `discovery`.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import math
 import random
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -20,30 +18,21 @@
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
 
-from wigeonarch_gateway.directory import (
-    GONE,
-    LARGE_ZONE,
-    LIST_EVERY,
-    LIST_RARELY,
-    PRESENT,
-    Directory,
-)
+from wigeonarch_gateway.directory import GONE, LARGE_ZONE
+from wigeonarch_gateway.discovery import FORGET_ADDRESS, START_TOGETHER, Discovery
 from wigeonarch_gateway.engineviews import to_adapter
-from wigeonarch_gateway.links import Links, is_address
+from wigeonarch_gateway.links import Links
 from wigeonarch_gateway.messages import (
     Beat,
-    Introduction,
     LoadShare,
     Message,
     Relay,
     RenewalPlea,
     Uses,
-    WhoIsThere,
     encode,
 )
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.options import Options
-from wigeonarch_gateway.ports import Kinds, Listing, ObjectStore, StoredObject
 from wigeonarch_gateway.traffic import Traffic
 
 BEAT_LEAST: Final = 0.2  # Seconds between heartbeats in a small deployment.
@@ -65,8 +54,6 @@
 # Seconds without a sign of life of any instance of an availability zone, before others order its
 # endpoints.
 ZONE_EMPTY: Final = 15.0
-FIRST_LOOK: Final = 0.5  # Seconds for which the first look at the leases is waited for.
-LIST_YOUNG: Final = 2.0  # Seconds after the start in which leases are read five times as often.
 KEEPERS_LEAST: Final = 3  # Keepers of a large zone, at least, so that two may be lost at once.
 ZONE_PER_KEEPER: Final = 16  # Instances of a zone per keeper of it.
 # Seconds without an answer of the store, by what its heartbeats say, after which a keeper comes
@@ -75,13 +62,6 @@
 # Seconds after its start in which an instance makes itself known to all.
 KNOWN_AFTER: Final = 4.0
 KEEPERS_KEY: Final = "keepers"
-# Seconds after its start in which an instance hears from a seed, if one lives.
-INTRODUCED: Final = 0.4
-# Seconds after its own start in which an instance finds those that started with it.
-START_TOGETHER: Final = 2.5
-# Seconds without a heartbeat or a changed lease until an address is given up: those of other large
-# zones are known by their leases only.
-FORGET_ADDRESS: Final = PRESENT
 
 
 @dataclass(slots=True)
@@ -108,19 +88,18 @@
     """The other instances.
 
     Attributes:
+        discovery: Where they are.
         leaving: Whether this instance is shutting down.
     """
 
     __slots__ = (
         "_address",
-        "_addresses",
         "_contact",
         "_directory",
         "_held_by",
         "_incarnation",
         "_lease",
         "_links",
-        "_looked",
         "_members",
         "_metrics",
         "_on_lease",
@@ -130,7 +109,7 @@
         "_pause",
         "_started",
         "_traffic",
-        "_zones",
+        "discovery",
         "leaving",
     )
 
@@ -171,28 +150,16 @@
         self._traffic = traffic
         self._lease = lease
         self._on_lease = on_lease
-        self._directory = Directory()
-        self._looked = asyncio.Event()
-        self._started = monotonic()
+        self.discovery = Discovery(opts, links)
+        self._directory = self.discovery.directory
+        self._started = self.discovery.started
         self._held_by = held_by
         self._on_started = on_started
         self._on_silent = on_silent
         self._metrics = metrics
         self._members: dict[str, Member] = {}
-        self._addresses: dict[str, float] = {}
-        self._zones: dict[str, str] = {}  # Availability zones of addresses.
         self._pause = BEAT_LEAST
         self.leaving = False
-        self.seeds(opts.seeds)
-
-    def seeds(self, seeds: Sequence[str]) -> None:
-        """Takes the hosts of some instances; all use the same port for messages."""
-        for address in self._seeds(seeds):
-            self._know(address)
-
-    def _seeds(self, seeds: Sequence[str]) -> list[str]:
-        hosts = [seed.rpartition(":")[0] for seed in seeds]
-        return [f"{host}:{self._opts.peer_port}" for host in hosts]
 
     def heard(self) -> list[str]:
         """Returns the instances heard lately, without this one."""
@@ -271,16 +238,6 @@
         contact = self._contact.contact() if mine else self._members[name].contact
         return contact is None or monotonic() - contact.until > OUT_OF_CONTACT
 
-    def is_alone(self) -> bool:
-        """Tells whether the own zone seems small, so that each instance watches for itself.
-
-        Seeds and leases tell of the others; until they had the time to, nobody seems alone.
-        """
-        nearby = sum(zone == self._opts.zone for zone in self._zones.values())
-        if nearby >= LARGE_ZONE or self._directory.is_large(self._opts.zone):
-            return False
-        return monotonic() - self._started >= INTRODUCED
-
     def is_keeper(self) -> bool:
         """Tells whether this instance is one of them."""
         return self._opts.instance in self.keepers()
@@ -376,7 +333,7 @@
 
     def news_pause(self) -> float:
         """Returns the seconds between repeated news of an engine; many instances hear them less."""
-        return min(NEWS_MOST, max(NEWS_LEAST, len(self._addresses) / NEWS_PER_SECOND))
+        return min(NEWS_MOST, max(NEWS_LEAST, len(self.discovery.addresses()) / NEWS_PER_SECOND))
 
     def beat(self, beat: Beat) -> None:
         """Takes over a heartbeat."""
@@ -405,7 +362,7 @@
             uses,
             _contact_of(beat, now),
         )
-        self._know(beat.address, beat.zone)
+        self.discovery.know(beat.address, beat.zone)
         self._traffic.heard(beat.sender, beat.loads)
         if started and self._first_to_tell(beat.sender):
             self._on_started(beat.sender)
@@ -431,7 +388,7 @@
         """Sends heartbeats; runs until cancelled."""
         while True:
             self._set_pause()
-            self._ask_a_seed()
+            self.discovery.ask_a_seed()
             self._beat_all()
             self._forget_silent()
             await asyncio.sleep(self.pause())
@@ -441,96 +398,23 @@
         return self._pause
 
     def _set_pause(self) -> None:
-        told, most = len(self._addresses), BEATS_PER_SECOND
+        told, most = len(self.discovery.addresses()), BEATS_PER_SECOND
         if self._directory.is_large(self._opts.zone):
-            most = LARGE_BEATS_PER_SECOND
-            zones = (self._zones.get(address, self._opts.zone) for address in self._addresses)
-            told = sum(zone == self._opts.zone for zone in zones)
+            told, most = self.discovery.nearby(), LARGE_BEATS_PER_SECOND
         self._pause = min(BEAT_MOST, max(BEAT_LEAST, told / most))
 
     def _silence(self) -> float:
         """Returns the seconds without a heartbeat after which an instance is not heard."""
         return max(HEARD, HEARD_BEATS * self.pause())
 
-    async def keep_finding(self, store: ObjectStore) -> None:
-        """Looks for instances in the store; runs until cancelled.
-
-        Keepers look often, as they must know who could take over from them; the others only where
-        else to send what concerns all.
-        """
-        looked = float("-inf")
-        while True:
-            if self.is_keeper() or monotonic() - looked >= LIST_RARELY:
-                looked = monotonic()
-                await self._find(store)
-            young = monotonic() - self._started < LIST_YOUNG
-            await asyncio.sleep(LIST_EVERY / 5 if young else LIST_EVERY)
-
-    async def _find(self, store: ObjectStore) -> None:
-        found = await store.list(Kinds.LEASES, stale=True)
-        self._looked.set()
-        if isinstance(found, Listing):
-            self._leases_listed(found.objects)
-        else:
-            self._nothing_listed()
-
-    async def own_lease(self) -> int:
-        """Returns the revision of this instance's lease by the first look; 0 when it has none."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(FIRST_LOOK):
-                await self._looked.wait()
-        entry = self._directory.entries.get(self._opts.instance)
-        return entry.revision if entry is not None else 0
-
-    def _ask_a_seed(self) -> None:
-        """Asks who is there; leases tell the same some seconds later, also without a seed."""
-        seeds = [seed for seed in self._seeds(self._opts.seeds) if seed != self._address]
-        if seeds and monotonic() - self._started < START_TOGETHER:
-            question = WhoIsThere(self._opts.instance, self._address, self._opts.zone)
-            self._links.send(random.choice(seeds), question)
-
-    def asked(self, question: WhoIsThere) -> None:
-        """Tells an instance that just started who else is in its zone."""
-        self._know(question.address, question.zone)
-        nearby = [
-            address
-            for address, zone in self._zones.items()
-            if zone == question.zone and address != question.address
-        ]
-        if question.zone == self._opts.zone:
-            nearby.append(self._address)
-        self._links.send(question.address, Introduction(question.zone, nearby))
-
-    def introduced(self, introduction: Introduction) -> None:
-        """Takes over the addresses of instances, of which the heartbeats will tell the rest."""
-        for address in introduction.addresses:
-            if is_address(address):
-                self._know(address, introduction.zone)
-
-    def _leases_listed(self, leases: Iterable[StoredObject]) -> None:
-        for entry in self._directory.listed(leases, monotonic()):
-            self._know(entry.address, entry.zone)
-
-    def _nothing_listed(self) -> None:
-        self._directory.nothing_listed(monotonic())
-
-    def _know(self, address: str, zone: str = "") -> None:
-        if address == self._address:
-            return
-        if zone:
-            self._zones[address] = zone
-        if address not in self._addresses:
-            self._links.connect(address)
-        self._addresses[address] = monotonic()
-
     def _beat_all(self) -> None:
         loads = self._traffic.shares()
         plain = encode(self._beat(loads, []))
         holders = {self._held_by(load.endpoint) for load in loads}
         names = {member.address: member.name for member in self._members.values()}
         spoken_for = self._spoken_for()
-        for address in list(self._addresses):
-            far = self._zones.get(address) in spoken_for
+        for address in self.discovery.addresses():
+            far = self.discovery.zone(address) in spoken_for
             holder = names.get(address) in holders
             if far and not holder:
                 continue
@@ -596,11 +480,7 @@
                 self._on_silent(name)
             if now - member.heard >= FORGET_ADDRESS:
                 del self._members[name]
-        for address, at in list(self._addresses.items()):
-            if now - at >= FORGET_ADDRESS:
-                del self._addresses[address]
-                self._zones.pop(address, None)
-                self._links.disconnect(address)
+        self.discovery.forget_silent()
 
 
 def _contact_of(beat: Beat, now: float) -> Contact | None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -120,7 +120,7 @@
             lambda plea: self._members.plead(plea),
             lambda: self._members.rivals({opts.zone, *self._holders.zones()}),
             lambda: self._members.is_keeper() or bool(self._holders.held()),
-            lambda: self._members.own_lease(),
+            lambda: self._members.discovery.own_lease(),
         )
         self._members = Members(
             opts,
@@ -143,7 +143,7 @@
             self._members.watchers,
             self._members.send_frame,
             self._contact,
-            self._members.is_alone,
+            self._members.discovery.is_alone,
         )
         self._intake.share(self._sharing)
         self._holders = Holders(
@@ -216,7 +216,7 @@
         self._opts = opts
         retries = opts.retries
         self._retries.bounds(retries.share, retries.allowance, retries.window)
-        self._members.seeds(opts.seeds)
+        self._members.discovery.seeds(opts.seeds)
         log("reloaded", needs_restart=",".join(fixed))
 
     async def serve(self) -> None:
@@ -279,7 +279,9 @@
         }
         duties["sharing"] = self._sharing.keep()
         duties["beats"] = self._members.keep_beating()
-        duties["finding"] = self._members.keep_finding(self._store)
+        duties["discovery"] = self._members.discovery.keep_looking(
+            self._store, self._members.is_keeper
+        )
         duties["lease"] = self._leasing.keep()
         duties["clock"] = self._leasing.watch_clock()
         duties["holders"] = self._holders.keep()
@@ -387,9 +389,9 @@
             case Untold():
                 self._sharing.untold(message)
             case WhoIsThere():
-                self._members.asked(message)
+                self._members.discovery.asked(message)
             case Introduction():
-                self._members.introduced(message)
+                self._members.discovery.introduced(message)
 
     def _relay(self, relayed: Relay) -> None:
         inner = decode(relayed.frame)
--- a/tests/test_gateway_members.py
+++ b/tests/test_gateway_members.py
@@ -29,6 +29,7 @@
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     found = Clock()
     monkeypatch.setattr(module, "monotonic", found)
+    monkeypatch.setattr("wigeonarch_gateway.discovery.monotonic", found)
     return found
 
 
@@ -84,23 +85,23 @@
 
 
 def test_a_lease_found_at_the_first_look_must_change_soon(members: Members, clock: Clock) -> None:
-    members._leases_listed([lease("dead", 5), lease("alive", 6)])
+    members.discovery.leases_listed([lease("dead", 5), lease("alive", 6)])
     assert members.rivals({"a"}) == {"dead", "alive"}
     clock.now += LIST_EVERY
-    members._leases_listed([lease("dead", 5), lease("alive", 7)])
+    members.discovery.leases_listed([lease("dead", 5), lease("alive", 7)])
     clock.now += 0.1
     assert members.rivals({"a"}) == {"alive"}
 
 
 def test_who_was_alive_stays_so_while_the_store_is_away(members: Members, clock: Clock) -> None:
-    members._leases_listed([lease("first", 1)])
-    members._leases_listed([lease("first", 2)])
+    members.discovery.leases_listed([lease("first", 1)])
+    members.discovery.leases_listed([lease("first", 2)])
     for _ in range(5):
         clock.now += LIST_EVERY
-        members._nothing_listed()
+        members.discovery.directory.nothing_listed(clock.now)
     assert members.rivals({"a"}) == {"first"}
     clock.now += GONE + 0.1
-    members._leases_listed([lease("first", 2)])
+    members.discovery.leases_listed([lease("first", 2)])
     assert not members.rivals({"a"})
 
 
--- a/tests/test_gateway_zones.py
+++ b/tests/test_gateway_zones.py
@@ -9,9 +9,9 @@
 from wigeonarch_core.engine_places import AdapterKey
 from wigeonarch_gateway import members as module
 from wigeonarch_gateway.directory import LARGE_ZONE, PRESENT, RELAY_SEEN
+from wigeonarch_gateway.discovery import INTRODUCED
 from wigeonarch_gateway.links import Links
 from wigeonarch_gateway.members import (
-    INTRODUCED,
     KEEPERS_LEAST,
     KNOWN_AFTER,
     OUT_OF_CONTACT,
@@ -97,7 +97,7 @@
             StoredObject(name, 1, {"address": address(name), "zone": name[0]})
             for name in self.names
         ]
-        self.members._leases_listed(objects)
+        self.members.discovery.leases_listed(objects)
         self.hear_all()
 
     def hear_all(self) -> None:
@@ -124,6 +124,7 @@
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     found = Clock()
     monkeypatch.setattr(module, "monotonic", found)
+    monkeypatch.setattr("wigeonarch_gateway.discovery.monotonic", found)
     monkeypatch.setattr("wigeonarch_gateway.traffic.monotonic", found)
     return found
 
@@ -217,7 +218,7 @@
     found = grown(clock, True)
     living = [name for name in found.names if name != f"{THERE}-3"]
     clock.now += RELAY_SEEN
-    found.members._leases_listed(
+    found.members.discovery.leases_listed(
         [StoredObject(name, 2, {"address": address(name), "zone": name[0]}) for name in living]
     )
     assert len(found.members._relays()[THERE]) == ZONE_SIZE - 1
@@ -234,7 +235,7 @@
 
 def test_instances_that_are_not_heard_count_for_the_retry_bound(clock: Clock) -> None:
     found = grown(clock, True)
-    found.members._leases_listed(
+    found.members.discovery.leases_listed(
         [StoredObject(name, 2, {"address": address(name), "zone": name[0]}) for name in found.names]
     )
     clock.now += 2 * SETTLED  # Nobody is heard.
@@ -248,7 +249,7 @@
     assert THERE in found.members._relays()
     clock.now += PRESENT
     left = [f"{HERE}-{n}" for n in range(ZONE_SIZE)] + [f"{THERE}-{n}" for n in range(LARGE_ZONE)]
-    found.members._leases_listed(
+    found.members.discovery.leases_listed(
         [
             StoredObject(
                 name, 2 if name in left else 1, {"address": address(name), "zone": name[0]}
@@ -280,7 +281,7 @@
     seed = grown(clock, True)
     seed.links.sent.clear()
     newcomer = address(f"{THERE}-99")
-    seed.members.asked(WhoIsThere(f"{THERE}-99", newcomer, THERE))
+    seed.members.discovery.asked(WhoIsThere(f"{THERE}-99", newcomer, THERE))
     [(to, answer)] = seed.links.sent
     assert to == newcomer
     assert isinstance(answer, Introduction)
@@ -294,14 +295,16 @@
 
 def test_an_introduction_says_that_the_zone_is_large(clock: Clock) -> None:
     found = started(clock)
-    assert not found.members.is_alone()  # A seed may still answer.
+    assert not found.members.discovery.is_alone()  # A seed may still answer.
     clock.now += INTRODUCED + 0.01
-    assert found.members.is_alone()
+    assert found.members.discovery.is_alone()
     many = [address(f"{HERE}-{n}") for n in range(1, LARGE_ZONE + 1)]
-    found.members.introduced(Introduction(HERE, [*many[:-1], "nonsense", "10.0.0.1:99999"]))
-    assert found.members.is_alone()
-    found.members.introduced(Introduction(HERE, many))
-    assert not found.members.is_alone()
+    found.members.discovery.introduced(
+        Introduction(HERE, [*many[:-1], "nonsense", "10.0.0.1:99999"])
+    )
+    assert found.members.discovery.is_alone()
+    found.members.discovery.introduced(Introduction(HERE, many))
+    assert not found.members.discovery.is_alone()
     assert set(many) <= {to for to, _ in sent_by(found)}
 
 
