--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -33,9 +33,8 @@
 ZONE_COST: Final = 0.05
 # What it is worth not to make a stream pause for longer than allowed, in seconds of waiting.
 # Engines read prompts between the tokens of running requests; where prompts that take about the
-# longest pause are sent within that time, all streams there are late: 70 of 71 late answers of a
-# quiet day. With holding back, twelve pairs of days gained 0.008 of worth (standard error 0.006);
-# at 0.03 as much was served in time, and 0.004 more was paid for adapters brought elsewhere.
+# longest pause are sent within that time, all streams there are late. Worth more, it would buy
+# loads elsewhere that serve nobody sooner.
 PAUSE_COST: Final = 0.01  # A stream, where all of the longest pause is read.
 PAUSES_MOST: Final = 4.0
 # Part of the longest pause that prompts sent lately may take until the next one is held back.
--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_pace.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_pace.py
@@ -12,9 +12,7 @@
 between engines only.
 
 Only engines far slower than usual are told apart; what is usual does not scale the choice, or it
-would crowd requests on few engines wherever all are fast. With a third of the engines five times
-slower for two stretches of 8 s, three pairs of days gained 0.010 of worth (standard error 0.008);
-without slow engines twelve pairs showed no difference (+0.001, 0.006).
+would crowd requests on few engines wherever all are fast.
 """
 
 from __future__ import annotations
--- a/packages/wigeonarch-core/src/wigeonarch_core/load_pace.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/load_pace.py
@@ -14,9 +14,8 @@
 from typing import Final
 
 # A load of an adapter that an engine held recently, and of one that must be fetched, in seconds.
-# The second is the least that is known of a deployment (0.25 and 0.29 are); the first a tenth.
-# Less than that is not believed: where loads do take 0.25 s, trying for less sent four times as
-# many requests in vain and fetched more adapters for second engines (-0.006 of worth, 12 pairs).
+# The second is the least that is known of a deployment; the first a tenth. Less is not believed:
+# trying for less sends requests in vain, and fetches adapters for second engines.
 WARM_LOAD: Final = 0.025
 COLD_LOAD: Final = 0.25
 COLD_MOST: Final = 5.0  # Greatest seconds of one load that are believed.
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/links.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/links.py
@@ -1,9 +1,8 @@
 """Messages between gateways: one datagram socket, one datagram a message.
 
 Sending never waits, and a message may be lost: all that depends on one is repeated or copes without
-it. So a datagram does what a queued connection would, with one system call each way and no thread.
-Ten gateways before ten engines in one process took 0.007 of a core each by datagrams and 0.016 by
-ZeroMQ's sockets, whose thread and wake-ups cost more than the messages.
+it. So a datagram does what a queued connection would, with one system call each way; a messaging
+library's thread and wake-ups would cost more than the messages.
 
 A message that is too long for a datagram is not sent; those that can grow are cut up by their
 senders.
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -37,8 +37,7 @@
 
 BEAT_LEAST: Final = 0.2  # Seconds between heartbeats in a small deployment.
 BEATS_PER_SECOND: Final = 60.0  # Heartbeats sent in all per second at most, so cost stays bounded.
-# The same in a large zone, where each also hears as many: 2,945 of them took 0.44 s of the 39 s of
-# an instance under a profiler, besides sending and receiving.
+# The same in a large zone, where each also hears as many, and decoding them is work.
 LARGE_BEATS_PER_SECOND: Final = 40.0
 BEAT_MOST: Final = 1.0
 # Peers that are asked to renew a lease; each takes two calls to the store.
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -68,7 +68,7 @@
 VITALS_EVERY: Final = 10.0  # Seconds between lines about the whole instance.
 TICK: Final = 0.25  # Seconds between looks at what only time changes.
 # Seconds in which a request may still reach an endpoint that is to be dropped by now: the tick, and
-# a request for which it was chosen before (0.16 s in a log of 86 instances).
+# a request for which it was chosen before.
 STILL_SENT: Final = TICK + 0.25
 CANCELS_MOST: Final = 5  # Times that a duty is cancelled before the process ends without it.
 CANCEL_WAIT: Final = 0.1  # Seconds.
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -201,8 +201,7 @@
         """Takes one of the repeats that are allowed; False if there is none in time.
 
         A request that an engine refused for lack of its adapter waits for one: the allowance comes
-        back little by little, and the adapter is on its way. Refused at once, 1,760 requests of
-        5,800 were where loads took 0.4 s.
+        back little by little, and the adapter is on its way.
         """
         patience = job.req.received + job.route.objective
         while not self._retries.spend(job.service, monotonic()):
