The holder object of an engine that left the list stays until orders of another may follow

Cause: an engine's holder that found it gone removed the holder object at once. Where the entry was back within the time that must lie between orders of two holders (overwritten by somebody else for a moment, lapsed), another instance found no object and took the engine without a pause. Change: the object is removed after the pause only, if the engine stayed away; its last holder takes it again at once. Ruled out: a tombstone (a second kind of object, which nobody would remove).

May_serve lines: they also come when only the lease changes. Now the state itself is logged.

--- a/packages/wigeonarch-entry/src/wigeonarch_entry/configuration.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/configuration.py
@@ -105,7 +105,7 @@
         "_newest",
         "_notify",
         "_platform",
-        "_refused",
+        "_right",
         "_snapshots",
         "_zone",
         "replica",
@@ -130,7 +130,8 @@
         self._list_grace = LIST_GRACE * timing.list_interval
         self._newest = 0
         self._behind_since: float | None = None
-        self._refused: Reason | None = Reason.NO_CONFIGURATION
+        # Why nothing may be served, and whether the lease holds, as last logged.
+        self._right: tuple[Reason | None, bool] = (Reason.NO_CONFIGURATION, False)
         self._accepted = 0
 
     @property
@@ -329,13 +330,13 @@
         self._newest = max(self._newest, number)
 
     def _note_right(self) -> Reason | None:
-        """Returns why nothing may be served now, and logs when that changes."""
+        """Returns why nothing may be served now, and logs when that or the lease changes."""
         refused = self.refusal()
-        if refused is not self._refused:
-            self._refused = refused
-            leased = self._membership.period.holds(monotonic())
+        right = (refused, self._membership.period.holds(monotonic()))
+        if right != self._right:
+            self._right = right
             reason = "" if refused is None else refused.value
-            log("may_not_serve" if reason else "may_serve", reason=reason, leased=leased)
+            log("may_not_serve" if reason else "may_serve", reason=reason, leased=right[1])
         return refused
 
     def _due(self) -> bool:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Final
 
@@ -66,6 +66,19 @@
     task: asyncio.Task[None]
 
 
+@dataclass(frozen=True, slots=True)
+class GivenUp:
+    """An engine that left the list while this instance held it.
+
+    Attributes:
+        at: Time at which it was dropped; no order was given later.
+        fence: Revision of the holder object.
+    """
+
+    at: float
+    fence: int
+
+
 class Holders:
     """The engines that this instance orders.
 
@@ -78,6 +91,7 @@
     __slots__ = (
         "_around",
         "_engines",
+        "_given_up",
         "_had_holder",
         "_held",
         "_leasing",
@@ -122,6 +136,7 @@
         self.promises = PromisesGiven(opts.term)
         self._taking: dict[str, float] = {}
         self._held: dict[str, Held] = {}
+        self._given_up: dict[str, GivenUp] = {}
         self._started = monotonic()
         self._own: set[str] = set()  # Engines held at the last stop of this instance.
         self._had_holder: set[str] = set()  # Engines with a holder object at the start, or since.
@@ -172,7 +187,8 @@
         engines = self._engines()
         known = {record.endpoint for record, _ in engines}
         for endpoint in [name for name in self._held if name not in known]:
-            await self._drop(endpoint)
+            self._drop(endpoint)
+        await self._remove_given_up(known)
         self._read = {name: at for name, at in self._read.items() if name in known}
         if not self._leasing.lease.holds(monotonic()):
             return
@@ -254,7 +270,7 @@
             await self._write(wanted, spec)
         elif held is not None and (holder is None or holder.holder != self._me):
             log("endpoint_lost_to", endpoint=endpoint, holder=holder.holder if holder else "")
-            await self._drop(endpoint)
+            self._drop(endpoint)
 
     async def _find_holder(self, endpoint: str) -> StoredObject | Absent | Unavailable:
         """Returns the holder object of an engine.
@@ -315,9 +331,25 @@
         self._held[endpoint] = Held(fence, generation, not_before, orderer, task)
         self._metrics.held.set(len(self._held))
 
-    async def _drop(self, endpoint: str) -> None:
+    def _drop(self, endpoint: str) -> None:
         held = self._held.pop(endpoint)
         held.task.cancel()
         self._metrics.held.set(len(self._held))
         if self._around.record(endpoint) is None:
-            await self._store.remove(Kinds.HOLDERS, endpoint, held.fence)
+            self._given_up[endpoint] = GivenUp(monotonic(), held.fence)
+            # Should it come back, this instance is the one that may order it at once.
+            self._own.add(endpoint)
+
+    async def _remove_given_up(self, known: Collection[str]) -> None:
+        """Removes the holder objects of engines that stay away.
+
+        Not before the time that must lie between the orders of two holders: whoever finds no object
+        takes the engine without a pause, also when its entry was missing for a moment only.
+        """
+        for endpoint, given_up in list(self._given_up.items()):
+            if endpoint in known:
+                del self._given_up[endpoint]
+            elif monotonic() - given_up.at >= self._opts.pause:
+                del self._given_up[endpoint]
+                self._own.discard(endpoint)
+                await self._store.remove(Kinds.HOLDERS, endpoint, given_up.fence)
