--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,3 +33,19 @@
 ) -> None:
     _, broken = await soak.run(seed, seconds, gateways=3, callers=6, all_faults=True)
     assert not broken
+
+
+# The same with more gateways than watch for themselves.
+KEEPERS_SEEDS = [
+    # An engine's entry was overwritten by somebody else and came back; its holder object had been
+    # removed, and another instance took the engine without a pause.
+    (6005, 12.0),
+    (6011, 12.0),
+]
+
+
+@pytest.mark.timeout(240)
+@pytest.mark.parametrize(("seed", "seconds"), KEEPERS_SEEDS)
+async def test_no_promise_is_broken_where_one_watches_for_others(seed: int, seconds: float) -> None:
+    _, broken = await soak.run(seed, seconds, gateways=9, callers=8, all_faults=True)
+    assert not broken
