--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -172,8 +172,7 @@
 
     Those are alike that hold the adapter or lack it, in this availability zone or another. Only
     what lies beyond the least is weighed, so that prompts are spread over engines that are alike,
-    and pauses buy no load and no bytes between zones: where reading is slow, that gained 0.008 of
-    worth (standard error 0.004, twelve pairs of days), a third of it by fewer adapters fetched.
+    and pauses buy no load and no bytes between zones.
     """
     least: dict[tuple[bool, bool], float] = {}
     for state in states:
--- a/tests/test_told_age.py
+++ b/tests/test_told_age.py
@@ -12,6 +12,7 @@
 
 import pytest
 from gateway_world import contact
+from spoiled_words import DEFECTS
 from wigeonarch_gateway import sharing as sharing_module
 from wigeonarch_gateway.messages import Follow, Told, Untold, decode
 from wigeonarch_gateway.options import ObeyedOptions, StoreOptions
@@ -154,23 +155,7 @@
     play(seed, bound)
 
 
-def without_age(told: Told) -> Told:
-    told.age_ms = 0
-    return told
-
-
-def without_outage(told: Told) -> Told:
-    told.away = False
-    told.age_ms = 0
-    return told
-
-
-def without_gap(told: Told) -> Told:
-    told.since = 0
-    return told
-
-
-@pytest.mark.parametrize("defect", [without_age, without_outage, without_gap])
+@pytest.mark.parametrize("defect", DEFECTS)
 def test_a_planted_defect_is_caught(defect: Callable[[Told], Told]) -> None:
     with pytest.raises(AssertionError, match="relies on a gap"):
         for seed in range(60):
--- a/tests/test_zone_watch.py
+++ b/tests/test_zone_watch.py
@@ -14,6 +14,7 @@
 
 import pytest
 from gateway_world import contact
+from spoiled_words import DEFECTS
 from wigeonarch_gateway import sharing as sharing_module
 from wigeonarch_gateway.messages import Follow, Told, Untold, decode
 from wigeonarch_gateway.options import ObeyedOptions, StoreOptions
@@ -245,23 +246,7 @@
     play(seed, size=40, seconds=10.0, disturbed=1.0)
 
 
-def without_age(told: Told) -> Told:
-    told.age_ms = 0
-    return told
-
-
-def never_away(told: Told) -> Told:
-    told.away = False
-    told.age_ms = 0
-    return told
-
-
-def without_gap(told: Told) -> Told:
-    told.since = 0
-    return told
-
-
-@pytest.mark.parametrize("defect", [without_age, never_away, without_gap])
+@pytest.mark.parametrize("defect", DEFECTS)
 def test_a_planted_defect_is_caught(
     play: Callable[..., Zone], defect: Callable[[Told], Told]
 ) -> None:
