Teams, API keys and quotas: admission between the route and the endpoint, credit kept by a banker a zone

Change: teams are decoded once and looked up by the digest of a key; admission answers 401, 429 or, where an instance is behind the store or hears no banker, 503; endpoints get the team's name and never the key, under no spelling. Quotas: `quota_bank` in core, one banker a team and zone, asked by a datagram for each request, loans between zones. `Passing` gave its head to `Serving`; a team's priority goes before its route's. Heartbeats tell how long an instance is up, so that all rank bankers alike.

A fixed share an instance serves no small team (42 tokens a second each, requests have 1,632). Counts told by heartbeats lag 0.5 to 1.1 s, in which 7.5 times the usual uses four seconds of a quota.

Found by the worlds in tests while it was built, and mended: a restarted banker counted itself in office while the others used the next one (1.6 times the bound); what a banker gives without knowledge was given again at each change of office (1.1 to 1.4).

Tests: random histories of whole deployments with the rule as invariant, eight planted defects, tables of keys and headers, gateways before stand-ins, a soak with teams that also looks for keys in all logs.

--- a/packages/wigeonarch-core/src/wigeonarch_core/routes.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/routes.py
@@ -15,6 +15,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from wigeonarch_core.teams import Teams
+
 SLASH = "/"
 
 
@@ -50,6 +52,7 @@
         priority: Rank of the request; 0 is the most urgent.
         resumable: Whether a stream may go on at another endpoint.
         largest_pause: Longest pause between events that counts as prompt, in seconds; 0 if none.
+        public: Whether requests need no key.
     """
 
     name: str
@@ -63,6 +66,7 @@
     priority: int
     resumable: bool = False
     largest_pause: float = 0.0
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -139,9 +143,10 @@
         version: Version of the configuration.
         services: Services by name.
         limits: What callers may send.
+        teams: The teams; None where callers need no keys.
     """
 
-    __slots__ = ("_hosts", "limits", "services", "version")
+    __slots__ = ("_hosts", "limits", "services", "teams", "version")
 
     def __init__(
         self,
@@ -149,8 +154,10 @@
         routes: Iterable[Route],
         services: Iterable[ServiceSpec],
         limits: ClientLimits,
+        teams: Teams | None = None,
     ) -> None:
         self.version = version
+        self.teams = teams
         self.limits = limits
         self.services = {service.name: service for service in services}
         self._hosts: dict[str, dict[str, Route]] = {}
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/closing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/closing.py
@@ -43,15 +43,24 @@
         reason: str,
         text: str,
         inputs: Inputs | None = None,
+        after: float = COME_BACK,
+        status: int = 503,
     ) -> None:
         """Answers that a request has not run and will not, and when to come back."""
-        after = COME_BACK
         bound = inputs or {}
         request = terms.request_id
         log("refused", "INFO", request=request, reason=reason, retry_after=after, **bound)
         self._metrics.refusals.labels(reason).inc()
         headers = [(b"Retry-After", f"{after:.2f}".encode())]
-        await answer.whole(503, headers, text.encode())
+        await answer.whole(status, headers, text.encode())
+
+    async def deny(
+        self, answer: Answer, terms: RequestTerms, reason: str, text: str, route: str
+    ) -> None:
+        """Answers that a request is not allowed; its key is not logged."""
+        log("denied", request=terms.request_id, reason=reason, route=route)
+        self._metrics.refusals.labels(reason).inc()
+        await answer.whole(401, [(b"WWW-Authenticate", b"Bearer")], text.encode())
 
     async def give_up(self, job: Job, reason: str, text: str) -> None:
         """Answers a request that no endpoint will be asked for any more."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
@@ -156,7 +156,7 @@
             self._note_wish(job, choice, now)
             job.wished = choice.endpoint
             job.wished_at = now
-        self._wishes.wish(choice.endpoint, self.adapter(job), job.route.priority, missing=False)
+        self._wishes.wish(choice.endpoint, self.adapter(job), job.priority, missing=False)
         return None
 
     def _note_wish(self, job: Job, choice: Choice, now: float) -> None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from wigeonarch_core.routes import Route, ServiceSpec
+from wigeonarch_core.teams import Team
 
 from wigeonarch_gateway.events import EventSplitter
 from wigeonarch_gateway.exchange import Answer, Incoming
@@ -51,6 +52,8 @@
         first_event: Time of the first event that was passed on, in seconds; 0 before.
         last_event: The same for the last one.
         pause: Longest pause between events so far, in seconds.
+        keyed: Whether callers show keys.
+        team: Team for which it is made; None for none.
     """
 
     req: Incoming
@@ -72,6 +75,8 @@
     first_event: float = 0.0
     last_event: float = 0.0
     pause: float = 0.0
+    keyed: bool = False
+    team: Team | None = None
 
     def passed(self, now: float) -> None:
         """Notes that events were passed on."""
@@ -86,6 +91,13 @@
         """Returns the id for the log."""
         return self.terms.request_id
 
+    @property
+    def priority(self) -> int:
+        """Returns its rank: its team's, or else its route's."""
+        if self.team is not None and self.team.priority is not None:
+            return self.team.priority
+        return self.route.priority
+
     @property
     def may_repeat(self) -> bool:
         """Tells whether it may be sent again although it may have run."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -61,6 +61,7 @@
 # Seconds after its start in which an instance makes itself known to all.
 KNOWN_AFTER: Final = 4.0
 KEEPERS_KEY: Final = "keepers"
+BANKER_KEY: Final = "banker/"
 
 
 @dataclass(slots=True)
@@ -68,7 +69,7 @@
     """Another instance, as its last heartbeat described it; `since` is its first one's time.
 
     The contact is its contact with the store, by this instance's clock: later than it was by the
-    time that the heartbeat took.
+    time that the heartbeat took. So is its start, which all know alike.
     """
 
     name: str
@@ -81,6 +82,7 @@
     heard: float
     uses: dict[str, list[AdapterName]]
     contact: Contact | None
+    started: float
 
 
 class Members:
@@ -93,6 +95,8 @@
 
     __slots__ = (
         "_address",
+        "_bankers",
+        "_bankers_of",
         "_contact",
         "_directory",
         "_held_by",
@@ -157,6 +161,8 @@
         self._on_silent = on_silent
         self._metrics = metrics
         self._members: dict[str, Member] = {}
+        self._bankers_of: tuple[str, ...] = ()
+        self._bankers: dict[str, list[str]] = {}
         self._pause = BEAT_LEAST
         self.leaving = False
 
@@ -249,6 +255,48 @@
     def _serves_zone(self, member: Member) -> bool:
         return member.zone == self._opts.zone and not member.leaving
 
+    def bankers(self, team: str) -> list[str]:
+        """Returns the instances of the zone that may keep a team's credit, best first.
+
+        They are ranked by what all know alike: those that started just now come last in the eyes of
+        all, their own included, as they don't know what others gave.
+        """
+        present = sorted(self._present())
+        latest = monotonic() - SETTLED
+        settled = tuple(n for n in present if self._start_of(n) <= latest) or tuple(present)
+        if settled != self._bankers_of:
+            self._bankers_of, self._bankers = settled, {}
+        if team not in self._bankers:
+            self._bankers[team] = ranked(BANKER_KEY + team, settled)
+        return self._bankers[team]
+
+    def _start_of(self, name: str) -> float:
+        member = self._members.get(name)
+        return self._started if member is None else member.started
+
+    def heard_share(self) -> float:
+        """Returns which part of the zone's known instances is heard, this one included."""
+        zone, entries = self._opts.zone, self._directory.entries
+        known = {n for n in self._directory.present(monotonic()) if entries[n].zone == zone}
+        heard = {n for n in self.heard() if self._members[n].zone == zone}
+        heard.add(self._opts.instance)
+        return len(heard) / len(heard | known)
+
+    def other_zones(self) -> set[str]:
+        """Returns the other availability zones that have instances."""
+        now = monotonic()
+        entries = self._directory.entries
+        found = {entries[name].zone for name in self._directory.present(now)}
+        found |= {self._members[name].zone for name in self.heard()}
+        return found - {self._opts.zone}
+
+    def send_to_zone(self, zone: str, message: Message) -> bool:
+        """Sends a message to any one instance of another zone; False when it was dropped."""
+        addresses = self._relays().get(zone) or [
+            self._members[name].address for name in self.heard() if self._members[name].zone == zone
+        ]
+        return bool(addresses) and self._links.send(random.choice(addresses), message)
+
     def count(self) -> int:
         """Returns the number of instances, this one included, with those that only rest."""
         present = self._directory.present(monotonic())
@@ -360,6 +408,7 @@
             now,
             uses,
             _contact_of(beat, now),
+            now - beat.up_ms / 1000,
         )
         self.discovery.know(beat.address, beat.zone)
         self._traffic.heard(beat.sender, beat.loads)
@@ -461,6 +510,7 @@
             uses,
             None if contact is None else int((now - contact.since) * 1000),
             0 if contact is None else int((now - contact.until) * 1000),
+            int((now - self._started) * 1000),
         )
 
     def _uses_at(self, holder: str, endpoints: list[str]) -> list[Uses]:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -54,6 +54,7 @@
         contact_ms: Milliseconds since the sender's contact with the store began, which has had no
             outage since; None when it has had no answer yet.
         answered_ms: Milliseconds since the store's last answer to it.
+        up_ms: Milliseconds since its start.
     """
 
     sender: str
@@ -67,6 +68,7 @@
     uses: list[Uses]
     contact_ms: int | None = None
     answered_ms: int = 0
+    up_ms: int = 0
 
 
 class PlacesNews(msgspec.Struct, array_like=True, tag="places"):
@@ -230,6 +232,82 @@
     kind: int
 
 
+class CreditAsk(msgspec.Struct, array_like=True, tag="credit"):
+    """A request of the sender needs credit of a team's quota.
+
+    Attributes:
+        sender: Who asks.
+        number: Number of the question.
+        team: The team.
+        cost: Units of its quota.
+    """
+
+    sender: str
+    number: int
+    team: str
+    cost: int
+
+
+class CreditAnswer(msgspec.Struct, array_like=True, tag="credited"):
+    """The answer to a question for credit.
+
+    Attributes:
+        sender: The banker.
+        number: Number of the question.
+        granted: Whether the credit was given.
+        wait_ms: Milliseconds until the bucket has refilled for it.
+        turn_ms: The same, with what was refused before it.
+        level: Units left.
+        loan: Whether other zones were asked for a loan, which may come at once.
+    """
+
+    sender: str
+    number: int
+    granted: bool
+    wait_ms: int
+    turn_ms: int
+    level: int
+    loan: bool = False
+
+
+class CreditBack(msgspec.Struct, array_like=True, tag="uncredit"):
+    """The request for which credit was given under this number has not run and will not."""
+
+    sender: str
+    number: int
+
+
+class CreditPlea(msgspec.Struct, array_like=True, tag="lend"):
+    """A zone's banker needs more credit than its zone's part.
+
+    Attributes:
+        sender: The banker.
+        address: Its address for messages.
+        zone: The zone that is asked.
+        team: The team.
+        number: Number of the plea.
+        wanted: Units.
+        handed_on: Whether an instance of the zone handed it on to its banker.
+    """
+
+    sender: str
+    address: str
+    zone: str
+    team: str
+    number: int
+    wanted: int
+    handed_on: bool = False
+
+
+class CreditLoan(msgspec.Struct, array_like=True, tag="loan"):
+    """Units that another zone's banker took out of its bucket for a plea."""
+
+    sender: str
+    team: str
+    number: int
+    units: int
+
+
 class Packed(msgspec.Struct, array_like=True, tag="packed"):
     """An encoded message, compressed."""
 
@@ -251,6 +329,11 @@
     | Untold
     | WhoIsThere
     | Introduction
+    | CreditAsk
+    | CreditAnswer
+    | CreditBack
+    | CreditPlea
+    | CreditLoan
 )
 
 # Bytes from which a frame is compressed: what fits into one packet is not worth the work. Long
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
@@ -8,6 +8,9 @@
 
 WAIT_BUCKETS: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 2.0, 5.0, 15.0)
 AGE_BUCKETS: Final = (0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 6.0, 10.0)
+# Teams that have figures of their own; the others share one, so that the page stays small.
+TEAMS_MOST: Final = 200
+OTHER_TEAMS: Final = "(others)"
 
 
 class Metrics:
@@ -25,6 +28,19 @@
         self.refusals = Counter(
             "wigeonarch_gateway_refusals", "Requests not run, by reason", ["reason"], registry=reg
         )
+        self._teams: set[str] = set()
+        self.quota_units = Counter(
+            "wigeonarch_gateway_quota_units",
+            "Units of quotas that requests asked for, by team and outcome",
+            ["team", "outcome"],
+            registry=reg,
+        )
+        self.quota_requests = Counter(
+            "wigeonarch_gateway_quota_requests",
+            "Requests under a quota, by team and outcome",
+            ["team", "outcome"],
+            registry=reg,
+        )
         self.retries = Counter(
             "wigeonarch_gateway_retries", "Repeated sends, by reason", ["reason"], registry=reg
         )
@@ -70,6 +86,21 @@
             registry=reg,
         )
 
+    def admitted(self, team: str, units: float) -> None:
+        """Counts a request that was let in."""
+        self._count_quota(team, "admitted", units)
+
+    def refused_by_quota(self, team: str, units: float) -> None:
+        """Counts a request that its team's quota kept out."""
+        self._count_quota(team, "refused", units)
+
+    def _count_quota(self, team: str, outcome: str, units: float) -> None:
+        if team not in self._teams and len(self._teams) >= TEAMS_MOST:
+            team = OTHER_TEAMS
+        self._teams.add(team)
+        self.quota_units.labels(team, outcome).inc(units)
+        self.quota_requests.labels(team, outcome).inc()
+
     def text(self) -> bytes:
         """Returns the exposition format of all metrics."""
         return generate_latest(self.registry)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import random
 from collections.abc import Coroutine
 from typing import Any, Final
 
@@ -11,13 +12,16 @@
 from wigeonarch_core.engine_pace import EnginePaces
 from wigeonarch_core.engine_places import AdapterName
 from wigeonarch_core.load_pace import LoadPace
+from wigeonarch_core.quota_bank import QuotaBank
 from wigeonarch_core.retry_window import RetryWindow
 from wigeonarch_core.routes import EngineSpec
 from wigeonarch_core.store_contact import LapseTimes, StoreContact
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import dropped, log
 
+from wigeonarch_gateway.admission import Admission
 from wigeonarch_gateway.catalogue import Catalogue
+from wigeonarch_gateway.closing import Closing
 from wigeonarch_gateway.counting import CountedStore
 from wigeonarch_gateway.door import Door
 from wigeonarch_gateway.endpoints import Endpoints
@@ -30,6 +34,11 @@
 from wigeonarch_gateway.members import Members
 from wigeonarch_gateway.messages import (
     Beat,
+    CreditAnswer,
+    CreditAsk,
+    CreditBack,
+    CreditLoan,
+    CreditPlea,
     Follow,
     Introduction,
     LoadWish,
@@ -59,6 +68,8 @@
     ObjectStore,
     StoredObject,
 )
+from wigeonarch_gateway.quotas import NUMBERS, Quotas
+from wigeonarch_gateway.serving import Serving
 from wigeonarch_gateway.sharing import Sharing
 from wigeonarch_gateway.status import Page, StatusServer
 from wigeonarch_gateway.traffic import Traffic
@@ -169,9 +180,20 @@
             opts.zone,
             lambda: self._members.pause(),
         )
-        self._passing = Passing(
+        self._bank = QuotaBank(opts.quotas, monotonic(), random.randrange(NUMBERS))
+        self._quotas = Quotas(
+            opts.instance,
+            address,
+            opts.zones,
+            self._bank,
+            self._members,
+            lambda: self._catalogue.table.teams if self._catalogue.table else None,
+            self._links.send,
+        )
+        admission = Admission(dialect.read_key, self._quotas, self._is_behind, self._metrics)
+        closing = Closing(self._metrics, finder.inputs)
+        passing = Passing(
             dialect,
-            self._catalogue,
             self._endpoints,
             self._views,
             self._traffic,
@@ -182,8 +204,18 @@
             self._paces,
             self._metrics,
             finder,
+            closing,
         )
-        self._door = Door(self._passing.serve, self._body_most)
+        serving = Serving(
+            dialect,
+            self._catalogue,
+            admission,
+            passing,
+            closing,
+            self._retries,
+            self._metrics,
+        )
+        self._door = Door(serving.serve, self._body_most)
         self._ready_server = StatusServer([Page(dialect.ready_path, self._ready)])
         self._metrics_server = StatusServer([Page("/metrics", self._metrics_page)])
 
@@ -216,6 +248,7 @@
         self._opts = opts
         retries = opts.retries
         self._retries.bounds(retries.share, retries.allowance, retries.window)
+        self._bank.bounds(opts.quotas)
         self._members.discovery.seeds(opts.seeds)
         log("reloaded", needs_restart=",".join(fixed))
 
@@ -309,6 +342,7 @@
             self._pools.trim()
             self._metrics.log_lines_dropped.set(dropped())
             self._retries.heard_of(self._members.count())
+            self._quotas.look()
             table = self._catalogue.table
             if table is not None:
                 self._metrics.configuration.set(table.version)
@@ -334,6 +368,10 @@
             log_lines_dropped=dropped(),
         )
 
+    def _is_behind(self) -> bool:
+        """Tells whether a configuration may have been in force for long that is not known here."""
+        return self._sharing.age(Kinds.CONFIGURATION) > self._opts.store.obeyed.configuration
+
     def _may_lapse_until(self, zone: str) -> float:
         """Returns the time until which a missing entry of a zone may be one that lapsed."""
         return self._contact.may_lapse_until(self._members.contacts(zone))
@@ -392,6 +430,16 @@
                 self._members.discovery.asked(message)
             case Introduction():
                 self._members.discovery.introduced(message)
+            case CreditAsk():
+                self._quotas.asked(message)
+            case CreditAnswer():
+                self._quotas.answered(message)
+            case CreditBack():
+                self._quotas.returned(message)
+            case CreditPlea():
+                self._quotas.pleaded(message)
+            case CreditLoan():
+                self._quotas.lent(message)
 
     def _relay(self, relayed: Relay) -> None:
         inner = decode(relayed.frame)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from wigeonarch_core.quota_bank import QuotaBounds
+
 RETRY_MOST: Final = 1.6  # Seconds, where the time in which an instance must be up to date is short.
 
 
@@ -100,6 +102,8 @@
         unready_noticed: Time after SIGTERM in which callers may still be sent here, in seconds; the
             balancer asks each second and takes two misses.
         log_level: Least level of logged events.
+        zones: Availability zones of the deployment, which share each quota equally.
+        quotas: How far instances together may go beyond a quota.
     """
 
     instance: str
@@ -113,6 +117,8 @@
     grace: float = 8.0
     unready_noticed: float = 2.6
     log_level: str = "INFO"
+    zones: int = 1
+    quotas: QuotaBounds = field(default_factory=QuotaBounds)
     retries: RetryOptions = field(default_factory=RetryOptions)
     holding: HoldingOptions = field(default_factory=HoldingOptions)
     store: StoreOptions = field(default_factory=StoreOptions)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -1,31 +1,28 @@
-"""The way of one request: route, endpoint, answer, and what may be tried again.
+"""The way of an admitted request: endpoint, answer, and what may be tried again.
 
 Once a byte of a request was written to an endpoint, the request may have run; only the endpoint's
 own word that it did not makes it "not run" again. What may have run is sent again only where its
-route allows that. Endpoints are found by `finding`; how requests end is in `closing`.
+route allows that. Requests come from `serving`; endpoints are found by `finding`; how requests end
+is in `closing`.
 """
 
 from __future__ import annotations
 
 import asyncio
-import random
 from typing import Final
 
 from wigeonarch_core.doubt import Doubts
 from wigeonarch_core.engine_choice import until_first_token
 from wigeonarch_core.engine_pace import EnginePaces, Wait
 from wigeonarch_core.retry_window import RetryWindow
-from wigeonarch_core.routes import Route, RoutingTable, pick_service
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
 
 from wigeonarch_gateway import texts
-from wigeonarch_gateway.catalogue import Catalogue
 from wigeonarch_gateway.closing import Closing, for_caller
 from wigeonarch_gateway.connections import Connection, Lost
 from wigeonarch_gateway.endpoints import Endpoints
 from wigeonarch_gateway.engineviews import EngineViews
-from wigeonarch_gateway.exchange import Answer, Incoming
 from wigeonarch_gateway.finding import Finder
 from wigeonarch_gateway.jobs import MAY_HAVE_RUN, Again, Job
 from wigeonarch_gateway.metrics import Metrics
@@ -35,7 +32,6 @@
     Dialect,
     Dispatch,
     EndpointRecord,
-    RequestTerms,
     Verdict,
 )
 from wigeonarch_gateway.traffic import Traffic, Under
@@ -62,7 +58,6 @@
     """Passes requests on."""
 
     __slots__ = (
-        "_catalogue",
         "_closing",
         "_dialect",
         "_doubts",
@@ -80,7 +75,6 @@
     def __init__(
         self,
         dialect: Dialect,
-        catalogue: Catalogue,
         endpoints: Endpoints,
         views: EngineViews,
         traffic: Traffic,
@@ -91,9 +85,9 @@
         paces: EnginePaces,
         metrics: Metrics,
         finder: Finder,
+        closing: Closing,
     ) -> None:
         self._dialect = dialect
-        self._catalogue = catalogue
         self._endpoints = endpoints
         self._views = views
         self._traffic = traffic
@@ -104,61 +98,10 @@
         self._paces = paces
         self._metrics = metrics
         self._finder = finder
-        self._closing = Closing(metrics, finder.inputs)
+        self._closing = closing
 
-    async def serve(self, req: Incoming, answer: Answer) -> None:
-        """Answers a request; cancelled when the caller leaves."""
-        terms = self._dialect.read_terms(req.headers)
-        table = self._catalogue.table
-        if table is None:
-            await self._closing.refuse(answer, terms, "no_configuration", texts.NO_CONFIGURATION)
-            return
-        route = table.find(req.host, req.path)
-        if route is None:
-            log("no_route", request=terms.request_id, host=req.host, version=table.version)
-            self._metrics.refusals.labels("no_route").inc()
-            await answer.whole(404, [], texts.NO_ROUTE.encode())
-            return
-        job = self._job(req, terms, answer, route, table)
-        self._retries.fresh(job.service, monotonic())
-        self._metrics.in_progress.inc()
-        try:
-            async with asyncio.timeout_at(self._loop_time(job.deadline)):
-                await self._until_answered(job)
-        except TimeoutError:
-            await self._closing.timed_out(job)
-        except asyncio.CancelledError:
-            log("caller_left", request=job.key, sends=job.sends, begun=answer.begun)
-            self._metrics.requests.labels(route.name, "caller_left").inc()
-            raise
-        finally:
-            self._metrics.in_progress.dec()
-
-    def _job(
-        self,
-        req: Incoming,
-        terms: RequestTerms,
-        answer: Answer,
-        route: Route,
-        table: RoutingTable,
-    ) -> Job:
-        wait = route.timeout if terms.wait is None else min(terms.wait, route.timeout)
-        service = pick_service(route, random.random())
-        return Job(
-            req,
-            terms,
-            answer,
-            route,
-            service,
-            req.received + wait,
-            table.services.get(service),
-        )
-
-    @staticmethod
-    def _loop_time(when: float) -> float:
-        return asyncio.get_running_loop().time() + when - monotonic()
-
-    async def _until_answered(self, job: Job) -> None:
+    async def until_answered(self, job: Job) -> None:
+        """Tries until the caller has its answer; cancelled when the time or the caller is gone."""
         while True:
             record = await self._finder.find(job)
             if record is None:
@@ -272,9 +215,11 @@
         dispatch = Dispatch(
             record.endpoint,
             max(0.001, job.deadline - monotonic()),
-            job.route.priority if engine else None,
+            job.priority if engine else None,
             self._finder.adapter(job).version if job.terms.adapter else 0,
             job.splitter.last_id,
+            job.keyed,
+            job.team.name if job.team is not None else "",
         )
         lines = [f"{req.method} {req.target} HTTP/1.1".encode("latin-1")]
         lines += [
@@ -345,7 +290,7 @@
         load_time = self._views.get(record.endpoint).load_time
         pause = max(REFUTED_PAUSE, REFUTED_SHARE * load_time)
         self._views.refuted(record.endpoint, under.key, pause)
-        self._wishes.wish(record.endpoint, under.key, job.route.priority, missing=True)
+        self._wishes.wish(record.endpoint, under.key, job.priority, missing=True)
         return Again.LACKS_ADAPTER if verdict is Verdict.MISDIRECTED else Again.NOT_RUN
 
     async def _whole(
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
@@ -225,6 +225,7 @@
         output_tokens: Greatest length of the output.
         shared_tokens: Tokens of the prompt before its last part.
         resumed: Whether the caller itself goes on with a stream.
+        tokens: Tokens that a quota counts; None when the caller does not say.
     """
 
     request_id: str
@@ -235,6 +236,7 @@
     output_tokens: int = 0
     shared_tokens: int = 0
     resumed: bool = False
+    tokens: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,6 +249,8 @@
         priority: Rank among the requests of the engine; None for other endpoints.
         version: Version of the adapter that must run; 0 for any.
         resume_after: Id of the last event that the caller has; empty at the beginning.
+        keyed: Whether callers show keys, which endpoints must not see.
+        team: Team for which the request is made; empty for none.
     """
 
     endpoint: str
@@ -254,6 +258,8 @@
     priority: int | None = None
     version: int = 0
     resume_after: str = ""
+    keyed: bool = False
+    team: str = ""
 
 
 class Verdict(enum.Enum):
@@ -288,6 +294,8 @@
         decode_endpoint: Object to an endpoint's own description; raises ValueError.
         decode_version: Object to the newest version of an adapter; raises ValueError.
         read_terms: Headers of a caller's request, names in lower case, to its terms.
+        read_key: Headers of a caller's request to its API key; None when it has none, or not one
+            that can be read.
         forward: Headers of a caller's request to those for the endpoint.
         judge: Request id and head of an answer to a verdict.
         order_body: An order to its body.
@@ -303,6 +311,7 @@
     decode_endpoint: Callable[[StoredObject], EndpointRecord]
     decode_version: Callable[[StoredObject], AdapterKey]
     read_terms: Callable[[Mapping[str, str]], RequestTerms]
+    read_key: Callable[[Headers], str | None]
     forward: Callable[[Headers, Dispatch], list[tuple[bytes, bytes]]]
     judge: Callable[[str, AnswerHead], Verdict]
     order_body: Callable[[Order], bytes]
--- /dev/null
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
@@ -0,0 +1,130 @@
+"""A caller's request from its head to its end: route, admission, time limit, and what was taken.
+
+What happens at endpoints is in `passing`; how requests end is in `closing`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Final
+
+from wigeonarch_core.retry_window import RetryWindow
+from wigeonarch_core.routes import Route, RoutingTable, pick_service
+from wigeonarch_entry.clock import monotonic
+from wigeonarch_entry.logs import log
+
+from wigeonarch_gateway import texts
+from wigeonarch_gateway.admission import Admission, Admitted, Deferred, Denied
+from wigeonarch_gateway.catalogue import Catalogue
+from wigeonarch_gateway.closing import Closing
+from wigeonarch_gateway.exchange import Answer, Incoming
+from wigeonarch_gateway.jobs import Job
+from wigeonarch_gateway.metrics import Metrics
+from wigeonarch_gateway.passing import Passing
+from wigeonarch_gateway.ports import Dialect, RequestTerms
+
+TOO_MANY_REQUESTS: Final = 429
+UNAVAILABLE: Final = 503
+
+
+class Serving:
+    """Serves requests."""
+
+    __slots__ = (
+        "_admission",
+        "_catalogue",
+        "_closing",
+        "_dialect",
+        "_metrics",
+        "_passing",
+        "_retries",
+    )
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        catalogue: Catalogue,
+        admission: Admission,
+        passing: Passing,
+        closing: Closing,
+        retries: RetryWindow,
+        metrics: Metrics,
+    ) -> None:
+        self._dialect = dialect
+        self._catalogue = catalogue
+        self._admission = admission
+        self._passing = passing
+        self._closing = closing
+        self._retries = retries
+        self._metrics = metrics
+
+    async def serve(self, req: Incoming, answer: Answer) -> None:
+        """Answers a request; cancelled when the caller leaves."""
+        terms = self._dialect.read_terms(req.headers)
+        table = self._catalogue.table
+        if table is None:
+            await self._closing.refuse(answer, terms, "no_configuration", texts.NO_CONFIGURATION)
+            return
+        route = table.find(req.host, req.path)
+        if route is None:
+            log("no_route", request=terms.request_id, host=req.host, version=table.version)
+            self._metrics.refusals.labels("no_route").inc()
+            await answer.whole(404, [], texts.NO_ROUTE.encode())
+            return
+        decision = await self._admission.admit(req, terms, route, table)
+        if isinstance(decision, Denied):
+            await self._closing.deny(answer, terms, decision.reason, decision.text, route.name)
+            return
+        if isinstance(decision, Deferred):
+            status = TOO_MANY_REQUESTS if decision.over_quota else UNAVAILABLE
+            inputs = {"route": route.name, "version": table.version, **decision.inputs}
+            await self._closing.refuse(
+                answer, terms, decision.reason, decision.text, inputs, decision.after, status
+            )
+            return
+        await self._serve_admitted(self._job(req, terms, answer, route, table, decision), decision)
+
+    async def _serve_admitted(self, job: Job, admitted: Admitted) -> None:
+        self._retries.fresh(job.service, monotonic())
+        self._metrics.in_progress.inc()
+        try:
+            async with asyncio.timeout_at(_loop_time(job.deadline)):
+                await self._passing.until_answered(job)
+        except TimeoutError:
+            await self._closing.timed_out(job)
+        except asyncio.CancelledError:
+            log("caller_left", request=job.key, sends=job.sends, begun=job.answer.begun)
+            self._metrics.requests.labels(job.route.name, "caller_left").inc()
+            raise
+        finally:
+            self._metrics.in_progress.dec()
+            if not job.ran:
+                self._admission.give_back(admitted)
+
+    @staticmethod
+    def _job(
+        req: Incoming,
+        terms: RequestTerms,
+        answer: Answer,
+        route: Route,
+        table: RoutingTable,
+        admitted: Admitted,
+    ) -> Job:
+        wait = route.timeout if terms.wait is None else min(terms.wait, route.timeout)
+        service = pick_service(route, random.random())
+        return Job(
+            req,
+            terms,
+            answer,
+            route,
+            service,
+            req.received + wait,
+            table.services.get(service),
+            keyed=table.teams is not None,
+            team=admitted.team,
+        )
+
+
+def _loop_time(when: float) -> float:
+    return asyncio.get_running_loop().time() + when - monotonic()
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -16,6 +16,7 @@
 import aiohttp
 from standins.replica import Replica
 from standins.store import StoreStandIn
+from wigeonarch_core.quota_bank import QuotaBounds
 from wigeonarch_core.store_contact import LapseTimes, StoreContact
 from wigeonarch_gateway.node import Node
 from wigeonarch_gateway.options import HoldingOptions, Options, RetryOptions, StoreOptions
@@ -60,7 +61,14 @@
     }
 
 
-def configuration(version: int = 1, *extra: dict[str, Any]) -> dict[str, Any]:
+def team(name: str, *keys: str, **more: Any) -> dict[str, Any]:
+    """Returns a team of the configuration, without a quota unless `more` gives one."""
+    return {"name": name, "api_keys": list(keys), **more}
+
+
+def configuration(
+    version: int = 1, *extra: dict[str, Any], teams: list[dict[str, Any]] | None = None
+) -> dict[str, Any]:
     """Returns a configuration with an engine service and a plain one."""
     engine = {
         "slots": 8,
@@ -84,6 +92,7 @@
             {"name": "desk", "max_conns": 100},
         ],
         "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15000},
+        **({} if teams is None else {"tenants": teams}),
     }
 
 
@@ -109,6 +118,7 @@
     sent: int = 0
     peer_port: int = 0
     store_options: StoreOptions = STORE
+    quotas: QuotaBounds = field(default_factory=QuotaBounds)
 
     async def add_replica(self, replica: Replica) -> Replica:
         """Starts a replica and enters it into the list."""
@@ -133,6 +143,7 @@
             retries=RetryOptions(allowance=100.0),
             holding=HOLDING,
             store=self.store_options,
+            quotas=self.quotas,
         )
         opts = replace(opts, seeds=tuple(f"127.0.0.{n}:1" for n in (10, 11, 12)))
         node = Node(opts, DIALECT, Store(self.store.address))
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -27,6 +27,7 @@
 
 import aiohttp
 from gateway_world import HOST, configuration, free_port
+from soak_teams import CALM, SETTINGS, Teams
 from standins.proxy import Proxy, Way
 from standins.replica import Replica
 from standins.replica import Trouble as ReplicaTrouble
@@ -94,12 +95,13 @@
     stopping: bool = False
     version: int = 1
     all_faults: bool = False
+    teams: Teams | None = None
 
     async def start(self, gateways: int) -> None:
         """Starts stand-ins and processes."""
         await self.store.start()
         await self.proxy.start(self.store.address)
-        await self.store.put("config", "main", configuration(self.version))
+        await self._configure()
         for number in range(3):
             await self._add(Replica("llm", model="m", name=f"i-llm{number}", load_time=0.1))
         for number in range(2):
@@ -131,6 +133,7 @@
             "bounds.grace_s": "6",
             "bounds.lease_ms": str(int(TURN * 1000)),
             "platform.address": self.proxy.address,
+            **({} if self.teams is None else SETTINGS),
         }
         settings = self.folder / f"edge-{number}.conf"
         settings.write_text("\n".join(f"{key}={value}" for key, value in pairs.items()))
@@ -156,11 +159,14 @@
         path: str,
         rng: random.Random,
         gateway: Gateway | None = None,
+        team: str = "",
     ) -> None:
         headers = {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": "3000"}
         if path in ("/write/x", "/draft/x"):
             headers["X-Model"] = f"m/a{min(int(rng.paretovariate(0.8)), 12)}"
             headers["X-Token-Counts"] = "100,20"
+        if self.teams is not None:
+            headers |= self.teams.authorize(request, rng, team)
         gateway = gateway or rng.choice(self.gateways)
         parts: list[bytes] = []
         status, complete = 0, False
@@ -282,7 +288,13 @@
     async def new_configuration(self) -> None:
         """Writes the next version of the configuration."""
         self.version += self.rng.randrange(1, 4)
-        await self.store.put("config", "main", configuration(self.version))
+        if self.teams is not None:
+            self.teams.change_keys()
+        await self._configure()
+
+    async def _configure(self) -> None:
+        teams = None if self.teams is None else self.teams.listed()
+        await self.store.put("config", "main", configuration(self.version, teams=teams))
 
     async def leave(self) -> None:
         """Lets an endpoint say that it leaves, and come back as another one later."""
@@ -322,7 +334,7 @@
     async def _serves(self, session: aiohttp.ClientSession, gateway: Gateway, path: str) -> bool:
         for attempt in range(40):
             request = f"end-{gateway.number}-{path[1]}-{attempt}"
-            await self._ask(session, request, path, random.Random(request), gateway)
+            await self._ask(session, request, path, random.Random(request), gateway, CALM)
             if self.answers[request].status == 200:
                 return True
             await asyncio.sleep(0.25)
@@ -336,6 +348,8 @@
             found += self._broken_answer(request, seen, runs[request])
         for replica in self.replicas:
             found += _broken_orders(replica)
+        if self.teams is not None:
+            found += self.teams.broken(self.replicas, self.folder)
         return found
 
     def _broken_answer(self, request: str, seen: Seen, runs: int) -> list[str]:
@@ -385,11 +399,17 @@
 
 
 async def run(
-    seed: int, seconds: float, gateways: int, callers: int, all_faults: bool = False
+    seed: int,
+    seconds: float,
+    gateways: int,
+    callers: int,
+    all_faults: bool = False,
+    teams: bool = False,
 ) -> tuple[Soak, list[str]]:
     """Plays one seed; returns the soak and the promises that were broken."""
     with tempfile.TemporaryDirectory(prefix="soak-") as name:
         soak = Soak(random.Random(seed), Path(name), all_faults=all_faults)
+        soak.teams = Teams(random.Random(seed)) if teams else None
         await soak.start(gateways)
         tasks = [asyncio.create_task(soak.call(number)) for number in range(callers)]
         try:
@@ -415,10 +435,12 @@
     parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--callers", type=int, default=8)
     parser.add_argument("--all-faults", action="store_true", help="also the ones that came later")
+    parser.add_argument("--teams", action="store_true", help="callers show keys of teams")
     args = parser.parse_args()
     failed = 0
     for seed in range(args.seed, args.seed + args.seeds):
-        played = run(seed, args.seconds, args.gateways, args.callers, args.all_faults)
+        options = (args.seconds, args.gateways, args.callers, args.all_faults, args.teams)
+        played = run(seed, *options)
         soak, broken = asyncio.run(played)
         statuses = Counter(seen.status for seen in soak.answers.values())
         print(f"seed={seed} requests={len(soak.answers)} statuses={dict(statuses)}", flush=True)
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -10,6 +10,7 @@
 import contextlib
 import enum
 import json
+import time
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -41,6 +42,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    at: float = field(default_factory=time.monotonic)
 
 
 @dataclass
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -49,3 +49,17 @@
 async def test_no_promise_is_broken_where_one_watches_for_others(seed: int, seconds: float) -> None:
     _, broken = await soak.run(seed, seconds, gateways=9, callers=8, all_faults=True)
     assert not broken
+
+
+# With teams that show keys, one of them far beyond its quota; restarts, pauses and changes of keys.
+TEAMS_SEEDS = [(7000, 12.0)]
+
+
+@pytest.mark.timeout(240)
+@pytest.mark.parametrize(("seed", "seconds"), TEAMS_SEEDS)
+async def test_no_promise_is_broken_to_teams(seed: int, seconds: float) -> None:
+    played, broken = await soak.run(
+        seed, seconds, gateways=4, callers=10, all_faults=True, teams=True
+    )
+    assert not broken
+    assert any(seen.status == 429 for seen in played.answers.values())
