Engines: chance decides among those that are alike, as much as old news are worth

Cause: what others have sent to an engine is 0.5 to 1.1 s old, a prompt is read in 76 ms.

Ruled out: a wider chance over all engines, which would buy loads and ways between zones.

Change: the best engine says which kind is taken (holds, coming, warm, zone); among engines of that kind a quarter of the lag is left to chance, a tenth before.

--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -128,16 +128,22 @@
     """
     states = list(states)
     unavoidable = _unavoidable_pauses(states, prompt_tokens)
-    best: Choice | None = None
-    least = float("inf")
-    for state in states:
-        choice = _expect(state, prompt_tokens, unavoidable[state.holds, state.same_zone])
-        if choice is None:
-            continue
-        expected = choice.expected + draw()
-        if expected < least:
-            best, least = choice, expected
-    return best
+    expected = [
+        (choice, state)
+        for state in states
+        if (choice := _expect(state, prompt_tokens, unavoidable[state.holds, state.same_zone]))
+    ]
+    if not expected:
+        return None
+    _, best = min(expected, key=lambda pair: pair[0].expected)
+    # Chance decides among engines that are alike: it buys no load and no way between zones.
+    alike = [choice for choice, state in expected if _kind(state) == _kind(best)]
+    return min(alike, key=lambda choice: choice.expected + draw())
+
+
+def _kind(state: EngineState) -> tuple[bool, bool, bool, bool]:
+    """Returns what makes engines alike: what sending there costs besides waiting."""
+    return state.holds, state.loading_left is not None, state.warm, state.same_zone
 
 
 def choose_again(
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
@@ -33,7 +33,7 @@
 WISH_PATIENCE: Final = 1.8
 WISH_PATIENCE_LEAST: Final = 0.2
 # Share of the time between heartbeats by which expectations are spread at random.
-SPREAD: Final = 0.1
+SPREAD: Final = 0.25
 # Share of the objective for which a request is held while no endpoint can take it at all.
 HOLD_SHARE: Final = 0.5
 # The same while an adapter is on its way: a request that is later than this earns little, and its
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -54,6 +54,22 @@
     assert choice.endpoint == "b"
 
 
+@pytest.mark.parametrize(
+    "other",
+    [
+        replace(HOLDS, endpoint="far", same_zone=False),
+        replace(HOLDS, endpoint="cold", holds=False),
+        replace(HOLDS, endpoint="warm", holds=False, warm=True),
+        replace(HOLDS, endpoint="coming", holds=False, loading_left=0.1),
+    ],
+)
+def test_chance_buys_no_load_and_no_way_between_zones(other: EngineState) -> None:
+    draws = iter([5.0, 0.0])
+    choice = choose([HOLDS, other], 100, lambda: next(draws))
+    assert choice is not None
+    assert choice.endpoint == "holds"
+
+
 DEAF = replace(COLD, endpoint="asked", loadable=False)
 ASKED = replace(COLD, endpoint="asked")
 
