Quotas: 0.95 of the bound is given, so that a team beyond its limit has its whole limit

Cause: with 0.9 of the bound a large team got 1.01 times what rate and burst allow in a window (bound: 1.12 times), less what is on its way; refusals fell below its limit.

--- a/packages/wigeonarch-core/src/wigeonarch_core/quota_bank.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/quota_bank.py
@@ -42,9 +42,9 @@
 
 from wigeonarch_core.teams import Quota
 
-USED: Final = 0.9  # Part of the bound that is given out.
+USED: Final = 0.95  # Part of the bound that is given out.
 # Part of it that a banker without knowledge of the past may give at once, or a deputy half of.
-FIRST: Final = 0.02
+FIRST: Final = 0.01
 # Part of a quota's rate that is given for a window without knowledge of the past. A team that stays
 # within its quota rarely asks for more than this on the whole.
 RESTART: Final = 0.6
