--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
@@ -28,6 +28,19 @@
         "not run: of {ready} ready endpoints {shut} were passed over after failures, "
         "{loadable} could load and {with_model} held the model; waited {waited} s"
     ),
+    ("refused", "service_overloaded"): (
+        "not run: service {service} is asked for more than it can do within the objective"
+    ),
+    ("refused", "over_quota"): (
+        "not run: team {team} has used up its quota of {rate} a second and {burst} besides; "
+        "the request costs {cost}, {left} were left by {banker} (version {version})"
+    ),
+    ("refused", "quota_unsure"): "not run: no instance that keeps team {team}'s quota answered",
+    ("refused", "key_unsure"): (
+        "not run: its key is not in version {version}, and a newer one may be in force"
+    ),
+    ("denied", "key_missing"): "not allowed: it had no API key, or one that can't be read",
+    ("denied", "key_unknown"): "not allowed: no team holds its API key in version {version}",
     ("refused", "endpoints_full"): "not run: every endpoint that was tried refused it",
     ("refused", "retry_budget"): "not run: the bound on repeated sends was reached",
     ("refused", "timed_out"): "not run: its time was over before an endpoint could take it",
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/admission.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/admission.py
@@ -107,7 +107,7 @@
             return Admitted()
         team = team_of(table.teams, self._read_key(req.raw_headers), route.public)
         if isinstance(team, KeyProblem):
-            return self._without_team(team, table)
+            return self._without_team(team)
         if team is None or team.quota is None:
             return Admitted(team)
         return await self._on_credit(team, team.quota, terms, route)
@@ -117,10 +117,9 @@
         if admitted.credit is not None:
             self._quotas.give_back(admitted.credit)
 
-    def _without_team(self, problem: KeyProblem, table: RoutingTable) -> Denied | Deferred:
+    def _without_team(self, problem: KeyProblem) -> Denied | Deferred:
         if problem is KeyProblem.UNKNOWN and self._is_behind():
-            inputs: Inputs = {"version": table.version}
-            return Deferred("key_unsure", texts.KEY_UNSURE, ELSEWHERE, False, inputs)
+            return Deferred("key_unsure", texts.KEY_UNSURE, ELSEWHERE, False, {})
         return Denied(problem.value, KEY_TEXTS[problem])
 
     async def _on_credit(
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/closing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/closing.py
@@ -55,10 +55,10 @@
         await answer.whole(status, headers, text.encode())
 
     async def deny(
-        self, answer: Answer, terms: RequestTerms, reason: str, text: str, route: str
+        self, answer: Answer, terms: RequestTerms, reason: str, text: str, inputs: Inputs
     ) -> None:
         """Answers that a request is not allowed; its key is not logged."""
-        log("denied", request=terms.request_id, reason=reason, route=route)
+        log("denied", "INFO", request=terms.request_id, reason=reason, **inputs)
         self._metrics.refusals.labels(reason).inc()
         await answer.whole(401, [(b"WWW-Authenticate", b"Bearer")], text.encode())
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
@@ -19,6 +19,7 @@
 from wigeonarch_gateway.catalogue import Catalogue
 from wigeonarch_gateway.closing import Closing
 from wigeonarch_gateway.exchange import Answer, Incoming
+from wigeonarch_gateway.finding import Inputs
 from wigeonarch_gateway.jobs import Job
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.passing import Passing
@@ -73,12 +74,13 @@
             await answer.whole(404, [], texts.NO_ROUTE.encode())
             return
         decision = await self._admission.admit(req, terms, route, table)
+        inputs: Inputs = {"route": route.name, "version": table.version}
         if isinstance(decision, Denied):
-            await self._closing.deny(answer, terms, decision.reason, decision.text, route.name)
+            await self._closing.deny(answer, terms, decision.reason, decision.text, inputs)
             return
         if isinstance(decision, Deferred):
             status = TOO_MANY_REQUESTS if decision.over_quota else UNAVAILABLE
-            inputs = {"route": route.name, "version": table.version, **decision.inputs}
+            inputs |= decision.inputs
             await self._closing.refuse(
                 answer, terms, decision.reason, decision.text, inputs, decision.after, status
             )
--- a/tests/test_ctl_logtrace.py
+++ b/tests/test_ctl_logtrace.py
@@ -46,6 +46,29 @@
         (REFUSED, ["not run", "of 6 ready endpoints 1", "0 could load and 4 held the model"]),
         (LOST, ["may have run", "i-9", "reset"]),
         (BROKEN, ["may have run", "i-9", "134 events"]),
+        (
+            [line(1, "denied", "request=r1 reason=key_unknown route=x version=7")],
+            ["not allowed", "no team holds its API key", "version 7"],
+        ),
+        (
+            [
+                line(
+                    1,
+                    "refused",
+                    "request=r1 reason=over_quota retry_after=0.4 version=7 team=deli cost=1632 "
+                    "left=310 rate=2700 burst=2700 banker=edge-4 asked=True",
+                )
+            ],
+            ["not run", "team deli", "2700 a second", "costs 1632", "310 were left by edge-4"],
+        ),
+        (
+            [line(1, "refused", "request=r1 reason=quota_unsure team=deli cost=1632")],
+            ["not run", "no instance that keeps team deli's quota"],
+        ),
+        (
+            [line(1, "refused", "request=r1 reason=service_overloaded service=desk")],
+            ["not run", "service desk is asked for more"],
+        ),
         (
             [line(1, "answered", "request=r1 endpoint=i-9 status=200 sends=1 took=0.2")],
             ["answered with 200 by i-9"],
