--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -8,10 +8,14 @@
 
 import pytest
 
-DAYS = sorted((Path(__file__).parent.parent / "deploy" / "days").glob("*.toml"))
+DEPLOY = Path(__file__).parent.parent / "deploy"
+DAYS = sorted((DEPLOY / "days").glob("*.toml"))
+# Days that need teams, with keys and quotas: hunts play the others on deployments that have none.
+TEAM_DAYS = sorted((DEPLOY / "team-days").glob("*.toml"))
 # Places for what a deployment names itself: its first kind of request, service and zone.
 PLACEHOLDERS = {"class": "@c0", "service": "@s0", "zone": "@z0", "to_zone": "@z0"}
 LAST_AT = 30.0  # Seconds; a day lasts 41 s, and what begins later can't be seen to end.
+PLANNED_WITH_TEAMS = {"revoke"}
 PLANNED = {"config_change", "config_storm", "model_shift", "release", "scale_in", "version_bump"}
 
 
@@ -21,27 +25,44 @@
 
 def test_there_are_days() -> None:
     assert len(DAYS) >= 8
+    assert TEAM_DAYS
 
 
-@pytest.mark.parametrize("path", DAYS, ids=lambda path: path.stem)
+@pytest.mark.parametrize("path", [*DAYS, *TEAM_DAYS], ids=lambda path: path.stem)
 def test_a_day_fits_any_deployment(path: Path) -> None:
     day = read(path)
+    planned = PLANNED | PLANNED_WITH_TEAMS if path in TEAM_DAYS else PLANNED
     assert day["name"] == path.stem
     assert set(day) == {"name", "slot", "plan", "faults"}
-    assert {one["kind"] for one in day["plan"]} <= PLANNED
+    assert {one["kind"] for one in day["plan"]} <= planned
     for one in day["plan"] + day["faults"]:
         assert 0.0 < one["at"] <= LAST_AT
         for key, placeholder in PLACEHOLDERS.items():
             assert one.get(key, placeholder) == placeholder
 
 
-def test_each_finding_that_a_day_can_bring_about_has_one() -> None:
-    hows = {
+def kinds_in(days: list[Path]) -> set[tuple[str, str]]:
+    return {
         (one["kind"], how)
-        for path in DAYS
+        for path in days
         for one in read(path)["plan"] + read(path)["faults"]
         for how in one.get("how", "").split() or [""]
     }
+
+
+def test_each_matter_of_teams_has_a_day() -> None:
+    assert {
+        ("hot_tenant", ""),  # In a cut, and as everything restarts.
+        ("zone_cut", "drop"),
+        ("herd_kill", ""),
+        ("revoke", "last"),
+        ("platform_down", "revoke"),  # On instances without the store.
+        ("config_change", "down"),  # A limit lowered in an outage.
+    } <= kinds_in(TEAM_DAYS)
+
+
+def test_each_finding_that_a_day_can_bring_about_has_one() -> None:
+    hows = kinds_in(DAYS)
     assert {
         ("node_cut", "reborn"),  # Endpoints that start again under their id,
         ("srv_cut", "reborn"),
