--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
@@ -74,18 +74,30 @@
             await answer.whole(404, [], texts.NO_ROUTE.encode())
             return
         decision = await self._admission.admit(req, terms, route, table)
-        inputs: Inputs = {"route": route.name, "version": table.version}
+        if not isinstance(decision, Admitted):
+            inputs: Inputs = {"route": route.name, "version": table.version}
+            await self._turn_away(answer, terms, decision, inputs)
+            return
+        job = self._job(req, terms, answer, route, table, decision)
+        await self._serve_admitted(job, decision)
+
+    async def _turn_away(
+        self, answer: Answer, terms: RequestTerms, decision: Denied | Deferred, inputs: Inputs
+    ) -> None:
+        """Answers a request that may not be served, or not now."""
         if isinstance(decision, Denied):
             await self._closing.deny(answer, terms, decision.reason, decision.text, inputs)
             return
-        if isinstance(decision, Deferred):
-            status = TOO_MANY_REQUESTS if decision.over_quota else UNAVAILABLE
-            inputs |= decision.inputs
-            await self._closing.refuse(
-                answer, terms, decision.reason, decision.text, inputs, decision.after, status
-            )
-            return
-        await self._serve_admitted(self._job(req, terms, answer, route, table, decision), decision)
+        status = TOO_MANY_REQUESTS if decision.over_quota else UNAVAILABLE
+        await self._closing.refuse(
+            answer,
+            terms,
+            decision.reason,
+            decision.text,
+            inputs | decision.inputs,
+            decision.after,
+            status,
+        )
 
     async def _serve_admitted(self, job: Job, admitted: Admitted) -> None:
         self._retries.fresh(job.service, monotonic())
