Test of a quota over instances: judged by windows, as the rule is

It counted all that ran while the test lasted, which is more than a window where the machine is busy. As strict: no window of eight seconds holds more than rate and burst allow.

--- a/tests/test_gateway_teams.py
+++ b/tests/test_gateway_teams.py
@@ -16,6 +16,7 @@
     until_true,
     world,
 )
+from standins.replica import Seen
 
 KEY, SECOND, OTHER = "key-of-one", "second-of-one", "key-of-other"
 OPEN = route("open", "idempotent", "desk", public=True)
@@ -150,13 +151,21 @@
 # Quotas.
 
 LIMIT = {"rate_per_s": 1, "burst": 3}
-MOST = 8 * 1 + 3  # Requests in any window of eight seconds.
+WINDOW = 8.0  # Seconds.
+MOST = 8 * 1 + 3  # Requests in any window.
+
+
+def most_in_a_window(ran: list[Seen]) -> int:
+    times = [seen.at for seen in ran]
+    return max(sum(at <= other < at + WINDOW for other in times) for at in times)
 
 
 async def test_beyond_its_quota_a_team_is_refused_and_others_are_not() -> None:
     async with world() as found:
         await put_teams(found, 2, team("one", KEY, **LIMIT), team("other", OTHER))
-        answers = [await found.ask("/ask/x", **bearer(KEY)) for _ in range(20)]
+        answers = await asyncio.gather(
+            *(found.ask("/ask/x", **bearer(KEY)) for _ in range(3 * MOST))
+        )
         refused = [answer for answer in answers if answer.status == 429]
         assert refused
         assert all(float(answer.headers["retry-after"]) > 0.0 for answer in refused)
@@ -179,7 +188,7 @@
             await asyncio.gather(
                 *(found.ask("/ask/x", node=node, **bearer(KEY)) for node in left * 4)
             )
-        assert len(desk.ran) <= MOST
+        assert most_in_a_window(desk.ran) <= MOST
         for node in left:
             assert (await served(found, KEY, node)).status == 200
 
