Logs tell two attempts of one request: a key of their content in sent and answer_lost

Cause: not shown yet. Change: a digest of method, host, target and body is made once per admitted request and stands in the two lines. Ruled out: the prefix parts (they say the same where a session goes on) and the caller's address (it is the same for all of a caller's requests, and behind a proxy for all callers). Before and after: no decision changes.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
@@ -38,6 +38,7 @@
         answer: Where the answer goes.
         route: Its route.
         service: Service that serves it.
+        content: Key of what it asks for, the same for each attempt of its caller.
         deadline: Time at which its answer is of no use or the route allows no more.
         spec: The service.
         sends: Sends so far.
@@ -61,6 +62,7 @@
     answer: Answer
     route: Route
     service: str
+    content: str
     deadline: float
     spec: ServiceSpec | None
     sends: int = 0
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -176,7 +176,14 @@
         except Lost as exc:
             conn.close()
             self._doubts.unreachable(record.endpoint, monotonic())
-            log("answer_lost", "WARNING", request=job.key, endpoint=record.endpoint, how=str(exc))
+            log(
+                "answer_lost",
+                "WARNING",
+                request=job.key,
+                content=job.content,
+                endpoint=record.endpoint,
+                how=str(exc),
+            )
             return Again.LOST
         except BaseException:
             conn.close()
@@ -241,6 +248,7 @@
         log(
             "sent",
             request=job.key,
+            content=job.content,
             endpoint=record.endpoint,
             route=job.route.name,
             adapter=job.terms.adapter,
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
@@ -9,6 +9,7 @@
 import random
 from typing import Final
 
+from wigeonarch_core.content_key import content_key
 from wigeonarch_core.retry_window import RetryWindow
 from wigeonarch_core.routes import Route, RoutingTable, pick_service
 from wigeonarch_entry.clock import monotonic
@@ -133,6 +134,7 @@
             answer,
             route,
             service,
+            content_key(req.method, req.host, req.target, req.body),
             req.received + wait,
             table.services.get(service),
             keyed=table.teams is not None,
