--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -11,6 +11,7 @@
 import enum
 import json
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -88,6 +89,9 @@
     address: str = ""
     _pending: dict[str, int] = field(default_factory=dict)
     born: int = 0  # Start of its incarnation; 0 when it does not say.
+    fatal: bytes = b""  # Body of a request that ends it as it begins to run.
+    ends: int = 0  # Times that it ended so; it is back at once.
+    on_end: Callable[[], Awaitable[None]] | None = None
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _serving: set[asyncio.Task[None]] = field(default_factory=set)  # One for each connection.
@@ -132,6 +136,14 @@
         self._pending.clear()
         self.replacing = ""
 
+    async def _end(self) -> None:
+        """Ends with all its connections and starts again; the run that ended it is cancelled."""
+        self.ends += 1
+        self.restart()
+        if self.on_end is not None:
+            self._spawn(self.on_end())
+        await asyncio.sleep(3600)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
@@ -275,6 +287,8 @@
             _write(writer, 503, {"X-Not-Executed": "1"})
             return True
         self.ran.append(seen)
+        if self.fatal and seen.body == self.fatal:
+            await self._end()
         if adapter:
             self.using[adapter] = self.using.get(adapter, 0) + 1
         try:
