A request under which endpoints end is remembered by all instances and held back

Callers saw: all streams on an engine break off, again on the next engine, and so on, while one request went round; a report counts ten engines, five of them after it was sent on beyond the third. Cause: what an endpoint's end showed was kept for the endpoint (a pause) and forgotten for the request. Each attempt of its caller has another id and comes to any instance, so each was the first. Class: evidence is kept under a key that the next occurrence does not bear, and by one instance. Ruled out: repeats by an instance itself (lost runs there have sends=1); a part of the bound on repeats (no retry_denied beside the ends; a caller that comes back counts as fresh). Change: core.fatal_requests counts ends by content and incarnation, only where the run began after the last end that counts, so that a rack that fails blames nobody three times; a whole answer clears. Held back for 15 min, then four times as long. A 4xx of our own would tell a request that is blamed wrongly never to come back: 503 with the time that is left. The two ways of a run that nobody saw end (caller left, silent endpoint) count when the endpoint goes. Passing takes one Evidence for doubts, paces and this, so it has a constructor argument less.

--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
@@ -41,6 +41,10 @@
     ),
     ("denied", "key_missing"): "not allowed: it had no API key, or one that can't be read",
     ("denied", "key_unknown"): "not allowed: no team holds its API key in version {version}",
+    ("refused", "quarantined"): (
+        "not run: endpoints ended each time they ran this request (content {content}); "
+        "it is held back for {retry_after} s"
+    ),
     ("refused", "endpoints_full"): "not run: every endpoint that was tried refused it",
     ("refused", "retry_budget"): "not run: the bound on repeated sends was reached",
     ("refused", "timed_out"): "not run: its time was over before an endpoint could take it",
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/closing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/closing.py
@@ -62,12 +62,12 @@
         self._metrics.refusals.labels(reason).inc()
         await answer.whole(401, [(b"WWW-Authenticate", b"Bearer")], text.encode())
 
-    async def give_up(self, job: Job, reason: str, text: str) -> None:
+    async def give_up(self, job: Job, reason: str, text: str, after: float = COME_BACK) -> None:
         """Answers a request that no endpoint will be asked for any more."""
         if job.answer.begun or job.ran:
             await self.fail(job, Again.FAILED)
             return
-        await self.refuse(job.answer, job.terms, reason, text, self._inputs(job))
+        await self.refuse(job.answer, job.terms, reason, text, self._inputs(job), after)
         self._metrics.requests.labels(job.route.name, "refused").inc()
 
     async def fail(self, job: Job, again: Again) -> None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
@@ -8,7 +8,7 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from wigeonarch_gateway.links import is_address
@@ -38,12 +38,14 @@
         address: Address for messages.
         zone: Availability zone.
         sign: Time at which the lease was last seen to change, in seconds.
+        ended_under: As in the lease.
     """
 
     revision: int
     address: str
     zone: str
     sign: float
+    ended_under: list[tuple[str, list[str]]] = field(default_factory=list)
 
 
 class Directory:
@@ -72,7 +74,9 @@
                 continue
             entry = before.get(lease.name)
             if entry is None or entry.revision != lease.revision:
-                entry = Entry(lease.revision, content.address, content.zone, sign)
+                entry = Entry(
+                    lease.revision, content.address, content.zone, sign, content.ended_under
+                )
                 changed.append(entry)
             self.entries[lease.name] = entry
         self._sizes = Counter(self.entries[name].zone for name in self.present(now))
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/discovery.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/discovery.py
@@ -21,6 +21,7 @@
     LIST_RARELY,
     PRESENT,
     Directory,
+    Entry,
 )
 from wigeonarch_gateway.links import Links, is_address
 from wigeonarch_gateway.messages import Introduction, WhoIsThere
@@ -43,6 +44,7 @@
 
     Attributes:
         directory: What the leases in the store say.
+        on_entry: Called with each lease that is new or changed.
         started: Time at which this instance began to look.
     """
 
@@ -55,6 +57,7 @@
         "_seeds",
         "_zones",
         "directory",
+        "on_entry",
         "started",
     )
 
@@ -68,6 +71,7 @@
         self._looked = asyncio.Event()
         self._seeds: list[str] = []
         self.directory = Directory()
+        self.on_entry: Callable[[Entry], None] = lambda entry: None
         self.started = monotonic()
         self.seeds(opts.seeds)
 
@@ -174,6 +178,7 @@
         """Takes over all leases."""
         for entry in self.directory.listed(leases, monotonic()):
             self.know(entry.address, entry.zone)
+            self.on_entry(entry)
 
     async def own_lease(self) -> int:
         """Returns the revision of this instance's lease by the first look; 0 when it has none."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
@@ -265,6 +265,7 @@
         views = [self._views.get(record.endpoint) for record in ready]
         return {
             "route": job.route.name,
+            "content": job.content,
             "service": job.service,
             "adapter": job.terms.adapter,
             "ready": len(ready),
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
@@ -42,6 +42,7 @@
         deadline: Time at which its answer is of no use or the route allows no more.
         spec: The service.
         sends: Sends so far.
+        sent_at: Time of the last one, in seconds.
         ran: Endpoints at which it may have run, in order of the sends.
         refused: Sends that were refused.
         avoid: Endpoints that it should not be sent to again.
@@ -66,6 +67,7 @@
     deadline: float
     spec: ServiceSpec | None
     sends: int = 0
+    sent_at: float = 0.0
     ran: list[str] = field(default_factory=list)
     refused: int = 0
     avoid: set[str] = field(default_factory=set)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
@@ -9,7 +9,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable, Collection
+from dataclasses import dataclass
 from typing import Final
 
 from wigeonarch_core.lease import HeldLease
@@ -19,8 +21,9 @@
 
 from wigeonarch_gateway.messages import PromiseMade, RenewalDone, RenewalPlea
 from wigeonarch_gateway.options import HoldingOptions
-from wigeonarch_gateway.ownobjects import LeaseContent, content
+from wigeonarch_gateway.ownobjects import LeaseContent, content, read_lease
 from wigeonarch_gateway.ports import Absent, Conflict, Kinds, ObjectStore, StoredObject, Unavailable
+from wigeonarch_gateway.suspects import Wire
 
 # Seconds without an answer to a renewal after which peers are asked; the store usually takes a few
 # milliseconds, and a lost answer is known as such only by the call's own, longer time limit.
@@ -28,6 +31,37 @@
 # Seconds between renewals by an instance that orders nothing: others find its address by the lease,
 # and it is that of a process that lives.
 RESTING_RENEWAL: Final = 25.0
+URGENT_LEAST: Final = 0.25  # Seconds between renewals at least, however much there is to keep.
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """An instance.
+
+    Attributes:
+        name: Its name, kept over restarts.
+        incarnation: Incarnation of its process.
+        address: Address for messages to it.
+        zone: Its availability zone.
+    """
+
+    name: str
+    incarnation: str
+    address: str
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class Memory:
+    """What a lease keeps besides: requests under which several endpoints ended.
+
+    Attributes:
+        notable: Returns what is to be kept.
+        read: Takes over what the last incarnation's lease kept.
+    """
+
+    notable: Callable[[], Wire]
+    read: Callable[[Wire], None]
 
 
 class Leasing:
@@ -38,12 +72,11 @@
     """
 
     __slots__ = (
-        "_address",
         "_count",
         "_held",
-        "_incarnation",
         "_last_seen",
-        "_name",
+        "_me",
+        "_memory",
         "_needed",
         "_opts",
         "_outpaced",
@@ -52,7 +85,7 @@
         "_revision",
         "_rivals",
         "_store",
-        "_zone",
+        "_urgent",
         "lease",
     )
 
@@ -60,35 +93,29 @@
         self,
         store: ObjectStore,
         opts: HoldingOptions,
-        name: str,
-        incarnation: str,
-        address: str,
-        zone: str,
+        me: Identity,
         plead: Callable[[RenewalPlea], None],
         rivals: Callable[[], Collection[str]],
         needed: Callable[[], bool],
         last_seen: Callable[[], Awaitable[int]],
+        memory: Memory,
     ) -> None:
         """Makes a lease that does not hold yet.
 
         Args:
             store: The store.
             opts: Times.
-            name: Name of this instance.
-            incarnation: Incarnation of this process.
-            address: Address for messages to it.
-            zone: Its availability zone.
+            me: This instance.
             plead: Sends a plea to all peers.
             rivals: Returns the instances that could take over from this one.
             needed: Tells whether this instance orders endpoints, or may have to.
             last_seen: Returns the revision of the lease by a list that may be old; 0 without one.
+            memory: What the lease keeps for the instances that come after.
         """
         self._store = store
         self._opts = opts
-        self._name = name
-        self._incarnation = incarnation
-        self._address = address
-        self._zone = zone
+        self._me = me
+        self._memory = memory
         self._plead = plead
         self._rivals = rivals
         self._needed = needed
@@ -97,29 +124,47 @@
         self._count = 0
         self._revision = 0
         self._held = False
+        self._urgent = asyncio.Event()
         self._outpaced = False  # Whether the last write was refused for another one's.
         self.lease = HeldLease(opts.term, opts.margin)
 
     async def keep(self) -> None:
         """Renews the lease; runs until cancelled.
 
-        While it is of no use, it is renewed only now and then, for its address.
+        While it is of no use, it is renewed only now and then, for its address, and when it has to
+        keep something new.
         """
         began = float("-inf")
+        urgent = False
         self._revision = await self._last_seen()
         while True:
-            if not self._needed() and monotonic() - began < RESTING_RENEWAL:
-                await asyncio.sleep(self._opts.renewal / 4)
+            urgent = urgent or self._urgent.is_set()
+            rests = not self._needed() and monotonic() - began < RESTING_RENEWAL
+            if rests and not urgent:
+                await self._pause(self._opts.renewal / 4)
                 continue
             began = monotonic()
+            self._urgent.clear()
             asking = asyncio.get_running_loop().call_later(UNANSWERED, self._ask_peers)
             ok = await self._renew()
+            urgent = urgent and not ok
             asking.cancel()
             self._note_holding()
             if not ok:
                 self._ask_peers()
             pause = self._opts.renewal if ok else self._opts.renewal / 3
-            await asyncio.sleep(max(0.0, began + pause - monotonic()))
+            await asyncio.sleep(max(0.0, began + min(pause, URGENT_LEAST) - monotonic()))
+            await self._pause(max(0.0, began + pause - monotonic()))
+
+    async def _pause(self, seconds: float) -> None:
+        """Waits, unless the lease has to keep something new."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._urgent.wait()
+
+    def renew_soon(self) -> None:
+        """Has the lease renewed at once, as it has to keep something new."""
+        self._urgent.set()
 
     async def watch_clock(self) -> None:
         """Notices pauses of the process; runs until cancelled."""
@@ -163,7 +208,7 @@
         number = self._promises.ask(now)
         if not self._rivals():
             self.lease.promised(now, now)
-        self._plead(RenewalPlea(self._name, self._incarnation, number))
+        self._plead(RenewalPlea(self._me.name, self._me.incarnation, number))
 
     async def _renew(self) -> bool:
         """Renews the lease; a revision that was wrong is read, and the lease written again."""
@@ -176,13 +221,15 @@
         self._outpaced = False
         self.lease.trying(sent)
         self._count += 1
-        lease = LeaseContent(self._address, self._zone, self._incarnation, self._count)
+        me = self._me
+        notable = self._memory.notable()
+        lease = LeaseContent(me.address, me.zone, me.incarnation, self._count, notable)
         spec = content(lease)
         result: StoredObject | Absent | Conflict | Unavailable
         if self._revision:
-            result = await self._store.replace(Kinds.LEASES, self._name, spec, self._revision)
+            result = await self._store.replace(Kinds.LEASES, self._me.name, spec, self._revision)
         else:
-            result = await self._store.create(Kinds.LEASES, self._name, spec)
+            result = await self._store.create(Kinds.LEASES, self._me.name, spec)
         if isinstance(result, StoredObject):
             self._revision = result.revision
             self.lease.renewed(sent, result.revision, monotonic())
@@ -192,8 +239,12 @@
 
     async def _read_back(self) -> bool:
         """Finds the revision; returns whether the lease can be written now."""
-        result = await self._store.get(Kinds.LEASES, self._name)
+        result = await self._store.get(Kinds.LEASES, self._me.name)
         if isinstance(result, Unavailable):
             return False
-        self._revision = result.revision if isinstance(result, StoredObject) else 0
+        self._revision = 0
+        if isinstance(result, StoredObject):
+            self._revision = result.revision
+            lease = read_lease(result)
+            self._memory.read(lease.ended_under if lease is not None else [])
         return True
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -308,6 +308,25 @@
     units: int
 
 
+class EndsTold(msgspec.Struct, array_like=True, tag="ends"):
+    """Endpoints ended under requests, or were seen not to.
+
+    Attributes:
+        sender: Who saw it.
+        ends: Ends just seen: key of a request's content, incarnation of the endpoint, and the
+            milliseconds since the request was sent there.
+        cleared: Keys of requests, and ends under each that don't count any more, as an endpoint ran
+            it whole.
+        counted: Keys of requests, and all ends under each that the sender counts; told to one that
+            may have heard of none.
+    """
+
+    sender: str
+    ends: list[tuple[str, str, int]]
+    cleared: list[tuple[str, list[str]]]
+    counted: list[tuple[str, list[str]]]
+
+
 class Packed(msgspec.Struct, array_like=True, tag="packed"):
     """An encoded message, compressed."""
 
@@ -334,6 +353,7 @@
     | CreditBack
     | CreditPlea
     | CreditLoan
+    | EndsTold
 )
 
 # Bytes from which a frame is compressed: what fits into one packet is not worth the work. Long
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
@@ -41,6 +41,11 @@
             ["team", "outcome"],
             registry=reg,
         )
+        self.quarantined = Counter(
+            "wigeonarch_gateway_quarantined",
+            "Requests that are held back, as endpoints ended under them",
+            registry=reg,
+        )
         self.retries = Counter(
             "wigeonarch_gateway_retries", "Repeated sends, by reason", ["reason"], registry=reg
         )
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -26,10 +26,11 @@
 from wigeonarch_gateway.door import Door
 from wigeonarch_gateway.endpoints import Endpoints
 from wigeonarch_gateway.engineviews import EngineViews, from_adapter
+from wigeonarch_gateway.evidence import Evidence
 from wigeonarch_gateway.finding import Finder
 from wigeonarch_gateway.holders import Holders
 from wigeonarch_gateway.intake import Intake
-from wigeonarch_gateway.leasing import Leasing
+from wigeonarch_gateway.leasing import Identity, Leasing, Memory
 from wigeonarch_gateway.links import Links, split_address
 from wigeonarch_gateway.members import Members
 from wigeonarch_gateway.messages import (
@@ -39,6 +40,7 @@
     CreditBack,
     CreditLoan,
     CreditPlea,
+    EndsTold,
     Follow,
     Introduction,
     LoadWish,
@@ -72,6 +74,7 @@
 from wigeonarch_gateway.serving import Serving
 from wigeonarch_gateway.sharing import Sharing
 from wigeonarch_gateway.status import Page, StatusServer
+from wigeonarch_gateway.suspects import Suspects
 from wigeonarch_gateway.traffic import Traffic
 from wigeonarch_gateway.watching import StoreState, keep_watching
 from wigeonarch_gateway.wishes import Wishes
@@ -124,14 +127,12 @@
         self._leasing = Leasing(
             store,
             opts.holding,
-            opts.instance,
-            self._incarnation,
-            address,
-            opts.zone,
+            Identity(opts.instance, self._incarnation, address, opts.zone),
             lambda plea: self._members.plead(plea),
             lambda: self._members.rivals({opts.zone, *self._holders.zones()}),
             lambda: self._members.is_keeper() or bool(self._holders.held()),
             lambda: self._members.discovery.own_lease(),
+            Memory(lambda: self._suspects.notable(), lambda kept: self._suspects.read(kept)),
         )
         self._members = Members(
             opts,
@@ -148,6 +149,10 @@
             self._metrics,
             self._contact,
         )
+        self._suspects = Suspects(
+            opts.instance, self._members.send_all, self._leasing.renew_soon, self._metrics
+        )
+        self._members.discovery.on_entry = lambda entry: self._suspects.read(entry.ended_under)
         self._sharing = Sharing(
             opts.instance,
             opts.store,
@@ -200,8 +205,7 @@
             self._pools,
             wishes,
             self._retries,
-            self._doubts,
-            self._paces,
+            Evidence(self._doubts, self._paces, self._suspects),
             self._metrics,
             finder,
             closing,
@@ -340,6 +344,7 @@
                 self._metrics.knowledge_age.labels(kind.value).observe(self._sharing.age(kind))
             self._endpoints.tick(monotonic())
             self._pools.trim()
+            self._suspects.tick()
             self._metrics.log_lines_dropped.set(dropped())
             self._retries.heard_of(self._members.count())
             self._quotas.look()
@@ -381,12 +386,14 @@
         self._views.forget(endpoint)
         self._doubts.forget(endpoint)
         self._paces.forget(endpoint)
+        self._suspects.endpoint_ended(endpoint)
 
     def _restarted(self, record: EndpointRecord) -> None:
         """Ends all that was believed of an endpoint's last incarnation."""
         self._pools.forget(record.endpoint)
         self._doubts.forget(record.endpoint)
         self._paces.forget(record.endpoint)
+        self._suspects.endpoint_ended(record.endpoint)
         self._views.restarted(record.endpoint, record.born)
         orderer = self._holders.orderer(record.endpoint)
         if orderer is not None:
@@ -440,6 +447,8 @@
                 self._quotas.pleaded(message)
             case CreditLoan():
                 self._quotas.lent(message)
+            case EndsTold():
+                self._suspects.told(message)
 
     def _relay(self, relayed: Relay) -> None:
         inner = decode(relayed.frame)
@@ -459,6 +468,7 @@
     def _tell_remembered(self, started: str) -> None:
         for endpoint, names in self._views.remembered():
             self._members.send(started, Remembered(endpoint, names))
+        self._members.send(started, self._suspects.known())
 
     def _lease_left(self) -> tuple[int, int]:
         """Returns the own lease's revision and the milliseconds for which it holds."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/ownobjects.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/ownobjects.py
@@ -22,12 +22,14 @@
         zone: Its availability zone.
         incarnation: Incarnation of its process.
         count: Grows with each renewal, which makes each one a change.
+        ended_under: Keys of requests under which several endpoints ended, and which ones did.
     """
 
     address: str
     zone: str
     incarnation: str = ""
     count: int = 0
+    ended_under: list[tuple[str, list[str]]] = []
 
 
 class HolderContent(msgspec.Struct):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -11,9 +11,7 @@
 import asyncio
 from typing import Final
 
-from wigeonarch_core.doubt import Doubts
 from wigeonarch_core.engine_choice import until_first_token
-from wigeonarch_core.engine_pace import EnginePaces, Wait
 from wigeonarch_core.retry_window import RetryWindow
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
@@ -23,6 +21,7 @@
 from wigeonarch_gateway.connections import Connection, Lost
 from wigeonarch_gateway.endpoints import Endpoints
 from wigeonarch_gateway.engineviews import EngineViews
+from wigeonarch_gateway.evidence import Evidence
 from wigeonarch_gateway.finding import Finder, NoEndpoint
 from wigeonarch_gateway.jobs import MAY_HAVE_RUN, Again, Job
 from wigeonarch_gateway.metrics import Metrics
@@ -64,11 +63,10 @@
     __slots__ = (
         "_closing",
         "_dialect",
-        "_doubts",
         "_endpoints",
+        "_evidence",
         "_finder",
         "_metrics",
-        "_paces",
         "_pools",
         "_retries",
         "_traffic",
@@ -85,8 +83,7 @@
         pools: Pools,
         wishes: Wishes,
         retries: RetryWindow,
-        doubts: Doubts,
-        paces: EnginePaces,
+        evidence: Evidence,
         metrics: Metrics,
         finder: Finder,
         closing: Closing,
@@ -98,19 +95,20 @@
         self._pools = pools
         self._wishes = wishes
         self._retries = retries
-        self._doubts = doubts
-        self._paces = paces
+        self._evidence = evidence
         self._metrics = metrics
         self._finder = finder
         self._closing = closing
 
     async def until_answered(self, job: Job) -> None:
         """Tries until the caller has its answer; cancelled when the time or the caller is gone."""
-        while True:
+        while not await self._is_quarantined(job):
             record = await self._finder.find(job)
             if isinstance(record, NoEndpoint):
                 await self._closing.give_up(job, record.value, NO_ENDPOINT_TEXTS[record])
                 return
+            if await self._is_quarantined(job):
+                return
             again = await self._try(job, record)
             if again is None:
                 return
@@ -119,6 +117,17 @@
             if not await self._may_go_on(job, record, again):
                 return
 
+    async def _is_quarantined(self, job: Job) -> bool:
+        """Refuses a request under which endpoints end; returns whether it did.
+
+        Others may have seen that while this request looked for an endpoint.
+        """
+        held = self._evidence.held_for(job)
+        if not held:
+            return False
+        await self._closing.give_up(job, "quarantined", texts.QUARANTINED, held)
+        return True
+
     async def _may_go_on(self, job: Job, record: EndpointRecord, again: Again) -> bool:
         """Decides whether another try follows; if not, answers."""
         log(
@@ -162,9 +171,8 @@
     async def _try(self, job: Job, record: EndpointRecord) -> Again | None:
         """Sends the request to an endpoint; returns None when the caller has its answer."""
         conn = await self._pools.take(record)
-        now = monotonic()
         if conn is None:
-            self._doubts.unreachable(record.endpoint, now)
+            self._evidence.unreachable(record)
             log("endpoint_unreachable", "WARNING", endpoint=record.endpoint, request=job.key)
             return Again.NOT_SENT
         if self._endpoints.get(record.endpoint) is not record and not self._still_ready(record):
@@ -175,7 +183,7 @@
             return await self._exchange(job, record, conn, under)
         except Lost as exc:
             conn.close()
-            self._doubts.unreachable(record.endpoint, monotonic())
+            self._evidence.lost(job, record)
             log(
                 "answer_lost",
                 "WARNING",
@@ -187,12 +195,11 @@
             return Again.LOST
         except BaseException:
             conn.close()
-            self._doubts.released(record.endpoint)
+            self._evidence.left(job, record)
             raise
         finally:
             self._traffic.end(under)
-            if under.wait is not None:
-                self._paces.ended(under.wait)
+            self._evidence.ended(under.wait)
             self._views.wake(record.endpoint)
 
     def _still_ready(self, record: EndpointRecord) -> bool:
@@ -200,25 +207,24 @@
 
     def _begin(self, job: Job, record: EndpointRecord) -> Under:
         terms = job.terms
+        job.sent_at = monotonic()
         key = self._finder.adapter(job) if terms.adapter else None
         kv = terms.prompt_tokens + OUTPUT_SHARE * terms.output_tokens
-        wait = self._expect(job, record) if terms.model else None
+        expected = self._expect(job, record) if terms.model else None
         under = self._traffic.begin(record.endpoint, terms.prompt_tokens, kv, key)
-        under.wait = wait
+        under.wait = self._evidence.sending(record, expected)
         if key is not None:
             self._wishes.using(record.endpoint, key)
             self._views.get(record.endpoint).sending(key, monotonic())
-        self._doubts.sending(record.endpoint, monotonic())
         return under
 
-    def _expect(self, job: Job, record: EndpointRecord) -> Wait:
-        """Notes what is expected of an engine until the first token of a request."""
+    def _expect(self, job: Job, record: EndpointRecord) -> float:
+        """Returns the seconds that an engine should take until the first token of a request."""
         load = self._traffic.at(record.endpoint)
         engine = job.spec.engine if job.spec else None
         batch = engine.batch if engine else record.slots
         prompt = job.terms.prompt_tokens
-        expected = until_first_token(load.waiting_tokens, prompt, load.running, batch)
-        return self._paces.sent(record.endpoint, expected, monotonic())
+        return until_first_token(load.waiting_tokens, prompt, load.running, batch)
 
     def _request(self, job: Job, record: EndpointRecord) -> bytes:
         req = job.req
@@ -268,7 +274,7 @@
                 head = await conn.head()
         except TimeoutError:
             conn.close()
-            self._doubts.unreachable(record.endpoint, monotonic())
+            self._evidence.silent(job, record)
             return Again.SILENT
         verdict = judge(job.key, head)
         if verdict in (Verdict.NOT_RUN, Verdict.MISDIRECTED):
@@ -298,7 +304,7 @@
         while await conn.read():
             pass
         self._pools.give_back(record.endpoint, conn)
-        self._doubts.released(record.endpoint)
+        self._evidence.refused(record)
         if under.key is None:
             return Again.NOT_RUN
         # Which of the two it was is not always told: the load may not have ended yet.
@@ -320,7 +326,7 @@
                 raise Lost("the answer is too large")
         self._pools.give_back(record.endpoint, conn)
         failed = verdict is not Verdict.ANSWER
-        self._doubts.answered(record.endpoint, failed)
+        self._evidence.answered(job, record, failed)
         if verdict is Verdict.UNUSABLE:
             return Again.FAILED
         if failed and not job.answer.begun:
@@ -347,15 +353,14 @@
             events = job.splitter.feed(data)
             if under.prompt and events:
                 self._traffic.first_token(under)
-                if under.wait is not None:
-                    self._paces.first_token(under.wait, monotonic())
-                self._doubts.answered(record.endpoint, failed=False)
+                self._evidence.first_token(record, under.wait)
             if events:
                 job.passed(monotonic())
                 await job.answer.write(events)
         if rest := job.splitter.rest():
             await job.answer.write(rest)
         self._pools.give_back(record.endpoint, conn)
+        self._evidence.streamed(job)
         await job.answer.end()
         self._closing.answered(job, record.endpoint, head.status)
         return None
--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import itertools
+from collections.abc import Sequence
 from functools import partial
 
-from gateway_world import World, until, world
-from standins.replica import Replica
+import pytest
+from gateway_world import HOST, World, until, world
+from standins.replica import Replica, Trouble
+from wigeonarch_core.content_key import content_key
+from wigeonarch_gateway.messages import EndsTold
 
 FATAL = b"ends whoever runs it"
 SPARE_ENGINES = 3
@@ -39,14 +44,14 @@
     return sum(engine.ends for engine in engines)
 
 
-async def ask_until_known(found: World, engines: list[Replica]) -> None:
-    """Sends the fatal request to all instances in turn until enough endpoints ended."""
-    node = 0
+async def ask_until_known(
+    found: World, engines: list[Replica], nodes: Sequence[int] | None = None
+) -> None:
+    """Sends the fatal request to instances in turn until enough endpoints ended."""
+    turns = itertools.cycle(range(len(found.nodes)) if nodes is None else nodes)
 
     async def enough() -> bool:
-        nonlocal node
-        node = (node + 1) % len(found.nodes)
-        await found.ask(PATH, FATAL, node=node, X_Model="m")
+        await found.ask(PATH, FATAL, node=next(turns), X_Model="m")
         return ends(engines) >= ENDS_MOST
 
     await until(enough)
@@ -77,8 +82,8 @@
     async with world(nodes=2) as found:
         engines = await fragile_engines(found)
         await ask_until_known(found, engines)
-        for node in found.nodes:
-            node.stop()
+        for running in found.nodes:
+            running.stop()
         for task in found.tasks:
             await task
         found.nodes.clear()
@@ -90,3 +95,60 @@
             await found.served(PATH, node=node)
             await until(partial(is_turned_away, found, engines, node))
         assert ends(engines) <= ENDS_MOST + MORE_MOST
+
+
+@pytest.mark.parametrize("cut", [False, True], ids=["hears-peers", "hears-only-the-store"])
+async def test_an_instance_that_saw_no_end_itself_turns_it_away_too(cut: bool) -> None:
+    async with world(nodes=2) as found:
+        engines = await fragile_engines(found)
+        if cut:
+            links = found.nodes[1]._links
+            hear = links._deliver
+            links._deliver = lambda m: None if isinstance(m, EndsTold) else hear(m)
+        await ask_until_known(found, engines, [0])
+        await until(partial(is_refused, found, 1))
+        assert ends(engines) <= ENDS_MOST + MORE_MOST
+
+
+async def is_refused(found: World, node: int) -> bool:
+    """Tells whether an instance holds the fatal request back, without sending it there."""
+    key = content_key("POST", HOST, PATH, FATAL)
+    return found.nodes[node]._suspects.held_for(key) > 0.0
+
+
+async def test_an_instance_that_joins_later_turns_it_away() -> None:
+    async with world(nodes=1) as found:
+        engines = await fragile_engines(found)
+        await ask_until_known(found, engines)
+        known = ends(engines)
+        await found.add_node(1)
+        await found.served(PATH, node=1)
+        await until(partial(is_refused, found, 1))
+        assert await is_turned_away(found, engines, 1)
+        assert ends(engines) == known
+
+
+async def test_a_refusal_says_when_to_come_back_and_takes_nothing_of_others() -> None:
+    async with world() as found:
+        engines = await fragile_engines(found)
+        await ask_until_known(found, engines)
+        answer = await found.ask(PATH, FATAL, X_Model="m")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 60.0
+        assert (await found.ask(PATH, b"another body", X_Model="m")).status == 200
+        assert "wigeonarch_gateway_quarantined_total 1.0" in await found.metrics()
+
+
+async def test_a_request_that_ran_whole_between_the_ends_is_served_on() -> None:
+    async with world() as found:
+        engines = await fragile_engines(found)
+        for engine in engines:
+            engine.fatal = b""
+        served = 0
+        for engine in engines * 2:
+            engine.trouble = Trouble.CUT
+            await found.ask(PATH, FATAL, X_Model="m")
+            engine.trouble = Trouble.NONE
+            served += (await found.ask(PATH, FATAL, X_Model="m")).status == 200
+        assert not await is_refused(found, 0)
+        assert served
--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,151 @@
+"""What an instance tells of requests under which endpoints ended, and what it takes over."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from wigeonarch_core.fatal_requests import ENDS_MOST, NOTABLE_MOST
+from wigeonarch_gateway import suspects as module
+from wigeonarch_gateway.links import MESSAGE_BOUND
+from wigeonarch_gateway.messages import EndsTold, Message, encode
+from wigeonarch_gateway.metrics import Metrics
+from wigeonarch_gateway.ports import EndpointRecord, EndpointState
+from wigeonarch_gateway.suspects import GATHER, LINGERS, TOLD_AT_ONCE, YOUNG, Suspects
+
+
+class Clock:
+    """A clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    found = Clock()
+    monkeypatch.setattr(module, "monotonic", found)
+    return found
+
+
+class Seen:
+    """What an instance sent, and how often its lease should be renewed."""
+
+    def __init__(self, name: str = "me") -> None:
+        self.messages: list[EndsTold] = []
+        self.renewals = 0
+        self.suspects = Suspects(name, self._send, self._renew, Metrics())
+
+    def _send(self, message: Message) -> None:
+        assert isinstance(message, EndsTold)
+        self.messages.append(message)
+
+    def _renew(self) -> None:
+        self.renewals += 1
+
+
+def lose(seen: Seen, clock: Clock, content: str, *endpoints: str) -> None:
+    """Has an instance lose a request at endpoints, one after the other."""
+    for name in endpoints:
+        seen.suspects.lost(content, endpoint(name), clock.now)
+        clock.now += 1.0
+
+
+def endpoint(name: str, born: int = 1) -> EndpointRecord:
+    return EndpointRecord(name, "llm", "127.0.0.1:1", "a", 8, EndpointState.READY, (), born)
+
+
+async def test_losses_of_one_moment_are_told_in_one_message(clock: Clock) -> None:
+    seen = Seen()
+    for content in ("x", "y", "x"):
+        seen.suspects.lost(content, endpoint("e1"), clock.now - 0.25)
+    await asyncio.sleep(2 * GATHER)
+    assert [message.ends for message in seen.messages] == [[("x", "e1@1", 250), ("y", "e1@1", 250)]]
+
+
+async def test_many_losses_fit_into_datagrams() -> None:
+    seen = Seen()
+    for number in range(3 * TOLD_AT_ONCE):
+        seen.suspects.lost(f"{number:024x}", endpoint("e" * 40, 1_700_000_000_000), 0.0)
+    await asyncio.sleep(2 * GATHER)
+    assert sum(len(message.ends) for message in seen.messages) == 3 * TOLD_AT_ONCE
+    assert all(len(encode(message)) < MESSAGE_BOUND for message in seen.messages)
+
+
+async def test_ends_that_several_instances_saw_add_up(clock: Clock) -> None:
+    first, second = Seen("first"), Seen("second")
+    lose(first, clock, "x", "e1")
+    lose(second, clock, "x", "e2", "e3")
+    assert not second.suspects.held_for("x")
+    await asyncio.sleep(2 * GATHER)
+    for message in first.messages:
+        second.suspects.told(message)
+    assert second.suspects.ends("x") == ENDS_MOST
+    assert second.suspects.held_for("x") > 0.0
+
+
+@pytest.mark.parametrize(
+    ("ends", "kept"), [(["e1"], 0), (["e1", "e1"], 0), (["e1", "e2"], 1), (["e1", "e2", "e3"], 1)]
+)
+async def test_what_was_seen_more_than_once_goes_into_the_lease(
+    ends: list[str], kept: int, clock: Clock
+) -> None:
+    seen = Seen()
+    lose(seen, clock, "x", *ends)
+    assert len(seen.suspects.notable()) == kept
+    assert bool(seen.renewals) is bool(kept)
+
+
+async def test_a_lease_keeps_a_bounded_number(clock: Clock) -> None:
+    seen = Seen()
+    for number in range(3 * NOTABLE_MOST):
+        lose(seen, clock, f"r{number}", "e1", "e2")
+    assert len(seen.suspects.notable()) == NOTABLE_MOST
+
+
+@pytest.mark.parametrize("young", [True, False])
+async def test_what_a_lease_says_is_taken_over_and_told_unless_all_just_read_it(
+    young: bool, clock: Clock
+) -> None:
+    seen = Seen()
+    clock.now += 0.0 if young else YOUNG
+    for _ in range(2):
+        seen.suspects.read([("x", ["e1@1", "e2@1", "e3@1"])])
+    assert seen.suspects.held_for("x") > 0.0
+    await asyncio.sleep(2 * GATHER)
+    assert len(seen.messages) == (0 if young else 1)
+
+
+@pytest.mark.parametrize(("after", "blamed"), [(0.5 * LINGERS, 1), (1.5 * LINGERS, 0)])
+async def test_a_run_whose_end_nobody_saw_counts_when_its_endpoint_is_gone(
+    after: float, blamed: int, clock: Clock
+) -> None:
+    seen = Seen()
+    seen.suspects.unanswered("x", endpoint("e1"), clock.now)
+    assert seen.suspects.ends("x") == 0
+    clock.now += after
+    seen.suspects.endpoint_ended("e2")
+    assert seen.suspects.ends("x") == 0
+    seen.suspects.endpoint_ended("e1")
+    assert seen.suspects.ends("x") == blamed
+
+
+async def test_a_cleared_request_is_told_and_one_without_ends_is_not() -> None:
+    seen, other = Seen(), Seen("other")
+    seen.suspects.answered("y")
+    seen.suspects.lost("x", endpoint("e1"), 0.0)
+    seen.suspects.answered("x")
+    await asyncio.sleep(2 * GATHER)
+    assert len(seen.messages) == 1
+    other.suspects.told(seen.messages[0])
+    assert other.suspects.ends("x") == 0
+
+
+async def test_a_newcomer_is_told_what_is_known(clock: Clock) -> None:
+    seen, newcomer = Seen(), Seen("newcomer")
+    lose(seen, clock, "x", "e1", "e2", "e3")
+    newcomer.suspects.told(seen.suspects.known())
+    assert newcomer.suspects.held_for("x") > 0.0
