--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 from collections.abc import Sequence
 from functools import partial
@@ -11,12 +12,14 @@
 from standins.replica import Replica, Trouble
 from wigeonarch_core.content_key import content_key
 from wigeonarch_gateway.messages import EndsTold
+from wigeonarch_gateway.suspects import GATHER
 
 FATAL = b"ends whoever runs it"
 SPARE_ENGINES = 3
 ENDS_MOST = 3  # Endpoints that may end before a request is known for it.
 MORE_MOST = 3  # Endpoints that it may reach after that, by what was on its way.
 PATH = "/write/x"
+KEY = content_key("POST", HOST, PATH, FATAL)
 
 
 async def fragile_engines(found: World) -> list[Replica]:
@@ -112,8 +115,7 @@
 
 async def is_refused(found: World, node: int) -> bool:
     """Tells whether an instance holds the fatal request back, without sending it there."""
-    key = content_key("POST", HOST, PATH, FATAL)
-    return found.nodes[node]._suspects.held_for(key) > 0.0
+    return found.nodes[node]._suspects.held_for(KEY) > 0.0
 
 
 async def test_an_instance_that_joins_later_turns_it_away() -> None:
@@ -128,6 +130,40 @@
         assert ends(engines) == known
 
 
+async def test_one_end_that_was_seen_before_an_instance_joined_counts_there() -> None:
+    async with world(nodes=1) as found:
+        engines = await fragile_engines(found)
+        await found.ask(PATH, FATAL, X_Model="m")
+        assert ends(engines) == 1
+        await asyncio.sleep(2 * GATHER)  # Whoever runs now has been told.
+        await found.add_node(1)
+        joined = found.nodes[1]._suspects
+
+        async def told() -> bool:
+            return joined.ends(KEY) == 1
+
+        await until(told)
+
+
+async def test_one_that_waits_for_an_adapter_is_not_sent_after_news_of_its_ends() -> None:
+    async with world(nodes=1) as found:
+        engines = await fragile_engines(found)
+        await found.served(PATH, adapter="usual")
+        for engine in engines:
+            engine.load_time = 0.5
+        waiting = asyncio.create_task(found.ask(PATH, FATAL, adapter="rare"))
+
+        async def loading() -> bool:
+            return any(engine._pending for engine in engines)
+
+        await until(loading)
+        names = [f"gone{number}@1" for number in range(ENDS_MOST)]
+        found.nodes[0]._suspects.told(EndsTold("peer", [], [], [(KEY, names)]))
+        assert (await waiting).status == 503
+        arrived = [seen.body for engine in engines for seen in engine.arrived]
+        assert FATAL not in arrived
+
+
 async def test_a_refusal_says_when_to_come_back_and_takes_nothing_of_others() -> None:
     async with world() as found:
         engines = await fragile_engines(found)
