Logs tell which limit an endpoint named, and to whom

Callers saw: nothing. Cause: not shown by logs: nothing reads the limit, so none of the hypotheses could be told apart. Change: the header is decoded at the edge (a decimal number; what is none, negative or not finite counts as not named) and logged by each instance as it changes. No decision uses it yet. Before and after: no decision changes.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/evidence.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/evidence.py
@@ -11,6 +11,7 @@
 from wigeonarch_entry.clock import monotonic
 
 from wigeonarch_gateway.jobs import Job
+from wigeonarch_gateway.limits import Limits
 from wigeonarch_gateway.ports import EndpointRecord
 from wigeonarch_gateway.suspects import Suspects
 
@@ -18,12 +19,15 @@
 class Evidence:
     """Takes down what tries show."""
 
-    __slots__ = ("_doubts", "_paces", "_suspects")
+    __slots__ = ("_doubts", "_limits", "_paces", "_suspects")
 
-    def __init__(self, doubts: Doubts, paces: EnginePaces, suspects: Suspects) -> None:
+    def __init__(
+        self, doubts: Doubts, paces: EnginePaces, suspects: Suspects, limits: Limits
+    ) -> None:
         self._doubts = doubts
         self._paces = paces
         self._suspects = suspects
+        self._limits = limits
 
     def held_for(self, job: Job) -> float:
         """Returns the seconds for which a request is sent nowhere; 0 when it may be sent."""
@@ -39,6 +43,10 @@
         self._doubts.sending(record.endpoint, now)
         return None if expected is None else self._paces.sent(record.endpoint, expected, now)
 
+    def headed(self, record: EndpointRecord, limit: float | None) -> None:
+        """Notes the head of an answer, and the limit that it names, if any."""
+        self._limits.noted(record, limit)
+
     def first_token(self, record: EndpointRecord, wait: Wait | None) -> None:
         """Notes the first token of a stream."""
         if wait is not None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -31,6 +31,7 @@
 from wigeonarch_gateway.holders import Holders
 from wigeonarch_gateway.intake import Intake
 from wigeonarch_gateway.leasing import Identity, Leasing, Memory
+from wigeonarch_gateway.limits import Limits
 from wigeonarch_gateway.links import Links, split_address
 from wigeonarch_gateway.members import Members
 from wigeonarch_gateway.messages import (
@@ -205,7 +206,7 @@
             self._pools,
             wishes,
             self._retries,
-            Evidence(self._doubts, self._paces, self._suspects),
+            Evidence(self._doubts, self._paces, self._suspects, Limits()),
             self._metrics,
             finder,
             closing,
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -277,6 +277,8 @@
             self._evidence.silent(job, record)
             return Again.SILENT
         verdict = judge(job.key, head)
+        if verdict is not Verdict.FOREIGN:
+            self._evidence.headed(record, self._dialect.read_limit(head))
         if verdict in (Verdict.NOT_RUN, Verdict.MISDIRECTED):
             job.ran.remove(record.endpoint)
             return await self._refused_by(job, record, conn, under, verdict)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
@@ -298,6 +298,8 @@
             that can be read.
         forward: Headers of a caller's request to those for the endpoint.
         judge: Request id and head of an answer to a verdict.
+        read_limit: Head of an answer to the requests a second that the endpoint takes from all
+            instances together; None when it names none, or one that can't be read.
         order_body: An order to its body.
         order_result: Status of the answer to an order to its meaning.
         decode_report: Body of a report; raises ValueError.
@@ -314,6 +316,7 @@
     read_key: Callable[[Headers], str | None]
     forward: Callable[[Headers, Dispatch], list[tuple[bytes, bytes]]]
     judge: Callable[[str, AnswerHead], Verdict]
+    read_limit: Callable[[AnswerHead], float | None]
     order_body: Callable[[Order], bytes]
     order_result: Callable[[int], OrderResult]
     decode_report: Callable[[bytes], EngineReport]
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -89,6 +89,7 @@
     address: str = ""
     _pending: dict[str, int] = field(default_factory=dict)
     born: int = 0  # Start of its incarnation; 0 when it does not say.
+    limit: str = ""  # Requests a second that its answers name; empty for none.
     fatal: bytes = b""  # Body of a request that ends it as it begins to run.
     ends: int = 0  # Times that it ended so; it is back at once.
     on_end: Callable[[], Awaitable[None]] | None = None
@@ -301,6 +302,8 @@
         self, seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         own = {"X-Request-Id": seen.headers.get("x-request-id", ""), "X-Server-Stamp": self.name}
+        if self.limit:
+            own["Server-Limit"] = self.limit
         if self.trouble is Trouble.SILENT:
             await asyncio.sleep(3600)
         if self.trouble is Trouble.RESET:
