A connection that broke while its endpoint lives on blames no request

Ruled out: waiting for other streams of the same engine to go on (none need be under way); waiting until the entry lapses (3.6 s, in which one or two more engines end). Change: the witness looks whether anything listens at the endpoint's address, once for all runs lost together: refused means ended, open clears them, no answer leaves it to the entry. The connection is kept for use. Before and after: test_a_connection_that_broke_while_its_endpoint_lives_on_blames_nobody fails on the code before (it counts an end), passes now.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -151,7 +151,11 @@
             self._contact,
         )
         self._suspects = Suspects(
-            opts.instance, self._members.send_all, self._leasing.renew_soon, self._metrics
+            opts.instance,
+            self._members.send_all,
+            self._leasing.renew_soon,
+            self._pools.reach,
+            self._metrics,
         )
         self._members.discovery.on_entry = lambda entry: self._suspects.read(entry.ended_under)
         self._sharing = Sharing(
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/pools.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/pools.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from typing import Final
 
 from wigeonarch_gateway.connections import Connection
@@ -18,6 +19,14 @@
 IDLE_SHARE: Final = 0.5  # Share of the stated time after which an idle connection is not used.
 
 
+class Reach(enum.Enum):
+    """What an attempt to connect to an endpoint shows."""
+
+    OPEN = "open"  # A process listens at its address.
+    REFUSED = "refused"  # None does.
+    UNKNOWN = "unknown"  # No answer: there may be no way to it.
+
+
 class Pools:
     """Connections to all endpoints of an instance."""
 
@@ -45,6 +54,17 @@
             conn.close()
         return await self._connect(endpoint)
 
+    async def reach(self, endpoint: EndpointRecord) -> Reach:
+        """Tells whether anything listens at an endpoint's address; a connection made is kept."""
+        try:
+            conn = await self._open(endpoint)
+        except ConnectionRefusedError:
+            return Reach.REFUSED
+        except (OSError, TimeoutError):
+            return Reach.UNKNOWN
+        self.put_back(endpoint.endpoint, conn)
+        return Reach.OPEN
+
     def give_back(self, endpoint: str, conn: Connection) -> None:
         """Keeps a connection whose answer was read, if it can be used again."""
         if conn.finish():
@@ -77,14 +97,23 @@
         return self._loop.time() - conn.idle_since < bound
 
     async def _connect(self, endpoint: EndpointRecord) -> Connection | None:
-        host, _, port = endpoint.address.rpartition(":")
-        source = (self._source, 0) if self._source else None
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT):
-                _, conn = await self._loop.create_connection(
-                    lambda: Connection(self._loop), host, int(port), local_addr=source
-                )
+            return await self._open(endpoint)
         except (OSError, TimeoutError):
             return None
+
+    async def _open(self, endpoint: EndpointRecord) -> Connection:
+        """Opens a connection.
+
+        Raises:
+            OSError: It was refused, or there is no way.
+            TimeoutError: Nothing answered.
+        """
+        host, _, port = endpoint.address.rpartition(":")
+        source = (self._source, 0) if self._source else None
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            _, conn = await self._loop.create_connection(
+                lambda: Connection(self._loop), host, int(port), local_addr=source
+            )
         self._opened += 1
         return conn
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspects.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspects.py
@@ -1,20 +1,22 @@
 """Requests under which endpoints ended, as this instance and the others saw it.
 
-An instance that loses a run tells all others at once which request it was and where it ran, some
-losses in one message. A run whose end was not seen, as its caller left or the endpoint fell silent,
-counts when the endpoint is found to be gone or to have started again. What was seen more than once
+An instance that loses a run looks whether anything still listens at the endpoint's address, and if
+not, tells all others at once which request it was and where it ran, some losses in one message. A
+connection that broke while the endpoint lives on says nothing of the request. Where that is not
+known, or the run was given up, as its caller left or the endpoint fell silent, it counts when the
+endpoint is found to be gone or to have started again. What was seen more than once
 goes into the instance's lease too: an instance that is cut off from the others, and all that start
 anew, read it there. So nothing more is asked of the store than a lease that is renewed at once.
 
-Where no endpoint ended but a connection did, a request is blamed for nothing: an end counts once
-for each endpoint, and a whole answer clears it (see `core.fatal_requests`).
+An end counts once for each endpoint, and a whole answer clears a request of all (see
+`core.fatal_requests`).
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections import defaultdict, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -32,6 +34,7 @@
 
 from wigeonarch_gateway.messages import EndsTold, Message
 from wigeonarch_gateway.metrics import Metrics
+from wigeonarch_gateway.pools import Reach
 from wigeonarch_gateway.ports import EndpointRecord
 
 # Seconds for which losses are gathered into one message: an endpoint that ends takes many at once.
@@ -39,7 +42,7 @@
 TOLD_AT_ONCE: Final = 200  # Requests in one message, so that it fits into a datagram.
 # Seconds for which a run without an end is kept in mind: an entry lapses within four.
 LINGERS: Final = 10.0
-LINGERING_MOST: Final = 500  # Such runs that are kept for one endpoint.
+LINGERING_MOST: Final = 1000  # Such runs that are kept for one endpoint.
 
 # Seconds after the start in which what the store says is no news to others: all read it then.
 YOUNG: Final = 5.0
@@ -61,6 +64,7 @@
     """The requests under which endpoints ended."""
 
     __slots__ = (
+        "_checks",
         "_cleared",
         "_gathered",
         "_gathering",
@@ -68,6 +72,7 @@
         "_me",
         "_metrics",
         "_on_notable",
+        "_reach",
         "_requests",
         "_send_all",
         "_started",
@@ -78,6 +83,7 @@
         me: str,
         send_all: Callable[[Message], None],
         on_notable: Callable[[], None],
+        reach: Callable[[EndpointRecord], Awaitable[Reach]],
         metrics: Metrics,
     ) -> None:
         """Knows none.
@@ -86,12 +92,15 @@
             me: Name of this instance.
             send_all: Sends a message to all instances.
             on_notable: Called when `notable` has something that the store should have at once.
+            reach: Tells whether anything listens at an endpoint's address.
             metrics: Counters.
         """
         self._me = me
         self._send_all = send_all
         self._on_notable = on_notable
+        self._reach = reach
         self._metrics = metrics
+        self._checks: dict[str, asyncio.Task[None]] = {}
         self._requests = FatalRequests()
         self._gathered: list[End] = []
         self._cleared: list[Ends] = []
@@ -117,7 +126,19 @@
             record: The endpoint.
             sent: Time at which the request was sent.
         """
-        self._saw(End(content, end_of(record.endpoint, record.born), monotonic() - sent))
+        self.unanswered(content, record, sent)
+        if record.endpoint not in self._checks:
+            check = asyncio.create_task(self._check(record))
+            self._checks[record.endpoint] = check
+            check.add_done_callback(lambda task: self._checks.pop(record.endpoint, None))
+
+    async def _check(self, record: EndpointRecord) -> None:
+        """Looks whether an endpoint lives, which decides on all runs that were lost by then."""
+        reach = await self._reach(record)
+        if reach is Reach.REFUSED:
+            self.endpoint_ended(record.endpoint)
+        elif reach is Reach.OPEN:
+            self._lingering.pop(record.endpoint, None)
 
     def unanswered(self, content: str, record: EndpointRecord, sent: float) -> None:
         """Notes a run that was given up while nothing was known of its end."""
@@ -136,7 +157,7 @@
         self._gather()
 
     def endpoint_ended(self, endpoint: str) -> None:
-        """Notes that an endpoint is gone, or started again."""
+        """Notes that an endpoint is gone, started again, or does not listen any more."""
         now = monotonic()
         for run in self._lingering.pop(endpoint, ()):
             if run.at >= now - LINGERS:
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -91,7 +91,8 @@
     born: int = 0  # Start of its incarnation; 0 when it does not say.
     limit: str = ""  # Requests a second that its answers name; empty for none.
     fatal: bytes = b""  # Body of a request that ends it as it begins to run.
-    ends: int = 0  # Times that it ended so; it is back at once.
+    ends: int = 0  # Times that it ended so.
+    away: float = 0.3  # Seconds after which it is back.
     on_end: Callable[[], Awaitable[None]] | None = None
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -138,13 +139,21 @@
         self.replacing = ""
 
     async def _end(self) -> None:
-        """Ends with all its connections and starts again; the run that ended it is cancelled."""
+        """Ends with all its connections, and starts again later; the run is cancelled."""
         self.ends += 1
+        assert self._server is not None
+        self._server.close()
         self.restart()
-        if self.on_end is not None:
-            self._spawn(self.on_end())
+        self._spawn(self._come_back())
         await asyncio.sleep(3600)
 
+    async def _come_back(self) -> None:
+        await asyncio.sleep(self.away)
+        host, _, port = self.address.rpartition(":")
+        await self.start(host, int(port))
+        if self.on_end is not None:
+            await self.on_end()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -10,6 +10,7 @@
 from wigeonarch_gateway.links import MESSAGE_BOUND
 from wigeonarch_gateway.messages import EndsTold, Message, encode
 from wigeonarch_gateway.metrics import Metrics
+from wigeonarch_gateway.pools import Reach
 from wigeonarch_gateway.ports import EndpointRecord, EndpointState
 from wigeonarch_gateway.suspects import GATHER, LINGERS, TOLD_AT_ONCE, YOUNG, Suspects
 
@@ -34,10 +35,14 @@
 class Seen:
     """What an instance sent, and how often its lease should be renewed."""
 
-    def __init__(self, name: str = "me") -> None:
+    def __init__(self, name: str = "me", reach: Reach = Reach.REFUSED) -> None:
         self.messages: list[EndsTold] = []
         self.renewals = 0
-        self.suspects = Suspects(name, self._send, self._renew, Metrics())
+        self.reach = reach
+        self.suspects = Suspects(name, self._send, self._renew, self._reach, Metrics())
+
+    async def _reach(self, record: EndpointRecord) -> Reach:
+        return self.reach
 
     def _send(self, message: Message) -> None:
         assert isinstance(message, EndsTold)
@@ -47,13 +52,20 @@
         self.renewals += 1
 
 
-def lose(seen: Seen, clock: Clock, content: str, *endpoints: str) -> None:
+async def lose(seen: Seen, clock: Clock, content: str, *endpoints: str) -> None:
     """Has an instance lose a request at endpoints, one after the other."""
     for name in endpoints:
         seen.suspects.lost(content, endpoint(name), clock.now)
+        await looked()
         clock.now += 1.0
 
 
+async def looked() -> None:
+    """Lets an instance look whether an endpoint lives."""
+    for _ in range(3):
+        await asyncio.sleep(0)
+
+
 def endpoint(name: str, born: int = 1) -> EndpointRecord:
     return EndpointRecord(name, "llm", "127.0.0.1:1", "a", 8, EndpointState.READY, (), born)
 
@@ -77,8 +89,8 @@
 
 async def test_ends_that_several_instances_saw_add_up(clock: Clock) -> None:
     first, second = Seen("first"), Seen("second")
-    lose(first, clock, "x", "e1")
-    lose(second, clock, "x", "e2", "e3")
+    await lose(first, clock, "x", "e1")
+    await lose(second, clock, "x", "e2", "e3")
     assert not second.suspects.held_for("x")
     await asyncio.sleep(2 * GATHER)
     for message in first.messages:
@@ -94,7 +106,7 @@
     ends: list[str], kept: int, clock: Clock
 ) -> None:
     seen = Seen()
-    lose(seen, clock, "x", *ends)
+    await lose(seen, clock, "x", *ends)
     assert len(seen.suspects.notable()) == kept
     assert bool(seen.renewals) is bool(kept)
 
@@ -102,7 +114,7 @@
 async def test_a_lease_keeps_a_bounded_number(clock: Clock) -> None:
     seen = Seen()
     for number in range(3 * NOTABLE_MOST):
-        lose(seen, clock, f"r{number}", "e1", "e2")
+        await lose(seen, clock, f"r{number}", "e1", "e2")
     assert len(seen.suspects.notable()) == NOTABLE_MOST
 
 
@@ -137,6 +149,7 @@
     seen, other = Seen(), Seen("other")
     seen.suspects.answered("y")
     seen.suspects.lost("x", endpoint("e1"), 0.0)
+    await looked()
     seen.suspects.answered("x")
     await asyncio.sleep(2 * GATHER)
     assert len(seen.messages) == 1
@@ -146,6 +159,30 @@
 
 async def test_a_newcomer_is_told_what_is_known(clock: Clock) -> None:
     seen, newcomer = Seen(), Seen("newcomer")
-    lose(seen, clock, "x", "e1", "e2", "e3")
+    await lose(seen, clock, "x", "e1", "e2", "e3")
     newcomer.suspects.told(seen.suspects.known())
     assert newcomer.suspects.held_for("x") > 0.0
+
+
+@pytest.mark.parametrize(
+    ("reach", "before", "after"),
+    [(Reach.REFUSED, 1, 1), (Reach.OPEN, 0, 0), (Reach.UNKNOWN, 0, 1)],
+)
+async def test_a_connection_that_broke_while_its_endpoint_lives_on_blames_nobody(
+    reach: Reach, before: int, after: int, clock: Clock
+) -> None:
+    seen = Seen(reach=reach)
+    await lose(seen, clock, "x", "e1")
+    assert seen.suspects.ends("x") == before
+    seen.suspects.endpoint_ended("e1")
+    assert seen.suspects.ends("x") == after
+
+
+async def test_one_look_decides_on_all_runs_that_were_lost_with_an_endpoint(clock: Clock) -> None:
+    seen = Seen()
+    for number in range(10):
+        seen.suspects.lost(f"r{number}", endpoint("e1"), clock.now)
+    assert len(seen.suspects._checks) == 1
+    await looked()
+    assert all(seen.suspects.ends(f"r{number}") == 1 for number in range(10))
+    assert not seen.suspects._checks
