Instances together keep to the rate that an endpoint names

Callers saw: nothing at once; an endpoint in need got several times what it had asked for, and runs there took longer. Class: what one instance is told is not passed on. Its precondition was too weak: it let the load begin while one gateway knew only the limited endpoint, and then demanded that all be served; it waits now until all know both. Bound and checks are as they were. Only one instance sending there, without permits: its own callers may need less than the endpoint takes, the others' get nothing when all endpoints have named limits. Change: whoever reads a limit tells all. Each request there needs a permit, given by one instance found by a hash; asked for beforehand, so nobody waits for a message. Where no permit is to be had in time, requests go elsewhere, or are refused at once with the time of the next permit. No call to the store, and no message while no endpoint names a limit.

--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
@@ -31,6 +31,10 @@
     ("refused", "service_overloaded"): (
         "not run: service {service} is asked for more than it can do within the objective"
     ),
+    ("refused", "endpoints_limited"): (
+        "not run: {limited} of {ready} ready endpoints of {service} had named a limit "
+        "that left no place in time"
+    ),
     ("refused", "over_quota"): (
         "not run: team {team} has used up its quota of {rate} a second and {burst} besides; "
         "the request costs {cost}, {left} were left by {banker} (version {version})"
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/closing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/closing.py
@@ -14,13 +14,11 @@
 
 from wigeonarch_gateway import texts
 from wigeonarch_gateway.exchange import Answer
-from wigeonarch_gateway.finding import Inputs
+from wigeonarch_gateway.finding import COME_BACK, Inputs
 from wigeonarch_gateway.jobs import Again, Job
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.ports import AnswerHead, EndpointRecord, RequestTerms
 
-# When to come back after a refusal, in seconds: loads and queues change within that.
-COME_BACK: Final = 0.3
 HEADERS_OF_CONNECTION: Final = frozenset(
     {b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade"}
 )
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/evidence.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/evidence.py
@@ -33,6 +33,30 @@
         """Returns the seconds for which a request is sent nowhere; 0 when it may be sent."""
         return self._suspects.held_for(job.content)
 
+    # What may be chosen.
+
+    def shut(self, record: EndpointRecord, now: float) -> bool:
+        """Tells whether nothing should be sent to an endpoint now, as nothing gets through."""
+        return self._doubts.shut(record.endpoint, now)
+
+    def limited_for(self, record: EndpointRecord, now: float) -> float:
+        """Returns the seconds until an endpoint takes another request by the limit it named."""
+        return self._limits.wait(record.endpoint, now)
+
+    def permitted(self, record: EndpointRecord) -> bool:
+        """Uses a permit for a request that is about to be sent; False when it may not be."""
+        return self._limits.spend(record.endpoint, monotonic())
+
+    def failing(self, record: EndpointRecord) -> float:
+        """Returns the recent share of an endpoint's answers that were failures."""
+        return self._doubts.failing(record.endpoint)
+
+    def slowness(self, record: EndpointRecord, now: float) -> float:
+        """Returns how many times as long as usual an engine takes."""
+        return self._paces.slowness(record.endpoint, now)
+
+    # What tries show.
+
     def unreachable(self, record: EndpointRecord) -> None:
         """Notes that there was no way to an endpoint."""
         self._doubts.unreachable(record.endpoint, monotonic())
@@ -43,9 +67,9 @@
         self._doubts.sending(record.endpoint, now)
         return None if expected is None else self._paces.sent(record.endpoint, expected, now)
 
-    def headed(self, record: EndpointRecord, limit: float | None) -> None:
+    def headed(self, job: Job, record: EndpointRecord, limit: float | None) -> None:
         """Notes the head of an answer, and the limit that it names, if any."""
-        self._limits.noted(record, limit)
+        self._limits.noted(record, limit, job.sent_at)
 
     def first_token(self, record: EndpointRecord, wait: Wait | None) -> None:
         """Notes the first token of a stream."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
@@ -11,9 +11,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from wigeonarch_core.doubt import Doubts
 from wigeonarch_core.engine_choice import Choice, EngineState, choose_again
-from wigeonarch_core.engine_pace import EnginePaces
 from wigeonarch_core.engine_places import AdapterKey
 from wigeonarch_core.service_choice import ServiceState, choose_plain
 from wigeonarch_core.service_load import ServiceTimes, sent_share
@@ -23,6 +21,7 @@
 from wigeonarch_gateway.catalogue import Catalogue
 from wigeonarch_gateway.endpoints import Endpoints
 from wigeonarch_gateway.engineviews import EngineViews
+from wigeonarch_gateway.evidence import Evidence
 from wigeonarch_gateway.jobs import Job
 from wigeonarch_gateway.ports import EndpointRecord
 from wigeonarch_gateway.traffic import Traffic
@@ -52,6 +51,9 @@
 # Seconds for which a request that all endpoints of a plain service refused waits before the next.
 FULL_PAUSE: Final = 0.1
 
+# When to come back after a refusal, in seconds: loads and queues change within that.
+COME_BACK: Final = 0.3
+
 Inputs = dict[str, object]
 
 
@@ -60,6 +62,7 @@
 
     NONE = "no_endpoint"  # None that can take it, for as long as it may wait.
     OVERLOADED = "service_overloaded"  # Its service has no time for all that is asked.
+    LIMITED = "endpoints_limited"  # All have named a limit, which leaves no place in time.
 
 
 class Finder:
@@ -67,10 +70,9 @@
 
     __slots__ = (
         "_catalogue",
-        "_doubts",
         "_endpoints",
+        "_evidence",
         "_lag",
-        "_paces",
         "_times",
         "_traffic",
         "_views",
@@ -84,8 +86,7 @@
         endpoints: Endpoints,
         views: EngineViews,
         traffic: Traffic,
-        doubts: Doubts,
-        paces: EnginePaces,
+        evidence: Evidence,
         wishes: Wishes,
         zone: str,
         lag: Callable[[], float],
@@ -95,8 +96,7 @@
         self._endpoints = endpoints
         self._views = views
         self._traffic = traffic
-        self._doubts = doubts
-        self._paces = paces
+        self._evidence = evidence
         self._wishes = wishes
         self._zone = zone
         self._lag = lag
@@ -124,6 +124,8 @@
             if isinstance(found, EndpointRecord):
                 job.waited += now - began
                 return found
+            if now + self._limited_for(job, now) > began + patience:
+                return NoEndpoint.LIMITED
             if now - began > (longest if hopeful else patience):
                 return NoEndpoint.NONE
             if hopeful:
@@ -159,7 +161,7 @@
             record.zone == self._zone,
             record.slots,
             self._traffic.at(record.endpoint).running,
-            self._doubts.failing(record.endpoint),
+            self._evidence.failing(record),
         )
 
     def answered(self, job: Job, record: EndpointRecord, took: float, running: int) -> None:
@@ -170,7 +172,23 @@
         ready = self._endpoints.ready(job.service)
         fresh = [record for record in ready if record.endpoint not in job.avoid]
         fresh = fresh or [record for record in ready if record.endpoint not in job.ran]
-        return [record for record in fresh if not self._doubts.shut(record.endpoint, now)]
+        reached = [record for record in fresh if not self._evidence.shut(record, now)]
+        return [record for record in reached if not self._evidence.limited_for(record, now)]
+
+    def _limited_for(self, job: Job, now: float) -> float:
+        """Returns the seconds until the first endpoint takes a request by the limit it named.
+
+        It is 0 where limits don't keep the request from all endpoints.
+        """
+        ready = self._endpoints.ready(job.service)
+        reached = [record for record in ready if not self._evidence.shut(record, now)]
+        return min((self._evidence.limited_for(record, now) for record in reached), default=0.0)
+
+    def come_back(self, job: Job, why: NoEndpoint) -> float:
+        """Returns the seconds after which a refused request should come back."""
+        if why is not NoEndpoint.LIMITED:
+            return COME_BACK
+        return max(COME_BACK, self._limited_for(job, monotonic()))
 
     @staticmethod
     def _can_wait(job: Job, now: float) -> bool:
@@ -251,9 +269,9 @@
             batch=engine.batch if engine else record.slots,
             kv_tokens=load.kv_tokens,
             kv_total=engine.kv_tokens if engine else 0,
-            failing=self._doubts.failing(record.endpoint),
+            failing=self._evidence.failing(record),
             load_time=view.load_time,
-            slowness=self._paces.slowness(record.endpoint, now),
+            slowness=self._evidence.slowness(record, now),
             recent_tokens=load.recent_tokens,
             largest_pause=job.route.largest_pause,
         )
@@ -269,7 +287,8 @@
             "service": job.service,
             "adapter": job.terms.adapter,
             "ready": len(ready),
-            "shut": sum(self._doubts.shut(record.endpoint, now) for record in ready),
+            "limited": sum(self._evidence.limited_for(record, now) > 0.0 for record in ready),
+            "shut": sum(self._evidence.shut(record, now) for record in ready),
             "loadable": sum(view.loadable(now) for view in views),
             "with_model": sum(job.terms.model in view.models for view in views),
             "sends": job.sends,
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -62,6 +62,7 @@
 KNOWN_AFTER: Final = 4.0
 KEEPERS_KEY: Final = "keepers"
 BANKER_KEY: Final = "banker/"
+LIMITER_KEY: Final = "limiter/"
 
 
 @dataclass(slots=True)
@@ -270,6 +271,18 @@
             self._bankers[team] = ranked(BANKER_KEY + team, settled)
         return self._bankers[team]
 
+    def limiter(self, endpoint: str, zone: str) -> str:
+        """Returns the instance that gives permits for an endpoint in an availability zone.
+
+        It is one of that zone, where there is one, and one of those that the other zones hear.
+        """
+        stay = {name for name in self.heard() if not self._members[name].leaving}
+        found = {name for name in stay if self._members[name].zone == zone}
+        if zone == self._opts.zone:
+            found = set(self.keepers())
+        names = found or stay | {self._opts.instance}
+        return ranked(LIMITER_KEY + endpoint, sorted(names))[0]
+
     def _start_of(self, name: str) -> float:
         member = self._members.get(name)
         return self._started if member is None else member.started
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -327,6 +327,54 @@
     counted: list[tuple[str, list[str]]]
 
 
+class LimitNamed(msgspec.Struct, array_like=True, tag="limit"):
+    """An endpoint named the requests a second that it takes from all instances together.
+
+    Attributes:
+        sender: Who read it.
+        endpoint: The endpoint.
+        rate: Requests a second; None when it names a limit no more.
+    """
+
+    sender: str
+    endpoint: str
+    rate: float | None
+
+
+class PermitAsk(msgspec.Struct, array_like=True, tag="permit"):
+    """A request of the sender could go to an endpoint that has a limit.
+
+    Attributes:
+        sender: Who asks.
+        endpoint: The endpoint.
+        number: Number of the question.
+    """
+
+    sender: str
+    endpoint: str
+    number: int
+
+
+class PermitAnswer(msgspec.Struct, array_like=True, tag="permitted"):
+    """The answer to a question for a permit.
+
+    Attributes:
+        sender: Who was asked.
+        endpoint: The endpoint.
+        number: Number of the question.
+        granted: Whether one request may be sent.
+        wait_ms: Milliseconds after which to ask again.
+        limiter: Who gives the permits for the endpoint.
+    """
+
+    sender: str
+    endpoint: str
+    number: int
+    granted: bool
+    wait_ms: int
+    limiter: str
+
+
 class Packed(msgspec.Struct, array_like=True, tag="packed"):
     """An encoded message, compressed."""
 
@@ -354,6 +402,9 @@
     | CreditPlea
     | CreditLoan
     | EndsTold
+    | LimitNamed
+    | PermitAsk
+    | PermitAnswer
 )
 
 # Bytes from which a frame is compressed: what fits into one packet is not worth the work. Long
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
@@ -46,6 +46,12 @@
             "Requests that are held back, as endpoints ended under them",
             registry=reg,
         )
+        self.permits = Counter(
+            "wigeonarch_gateway_permits",
+            "Permits for endpoints that name a limit, by outcome",
+            ["outcome"],
+            registry=reg,
+        )
         self.retries = Counter(
             "wigeonarch_gateway_retries", "Repeated sends, by reason", ["reason"], registry=reg
         )
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -44,8 +44,11 @@
     EndsTold,
     Follow,
     Introduction,
+    LimitNamed,
     LoadWish,
     Message,
+    PermitAnswer,
+    PermitAsk,
     PlacesNews,
     PromiseMade,
     Relay,
@@ -157,6 +160,14 @@
             self._pools.reach,
             self._metrics,
         )
+        self._limits = Limits(
+            opts.instance,
+            self._limiter,
+            self._members.send,
+            self._members.send_all,
+            self._metrics,
+        )
+        evidence = Evidence(self._doubts, self._paces, self._suspects, self._limits)
         self._members.discovery.on_entry = lambda entry: self._suspects.read(entry.ended_under)
         self._sharing = Sharing(
             opts.instance,
@@ -184,8 +195,7 @@
             self._endpoints,
             self._views,
             self._traffic,
-            self._doubts,
-            self._paces,
+            evidence,
             wishes,
             opts.zone,
             lambda: self._members.pause(),
@@ -210,7 +220,7 @@
             self._pools,
             wishes,
             self._retries,
-            Evidence(self._doubts, self._paces, self._suspects, Limits()),
+            evidence,
             self._metrics,
             finder,
             closing,
@@ -386,7 +396,13 @@
         """Returns the time until which a missing entry of a zone may be one that lapsed."""
         return self._contact.may_lapse_until(self._members.contacts(zone))
 
+    def _limiter(self, endpoint: str) -> str:
+        """Returns the instance that gives permits for an endpoint."""
+        record = self._endpoints.get(endpoint)
+        return self._members.limiter(endpoint, record.zone if record is not None else "")
+
     def _gone(self, endpoint: str) -> None:
+        self._limits.forget(endpoint)
         self._pools.forget(endpoint)
         self._views.forget(endpoint)
         self._doubts.forget(endpoint)
@@ -398,6 +414,7 @@
         self._pools.forget(record.endpoint)
         self._doubts.forget(record.endpoint)
         self._paces.forget(record.endpoint)
+        self._limits.forget(record.endpoint)
         self._suspects.endpoint_ended(record.endpoint)
         self._views.restarted(record.endpoint, record.born)
         orderer = self._holders.orderer(record.endpoint)
@@ -454,6 +471,12 @@
                 self._quotas.lent(message)
             case EndsTold():
                 self._suspects.told(message)
+            case LimitNamed():
+                self._limits.told(message)
+            case PermitAsk():
+                self._limits.asked(message)
+            case PermitAnswer():
+                self._limits.answered(message)
 
     def _relay(self, relayed: Relay) -> None:
         inner = decode(relayed.frame)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -39,6 +39,7 @@
 NO_ENDPOINT_TEXTS: Final = {
     NoEndpoint.NONE: texts.NO_ENDPOINT,
     NoEndpoint.OVERLOADED: texts.OVERLOADED,
+    NoEndpoint.LIMITED: texts.LIMITED,
 }
 EVENT_STREAM: Final = b"text/event-stream"
 # Pause before an engine that lacked an adapter against expectation is tried again, in seconds, and
@@ -105,7 +106,8 @@
         while not await self._is_quarantined(job):
             record = await self._finder.find(job)
             if isinstance(record, NoEndpoint):
-                await self._closing.give_up(job, record.value, NO_ENDPOINT_TEXTS[record])
+                after = self._finder.come_back(job, record)
+                await self._closing.give_up(job, record.value, NO_ENDPOINT_TEXTS[record], after)
                 return
             if await self._is_quarantined(job):
                 return
@@ -175,7 +177,8 @@
             self._evidence.unreachable(record)
             log("endpoint_unreachable", "WARNING", endpoint=record.endpoint, request=job.key)
             return Again.NOT_SENT
-        if self._endpoints.get(record.endpoint) is not record and not self._still_ready(record):
+        known = self._endpoints.get(record.endpoint) is record or self._still_ready(record)
+        if not known or not self._evidence.permitted(record):
             self._pools.put_back(record.endpoint, conn)
             return Again.NOT_SENT
         under = self._begin(job, record)
@@ -278,7 +281,7 @@
             return Again.SILENT
         verdict = judge(job.key, head)
         if verdict is not Verdict.FOREIGN:
-            self._evidence.headed(record, self._dialect.read_limit(head))
+            self._evidence.headed(job, record, self._dialect.read_limit(head))
         if verdict in (Verdict.NOT_RUN, Verdict.MISDIRECTED):
             job.ran.remove(record.endpoint)
             return await self._refused_by(job, record, conn, under, verdict)
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -5,10 +5,12 @@
 import asyncio
 import itertools
 import time
+from functools import partial
 
 import pytest
 from gateway_world import World, until, world
 from standins.replica import Replica
+from wigeonarch_entry.clock import monotonic
 from wigeonarch_gateway.ports import AnswerHead
 from wigeonarch_platform.dialect import read_limit
 
@@ -46,6 +48,17 @@
     return max((sum(at <= t < at + WINDOW for t in times) for at in times), default=0)
 
 
+async def all_know(found: World, desks: int) -> bool:
+    """Tells whether all instances know so many endpoints of the plain service."""
+    return all(len(node._endpoints.ready("desk")) == desks for node in found.nodes)
+
+
+async def both_used(found: World, one: Replica, other: Replica) -> bool:
+    """Sends some requests; tells whether both endpoints have run one by now."""
+    await asyncio.gather(*(found.ask("/ask/x", node=n) for n in (0, 1, 2, 0, 1, 2)))
+    return bool(one.ran and other.ran)
+
+
 async def load(found: World, path: str, until_time: float, statuses: list[int]) -> None:
     """Sends requests to all instances in turn, one after the other."""
     for node in itertools.cycle(range(len(found.nodes))):
@@ -64,11 +77,8 @@
         for node in range(3):
             await found.served("/ask/x", node=node)
 
-        async def both_used() -> bool:
-            await asyncio.gather(*(found.ask("/ask/x", node=n) for n in (0, 1, 2, 0, 1, 2)))
-            return bool(other.ran and limited.ran)
-
-        await until(both_used)
+        await until(partial(all_know, found, 2))
+        await until(partial(both_used, found, limited, other))
         limited.limit = limit
         named = time.monotonic()
         statuses: list[int] = []
@@ -85,3 +95,47 @@
             return len(limited.arrived) - lifted > 4 * allowed
 
         await until(used_again)
+
+
+async def test_when_all_endpoints_are_at_their_limits_a_request_is_refused_at_once() -> None:
+    async with world(nodes=2) as found:
+        found.replicas[1].limit = "0.2"
+        for node in range(2):
+            await found.served("/ask/x", node=node)
+
+        async def limited() -> bool:
+            return all(node._limits.wait("i-desk", monotonic()) > 1.0 for node in found.nodes)
+
+        await until(limited)
+        answer = await found.ask("/ask/x", node=1)
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0.5
+        assert (await found.ask("/write/x", node=1, X_Model="m")).status == 200
+
+
+async def test_engines_without_a_limit_take_over_from_one_that_named_one() -> None:
+    async with world(nodes=2) as found:
+        limited = found.replicas[0]
+        await found.add_replica(Replica("llm", model="m", name="i-llm2"))
+        for node in range(2):
+            await found.served("/write/x", node=node, adapter="a")
+
+        async def known() -> bool:
+            return all(len(node._endpoints.ready("llm")) == 2 for node in found.nodes)
+
+        await until(known)
+        limited.limit = "1"
+        statuses: list[int] = []
+
+        async def told() -> bool:
+            asked = [found.ask("/write/x", node=n, X_Model="m") for n in (0, 1, 0, 1)]
+            statuses.extend(answer.status for answer in await asyncio.gather(*asked))
+            return all(limited.name in node._limits._limited for node in found.nodes)
+
+        await until(told)
+        before = len(limited.arrived)
+        for turn in range(40):
+            answer = await found.ask("/write/x", node=turn % 2, X_Model="m")
+            statuses.append(answer.status)
+        assert statuses == [200] * len(statuses)
+        assert len(limited.arrived) - before < 20
