--- a/tests/soak.py
+++ b/tests/soak.py
@@ -20,6 +20,7 @@
 import signal
 import sys
 import tempfile
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -27,6 +28,7 @@
 
 import aiohttp
 from gateway_world import HOST, configuration, free_port
+from soak_endpoints import FATAL, Needs
 from soak_teams import CALM, SETTINGS, Teams
 from standins.proxy import Proxy, Way
 from standins.replica import Replica
@@ -96,6 +98,7 @@
     version: int = 1
     all_faults: bool = False
     teams: Teams | None = None
+    needs: Needs | None = None
 
     async def start(self, gateways: int) -> None:
         """Starts stand-ins and processes."""
@@ -106,6 +109,8 @@
             await self._add(Replica("llm", model="m", name=f"i-llm{number}", load_time=0.1))
         for number in range(2):
             await self._add(Replica("desk", name=f"i-desk{number}"))
+        if self.needs is not None:
+            self.needs.prepare(self.replicas, self._enter)
         peer_port = free_port("127.0.0.10")
         for number in range(gateways):
             gateway = self._gateway(number, peer_port)
@@ -117,6 +122,9 @@
         if self.all_faults:
             replica.born = FIRST_START
         self.replicas.append(replica)
+        await self._enter(replica)
+
+    async def _enter(self, replica: Replica) -> None:
         await self.store.put("servers", replica.name, replica.record())
 
     def _gateway(self, number: int, peer_port: int) -> Gateway:
@@ -152,6 +160,16 @@
                 await self._ask(session, f"c{caller}-{number}", path, rng)
                 await asyncio.sleep(rng.uniform(0.0, 0.05))
 
+    async def call_fatal(self) -> None:
+        """Comes back with the request that ends engines until the soak ends."""
+        rng = random.Random(self.rng.random())
+        number = 0
+        async with aiohttp.ClientSession(auto_decompress=False) as session:
+            while not self.stopping:
+                number += 1
+                await self._ask(session, f"fatal-{number}", "/write/x", rng, body=FATAL)
+                await asyncio.sleep(rng.uniform(0.1, 0.6))
+
     async def _ask(
         self,
         session: aiohttp.ClientSession,
@@ -160,6 +178,7 @@
         rng: random.Random,
         gateway: Gateway | None = None,
         team: str = "",
+        body: bytes = b"",
     ) -> None:
         headers = {"Host": HOST, "X-Request-Id": request, "X-Deadline-Ms": "3000"}
         if path in ("/write/x", "/draft/x"):
@@ -174,7 +193,9 @@
             async with (
                 asyncio.timeout(6),
                 session.post(
-                    f"http://{gateway.front}{path}", data=request.encode(), headers=headers
+                    f"http://{gateway.front}{path}",
+                    data=body or request.encode(),
+                    headers=headers,
                 ) as resp,
             ):
                 status = resp.status
@@ -221,27 +242,37 @@
     async def kill(self) -> None:
         """Kills a process and starts it again."""
         gateway = self.rng.choice(self.gateways)
+        begin = time.monotonic()
         gateway.signal(signal.SIGKILL)
-        await self._again(gateway)
+        await self._again(gateway, begin)
 
     async def stop(self) -> None:
         """Stops a process in order and starts it again."""
         gateway = self.rng.choice(self.gateways)
+        begin = time.monotonic()
         gateway.signal(signal.SIGTERM)
-        await self._again(gateway)
+        await self._again(gateway, begin)
 
-    async def _again(self, gateway: Gateway) -> None:
+    async def _again(self, gateway: Gateway, begin: float) -> None:
         if gateway.process is not None:
             await gateway.process.wait()
         await asyncio.sleep(self.rng.uniform(0.0, 1.0))
         await gateway.start()
+        self._disturbed([gateway], begin)
+
+    def _disturbed(self, gateways: list[Gateway], begin: float) -> None:
+        if self.needs is not None:
+            for gateway in gateways:
+                self.needs.note(gateway.front.partition(":")[0], begin)
 
     async def pause(self) -> None:
         """Lets a process stand still."""
         gateway = self.rng.choice(self.gateways)
+        begin = time.monotonic()
         gateway.signal(signal.SIGSTOP)
         await asyncio.sleep(self.rng.uniform(0.2, 6.0))
         gateway.signal(signal.SIGCONT)
+        self._disturbed([gateway], begin)
 
     async def reload(self) -> None:
         """Says that the settings have changed."""
@@ -350,6 +381,8 @@
             found += _broken_orders(replica)
         if self.teams is not None:
             found += self.teams.broken(self.replicas, self.folder)
+        if self.needs is not None:
+            found += self.needs.broken(self.replicas)
         return found
 
     def _broken_answer(self, request: str, seen: Seen, runs: int) -> list[str]:
@@ -405,13 +438,18 @@
     callers: int,
     all_faults: bool = False,
     teams: bool = False,
+    needs: bool = False,
 ) -> tuple[Soak, list[str]]:
     """Plays one seed; returns the soak and the promises that were broken."""
     with tempfile.TemporaryDirectory(prefix="soak-") as name:
         soak = Soak(random.Random(seed), Path(name), all_faults=all_faults)
         soak.teams = Teams(random.Random(seed)) if teams else None
+        soak.needs = Needs(random.Random(seed)) if needs else None
         await soak.start(gateways)
         tasks = [asyncio.create_task(soak.call(number)) for number in range(callers)]
+        if soak.needs is not None:
+            tasks.append(asyncio.create_task(soak.call_fatal()))
+            tasks.append(asyncio.create_task(soak.needs.name_limits(seconds)))
         try:
             await asyncio.sleep(3.0)
             await soak.trouble(seconds)
@@ -436,11 +474,12 @@
     parser.add_argument("--callers", type=int, default=8)
     parser.add_argument("--all-faults", action="store_true", help="also the ones that came later")
     parser.add_argument("--teams", action="store_true", help="callers show keys of teams")
+    parser.add_argument("--needs", action="store_true", help="endpoints end, and name limits")
     args = parser.parse_args()
     failed = 0
     for seed in range(args.seed, args.seed + args.seeds):
-        options = (args.seconds, args.gateways, args.callers, args.all_faults, args.teams)
-        played = run(seed, *options)
+        options = (args.seconds, args.gateways, args.callers)
+        played = run(seed, *options, args.all_faults, args.teams, args.needs)
         soak, broken = asyncio.run(played)
         statuses = Counter(seen.status for seen in soak.answers.values())
         print(f"seed={seed} requests={len(soak.answers)} statuses={dict(statuses)}", flush=True)
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -44,6 +44,7 @@
     headers: dict[str, str]
     body: bytes
     at: float = field(default_factory=time.monotonic)
+    peer: str = ""  # Address that it came from.
 
 
 @dataclass
@@ -162,6 +163,7 @@
         self.connections += 1
         try:
             while (seen := await _read(reader)) is not None:
+                seen.peer = writer.get_extra_info("peername")[0]
                 if not await self._answer(seen, reader, writer):
                     break
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -63,3 +63,14 @@
     )
     assert not broken
     assert any(seen.status == 429 for seen in played.answers.values())
+
+
+# With a request under which engines end, and a plain endpoint that names limits.
+NEEDS_SEEDS = [(8000, 10.0)]
+
+
+@pytest.mark.timeout(240)
+@pytest.mark.parametrize(("seed", "seconds"), NEEDS_SEEDS)
+async def test_no_promise_is_broken_to_endpoints_in_need(seed: int, seconds: float) -> None:
+    _, broken = await soak.run(seed, seconds, gateways=4, callers=6, all_faults=True, needs=True)
+    assert not broken
