Stand-in of the store: calls that hang don't hold up its end for a minute

Callers saw: nothing. Cause: the server library waits 60 s for handlers at its end, and a store that is silent keeps them. No assertion is touched.

--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -9,6 +9,8 @@
 
 from aiohttp import web
 
+STOP_WAIT = 0.1  # Seconds for which calls that hang are waited for at the end.
+
 
 class Trouble(enum.Enum):
     """What the store does to its callers."""
@@ -47,7 +49,8 @@
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Listens."""
-        self._runner = web.ServerRunner(web.Server(self._handle))
+        server = web.Server(self._handle)
+        self._runner = web.ServerRunner(server, shutdown_timeout=STOP_WAIT)
         await self._runner.setup()
         site = web.TCPSite(self._runner, host, port)
         await site.start()
