House: who takes each kind of message is a table, and a test holds it complete

Callers saw: nothing. A chain of 23 cases in the node becomes a table; two cases with more than a call become functions. test_each_kind_of_message_has_a_receiver fails when a kind is added without one (the chain dropped such a message in silence).

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import os
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 from wigeonarch_core.doubt import Doubts
@@ -234,6 +234,7 @@
             self._retries,
             self._metrics,
         )
+        self._receivers = self._all_receivers()
         self._door = Door(serving.serve, self._body_most)
         self._ready_server = StatusServer([Page(dialect.ready_path, self._ready)])
         self._metrics_server = StatusServer([Page("/metrics", self._metrics_page)])
@@ -424,59 +425,45 @@
     # What peers tell.
 
     def _receive(self, message: Message) -> None:
-        match message:
-            case Beat():
-                self._members.beat(message)
-            case PlacesNews():
-                self._views.news(message)
-            case LoadWish():
-                orderer = self._holders.orderer(message.endpoint)
-                if orderer is not None:
-                    key = from_adapter(message.adapter)
-                    orderer.wish(key, message.priority, message.missing)
-            case Used():
-                self._used(message)
-            case Remembered():
-                self._views.remember(message.endpoint, message.names)
-            case PromiseMade():
-                self._leasing.promised(message)
-            case RenewalPlea():
-                self._promise(message)
-                if not message.renew:
-                    return
-                asyncio.create_task(self._renew_for(message))  # noqa: RUF006 - ends by itself.
-            case RenewalDone():
-                self._leasing.renewed_by_peer(message)
-            case Relay():
-                self._relay(message)
-            case Follow():
-                self._sharing.asked(message)
-            case Told():
-                self._sharing.told(message)
-            case Untold():
-                self._sharing.untold(message)
-            case WhoIsThere():
-                self._members.discovery.asked(message)
-            case Introduction():
-                self._members.discovery.introduced(message)
-            case CreditAsk():
-                self._quotas.asked(message)
-            case CreditAnswer():
-                self._quotas.answered(message)
-            case CreditBack():
-                self._quotas.returned(message)
-            case CreditPlea():
-                self._quotas.pleaded(message)
-            case CreditLoan():
-                self._quotas.lent(message)
-            case EndsTold():
-                self._suspects.told(message)
-            case LimitNamed():
-                self._limits.told(message)
-            case PermitAsk():
-                self._limits.asked(message)
-            case PermitAnswer():
-                self._limits.answered(message)
+        self._receivers[type(message)](message)
+
+    def _all_receivers(self) -> dict[type[Message], Callable[[Any], None]]:
+        """Returns who takes each kind of message."""
+        return {
+            Beat: self._members.beat,
+            PlacesNews: self._views.news,
+            LoadWish: self._wished,
+            Used: self._used,
+            Remembered: lambda told: self._views.remember(told.endpoint, told.names),
+            PromiseMade: self._leasing.promised,
+            RenewalPlea: self._pleaded,
+            RenewalDone: self._leasing.renewed_by_peer,
+            Relay: self._relay,
+            Follow: self._sharing.asked,
+            Told: self._sharing.told,
+            Untold: self._sharing.untold,
+            WhoIsThere: self._members.discovery.asked,
+            Introduction: self._members.discovery.introduced,
+            CreditAsk: self._quotas.asked,
+            CreditAnswer: self._quotas.answered,
+            CreditBack: self._quotas.returned,
+            CreditPlea: self._quotas.pleaded,
+            CreditLoan: self._quotas.lent,
+            EndsTold: self._suspects.told,
+            LimitNamed: self._limits.told,
+            PermitAsk: self._limits.asked,
+            PermitAnswer: self._limits.answered,
+        }
+
+    def _wished(self, message: LoadWish) -> None:
+        orderer = self._holders.orderer(message.endpoint)
+        if orderer is not None:
+            orderer.wish(from_adapter(message.adapter), message.priority, message.missing)
+
+    def _pleaded(self, plea: RenewalPlea) -> None:
+        self._promise(plea)
+        if plea.renew:
+            asyncio.create_task(self._renew_for(plea))  # noqa: RUF006 - ends by itself.
 
     def _relay(self, relayed: Relay) -> None:
         inner = decode(relayed.frame)
--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import zlib
+from typing import get_args
 
 import msgspec
 import pytest
+from gateway_world import world
 from wigeonarch_gateway.messages import (
     PACK_FROM,
     UNPACKED_BOUND,
@@ -55,3 +57,8 @@
 )
 def test_what_cannot_be_read_is_no_message(frame: bytes) -> None:
     assert decode(frame) is None
+
+
+async def test_each_kind_of_message_has_a_receiver() -> None:
+    async with world() as found:
+        assert set(found.nodes[0]._receivers) == set(get_args(Message))
