wigeonctl teams: what each team used and was refused, over all instances

Callers saw: nothing. An operator had to add up the metrics of all instances by hand to answer a customer who says that he is refused below his limit. No decision changes.

--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/cli.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/cli.py
@@ -77,6 +77,7 @@
     _add_lookup(groups)
     _add_explain(groups)
     _add_status(groups)
+    _add_teams(groups)
     _add_drain(groups)
     return parser
 
@@ -88,6 +89,8 @@
         write=_write,
         advise=_advise,
     )
+    if args.command == "teams":
+        return commands.teams(console, args)
     if _reads_logs(args):
         return commands.explain_logs(console, args)
     session = Session(args.server, args.timeout)
@@ -103,13 +106,13 @@
 
 
 def _reads_logs(args: argparse.Namespace) -> bool:
-    """Tells whether the command needs no server."""
+    """Tells whether the command reads log files."""
     return bool(getattr(args, "logs", None))
 
 
 def _check(parser: argparse.ArgumentParser, args: argparse.Namespace) -> None:
     """Ends the program with a usage error when arguments do not go together."""
-    if _reads_logs(args):
+    if _reads_logs(args) or args.command == "teams":
         return
     if not args.server:
         parser.error(texts.NO_SERVER)
@@ -382,6 +385,13 @@
     parser.set_defaults(run=commands.status)
 
 
+def _add_teams(groups: Subparsers) -> None:
+    parser = groups.add_parser("teams", help="show what teams used of their quotas")
+    parser.add_argument(
+        "--metrics", nargs="+", required=True, metavar="HOST:PORT", help=texts.METRICS_HELP
+    )
+
+
 def _add_drain(groups: Subparsers) -> None:
     parser = groups.add_parser("drain", help="start the graceful shutdown of an instance")
     parser.add_argument("instance", metavar="INSTANCE")
--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/commands.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/commands.py
@@ -12,7 +12,7 @@
 import grpc
 from wigeonarch_schema import wigeonarch_pb2 as pb
 
-from wigeonarch_ctl import exits, logtrace, render, texts
+from wigeonarch_ctl import exits, logtrace, render, teamtable, texts
 from wigeonarch_ctl.mutations import delete_entry, put_entry
 from wigeonarch_ctl.names import parse_entry_name
 from wigeonarch_ctl.session import CallError, LostReply, Session, lost_reply
@@ -157,6 +157,20 @@
     return exits.OK if found.lines else exits.NOT_RUN
 
 
+def teams(console: Console, args: argparse.Namespace) -> int:
+    """Shows what teams used of their quotas, by the metrics of all instances that are named."""
+    pages = []
+    for address in args.metrics:
+        try:
+            pages.append(teamtable.read_metrics(address))
+        except OSError as exc:
+            console.advise(texts.UNREADABLE.format(path=address, reason=exc))
+    if not pages:
+        return exits.UNREACHABLE
+    console.write(teamtable.table(teamtable.add_up(pages)))
+    return exits.OK if len(pages) == len(args.metrics) else exits.UNREACHABLE
+
+
 def status(console: Console, session: Session, _: argparse.Namespace) -> int:
     """Shows the state of the fleet."""
     reply = session.call(session.fleet.Status, pb.StatusRequest())
--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/texts.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/texts.py
@@ -23,6 +23,7 @@
     "command that made it with --operation-id {operation_id}: it is made at most once."
 )
 LOGS_HELP: Final = "read these log files of instances instead of asking one"
+METRICS_HELP: Final = "addresses of all instances' metrics; their figures are added up"
 UNREADABLE: Final = "{path}: {reason}"
 NOT_EXPLAINED: Final = (
     "This instance has no decisions about that request. Ask the instance that received it; "
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Final
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from wigeonarch_core.teams import Team
 
 WAIT_BUCKETS: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 2.0, 5.0, 15.0)
 AGE_BUCKETS: Final = (0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 6.0, 10.0)
@@ -35,6 +37,15 @@
             ["team", "outcome"],
             registry=reg,
         )
+        self.quota_rate = Gauge(
+            "wigeonarch_gateway_quota_rate",
+            "Units a second of each team's quota, by the configuration in force",
+            ["team"],
+            registry=reg,
+        )
+        self.quota_burst = Gauge(
+            "wigeonarch_gateway_quota_burst", "Units besides", ["team"], registry=reg
+        )
         self.quota_requests = Counter(
             "wigeonarch_gateway_quota_requests",
             "Requests under a quota, by team and outcome",
@@ -97,6 +108,16 @@
             registry=reg,
         )
 
+    def quotas(self, teams: Iterable[Team]) -> None:
+        """Shows the quotas of a configuration's teams, as many as have figures of their own."""
+        self.quota_rate.clear()
+        self.quota_burst.clear()
+        limited = [team for team in teams if team.quota is not None]
+        for team in limited[:TEAMS_MOST]:
+            assert team.quota is not None
+            self.quota_rate.labels(team.name).set(team.quota.rate)
+            self.quota_burst.labels(team.name).set(team.quota.burst)
+
     def admitted(self, team: str, units: float) -> None:
         """Counts a request that was let in."""
         self._count_quota(team, "admitted", units)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -14,7 +14,7 @@
 from wigeonarch_core.load_pace import LoadPace
 from wigeonarch_core.quota_bank import QuotaBank
 from wigeonarch_core.retry_window import RetryWindow
-from wigeonarch_core.routes import EngineSpec
+from wigeonarch_core.routes import EngineSpec, RoutingTable
 from wigeonarch_core.store_contact import LapseTimes, StoreContact
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import dropped, log
@@ -351,6 +351,7 @@
 
     async def _tick(self) -> None:
         told = monotonic()
+        shown: RoutingTable | None = None
         while True:
             await asyncio.sleep(TICK)
             if monotonic() - told >= VITALS_EVERY:
@@ -365,8 +366,13 @@
             self._retries.heard_of(self._members.count())
             self._quotas.look()
             table = self._catalogue.table
-            if table is not None:
-                self._metrics.configuration.set(table.version)
+            if table is not None and table is not shown:
+                shown = table
+                self._show_configuration(table)
+
+    def _show_configuration(self, table: RoutingTable) -> None:
+        self._metrics.configuration.set(table.version)
+        self._metrics.quotas(table.teams.all() if table.teams is not None else ())
 
     def _log_vitals(self) -> None:
         """Logs what an operator asks first when an instance is in doubt."""
--- a/tests/test_ctl_logtrace.py
+++ b/tests/test_ctl_logtrace.py
@@ -65,6 +65,20 @@
             [line(1, "refused", "request=r1 reason=quota_unsure team=deli cost=1632")],
             ["not run", "no instance that keeps team deli's quota"],
         ),
+        (
+            [line(1, "refused", "request=r1 reason=quarantined retry_after=894 content=3f0c")],
+            ["not run", "endpoints ended each time", "3f0c", "894 s"],
+        ),
+        (
+            [
+                line(
+                    1,
+                    "refused",
+                    "request=r1 reason=endpoints_limited service=desk ready=2 limited=2",
+                )
+            ],
+            ["not run", "2 of 2 ready endpoints of desk", "limit"],
+        ),
         (
             [line(1, "refused", "request=r1 reason=service_overloaded service=desk")],
             ["not run", "service desk is asked for more"],
