A request that can go nowhere else waits for the permit that it asked for

Callers saw: where all endpoints of a service have named limits, a request at an instance that is not their limiter is refused, though the limiter would allow it 2 ms later. Cause: an open question counted as a wait of 0.3 s, the time after which its answer counts as lost. A request with less patience (half of an objective of 0.3 s) was refused at the first look; the permit came and was void after half a second. Change: a question that was just asked counts as 0.06 s, what an answer of a busy limiter takes, then as what is left until it counts as lost. Besides, two comments and a name that did not say what it is.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
@@ -23,7 +23,7 @@
 from wigeonarch_gateway.options import HoldingOptions
 from wigeonarch_gateway.ownobjects import LeaseContent, content, read_lease
 from wigeonarch_gateway.ports import Absent, Conflict, Kinds, ObjectStore, StoredObject, Unavailable
-from wigeonarch_gateway.suspects import Wire
+from wigeonarch_gateway.suspects import EndsByContent
 
 # Seconds without an answer to a renewal after which peers are asked; the store usually takes a few
 # milliseconds, and a lost answer is known as such only by the call's own, longer time limit.
@@ -60,8 +60,8 @@
         read: Takes over what the last incarnation's lease kept.
     """
 
-    notable: Callable[[], Wire]
-    read: Callable[[Wire], None]
+    notable: Callable[[], EndsByContent]
+    read: Callable[[EndsByContent], None]
 
 
 class Leasing:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
@@ -27,6 +27,8 @@
 
 # Seconds without an answer after which a permit is asked for again, at this or another instance.
 ANSWER_WAIT: Final = 0.3
+# Seconds for which a request that can go nowhere else waits for the answer.
+ANSWER_USUAL: Final = 0.06
 NOT_THE_LIMITER: Final = 0.1  # Seconds after which to ask again who was asked in vain.
 HINT_HOLDS: Final = 2.0  # Seconds for which another instance's word of who is the limiter holds.
 NUMBERS: Final = 1 << 40  # Numbers of questions begin at random below this.
@@ -136,7 +138,7 @@
     # Before and as a request is sent.
 
     def wait(self, endpoint: str, now: float) -> float:
-        """Returns the seconds until a request may go to an endpoint; 0 when it may now.
+        """Returns the seconds until a request may go to an endpoint, as expected; 0 for now.
 
         Where a permit is needed and none is known to be far, it is asked for.
         """
@@ -152,7 +154,9 @@
         if now < limited.closed_until:
             return limited.closed_until - now
         self._ask(endpoint, limiter, limited, now)
-        return ANSWER_WAIT
+        assert limited.asked is not None
+        waited = now - limited.asked
+        return ANSWER_USUAL if waited < ANSWER_USUAL else ANSWER_WAIT - waited
 
     def spend(self, endpoint: str, now: float) -> bool:
         """Uses a permit for a request that is about to be sent; False when there is none."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspects.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspects.py
@@ -4,9 +4,11 @@
 not, tells all others at once which request it was and where it ran, some losses in one message. A
 connection that broke while the endpoint lives on says nothing of the request. Where that is not
 known, or the run was given up, as its caller left or the endpoint fell silent, it counts when the
-endpoint is found to be gone or to have started again. What was seen more than once
-goes into the instance's lease too: an instance that is cut off from the others, and all that start
-anew, read it there. So nothing more is asked of the store than a lease that is renewed at once.
+endpoint is found to be gone or to have started again.
+
+What was seen more than once goes into the instance's lease too: an instance that is cut off from
+the others, and all that start anew, read it there. So nothing more is asked of the store than a
+lease that is renewed at once.
 
 An end counts once for each endpoint, and a whole answer clears a request of all (see
 `core.fatal_requests`).
@@ -43,11 +45,11 @@
 # Seconds for which a run without an end is kept in mind: an entry lapses within four.
 LINGERS: Final = 10.0
 LINGERING_MOST: Final = 1000  # Such runs that are kept for one endpoint.
-
 # Seconds after the start in which what the store says is no news to others: all read it then.
 YOUNG: Final = 5.0
 
-Wire = list[tuple[str, list[str]]]
+# Keys of requests, and the ends under each, as messages and leases have them.
+EndsByContent = list[tuple[str, list[str]]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -232,11 +234,11 @@
         """Returns what an instance that just started should know."""
         return EndsTold(self._me, [], [], _to_wire(self._requests.known(1, TOLD_AT_ONCE)))
 
-    def notable(self) -> Wire:
+    def notable(self) -> EndsByContent:
         """Returns what belongs into the store."""
         return _to_wire(self._requests.known(ENDS_NOTABLE, NOTABLE_MOST))
 
-    def read(self, notable: Wire) -> None:
+    def read(self, notable: EndsByContent) -> None:
         """Takes over what a lease in the store says; the others hear of what is news."""
         is_young = monotonic() - self._started < YOUNG
         for found in _from_wire(notable):
@@ -244,9 +246,9 @@
                 self._send_all(EndsTold(self._me, [], [], _to_wire([found])))
 
 
-def _to_wire(ends: Sequence[Ends]) -> Wire:
+def _to_wire(ends: Sequence[Ends]) -> EndsByContent:
     return [(found.content, sorted(found.endpoints)) for found in ends]
 
 
-def _from_wire(ends: Wire) -> list[Ends]:
+def _from_wire(ends: EndsByContent) -> list[Ends]:
     return [Ends(content, frozenset(endpoints)) for content, endpoints in ends]
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -8,8 +8,9 @@
 from functools import partial
 
 import pytest
-from gateway_world import World, until, world
+from gateway_world import World, configuration, route, until, world
 from standins.replica import Replica
+from wigeonarch_core.permits import HOLDS
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_gateway.ports import AnswerHead
 from wigeonarch_platform.dialect import read_limit
@@ -139,3 +140,25 @@
             statuses.append(answer.status)
         assert statuses == [200] * len(statuses)
         assert len(limited.arrived) - before < 20
+
+
+async def test_a_request_waits_for_the_permit_that_it_asked_for_where_all_have_limits() -> None:
+    async with world(nodes=2) as found:
+        # Its objective leaves less time to wait than a lost answer of the limiter takes.
+        quick = route("quick", "idempotent", "desk", slo_ms=300)
+        await found.store.put("config", "main", configuration(2, quick))
+        found.replicas[1].limit = "4"
+        for node in range(2):
+            await found.served("/quick/x", node=node)
+
+        async def known() -> bool:
+            await found.ask("/quick/x", node=0)
+            return all("i-desk" in node._limits._limited for node in found.nodes)
+
+        await until(known)
+        statuses = []
+        for turn in range(6):
+            # Longer than a permit holds, and long enough for the next one.
+            await asyncio.sleep(HOLDS + 0.2)
+            statuses.append((await found.ask("/quick/x", node=turn % 2)).status)
+        assert statuses == [200] * len(statuses)
--- a/tests/test_lease_memory.py
+++ b/tests/test_lease_memory.py
@@ -11,18 +11,18 @@
 from gateway_world import HOLDING, until
 from standins.store import StoreStandIn
 from wigeonarch_gateway.leasing import Identity, Leasing, Memory
-from wigeonarch_gateway.suspects import Wire
+from wigeonarch_gateway.suspects import EndsByContent
 from wigeonarch_platform.store import Store
 
-KEPT: Wire = [("x", ["e1@1", "e2@1"])]
+KEPT: EndsByContent = [("x", ["e1@1", "e2@1"])]
 
 
 @dataclass
 class Kept:
     """What should be kept, and what was read."""
 
-    notable: Wire = field(default_factory=list)
-    read: Wire = field(default_factory=list)
+    notable: EndsByContent = field(default_factory=list)
+    read: EndsByContent = field(default_factory=list)
 
 
 @asynccontextmanager
@@ -53,7 +53,7 @@
     return 0
 
 
-def in_store(store: StoreStandIn) -> Wire:
+def in_store(store: StoreStandIn) -> EndsByContent:
     found = store.objects.get(("wigeonarch-leases", "edge-0"))
     if found is None:
         return []
