Looking for limits costs nothing where no endpoint names one

Callers saw: nothing. Each look for an engine asked for the limit of each of 70, twice where nothing was found. Change: where no endpoint has a limit, none is looked at. No decision changes.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/evidence.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/evidence.py
@@ -39,6 +39,11 @@
         """Tells whether nothing should be sent to an endpoint now, as nothing gets through."""
         return self._doubts.shut(record.endpoint, now)
 
+    @property
+    def any_limits(self) -> bool:
+        """Tells whether any endpoint has named a limit."""
+        return self._limits.any_named
+
     def limited_for(self, record: EndpointRecord, now: float) -> float:
         """Returns the seconds until an endpoint takes another request by the limit it named."""
         return self._limits.wait(record.endpoint, now)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
@@ -173,6 +173,8 @@
         fresh = [record for record in ready if record.endpoint not in job.avoid]
         fresh = fresh or [record for record in ready if record.endpoint not in job.ran]
         reached = [record for record in fresh if not self._evidence.shut(record, now)]
+        if not self._evidence.any_limits:
+            return reached
         return [record for record in reached if not self._evidence.limited_for(record, now)]
 
     def _limited_for(self, job: Job, now: float) -> float:
@@ -180,6 +182,8 @@
 
         It is 0 where limits don't keep the request from all endpoints.
         """
+        if not self._evidence.any_limits:
+            return 0.0
         ready = self._endpoints.ready(job.service)
         reached = [record for record in ready if not self._evidence.shut(record, now)]
         return min((self._evidence.limited_for(record, now) for record in reached), default=0.0)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
@@ -137,6 +137,11 @@
 
     # Before and as a request is sent.
 
+    @property
+    def any_named(self) -> bool:
+        """Tells whether any endpoint has a limit."""
+        return bool(self._limited)
+
     def wait(self, endpoint: str, now: float) -> float:
         """Returns the seconds until a request may go to an endpoint, as expected; 0 for now.
 
