A request whose adapter is on its way waits for it again, where no endpoint has a limit

Change: only a limit that is there counts. The test fails without the change (3 of 3 runs) and passes with it (3 of 3).

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
@@ -124,7 +124,8 @@
             if isinstance(found, EndpointRecord):
                 job.waited += now - began
                 return found
-            if now + self._limited_for(job, now) > began + patience:
+            limited_for = self._limited_for(job, now)
+            if limited_for and now + limited_for > began + patience:
                 return NoEndpoint.LIMITED
             if now - began > (longest if hopeful else patience):
                 return NoEndpoint.NONE
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -162,3 +162,13 @@
             await asyncio.sleep(HOLDS + 0.2)
             statuses.append((await found.ask("/quick/x", node=turn % 2)).status)
         assert statuses == [200] * len(statuses)
+
+
+async def test_a_request_waits_for_an_adapter_where_no_endpoint_has_a_limit() -> None:
+    async with world() as found:
+        # More than half of the objective, for which a request is held without hope.
+        found.replicas[0].load_time = 0.6
+        for adapter in ("a", "b", "c", "d"):
+            await found.served("/write/x", adapter=adapter)
+        statuses = [(await found.ask("/write/x", adapter=f"rare{n}")).status for n in range(4)]
+        assert statuses == [200] * len(statuses)
