Sight: what an endpoint says of itself in an answer's head is decoded once and logged

Callers saw: nothing changed. Change: `Notice` (leaving, rest, limit) in place of the limit alone, from one function of the dialect; `endpoint_says` in the log. Nothing acts on the two new fields yet. A misdirected answer says nothing, as another endpoint may have the address; before, one without a limit ended the limit. Evidence: table of heads (15 rows); tests of limits and of the way of a request pass.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/evidence.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/evidence.py
@@ -9,10 +9,11 @@
 from wigeonarch_core.doubt import Doubts
 from wigeonarch_core.engine_pace import EnginePaces, Wait
 from wigeonarch_entry.clock import monotonic
+from wigeonarch_entry.logs import log
 
 from wigeonarch_gateway.jobs import Job
 from wigeonarch_gateway.limits import Limits
-from wigeonarch_gateway.ports import EndpointRecord
+from wigeonarch_gateway.ports import EndpointRecord, Notice
 from wigeonarch_gateway.suspects import Suspects
 
 
@@ -72,9 +73,17 @@
         self._doubts.sending(record.endpoint, now)
         return None if expected is None else self._paces.sent(record.endpoint, expected, now)
 
-    def headed(self, job: Job, record: EndpointRecord, limit: float | None) -> None:
-        """Notes the head of an answer, and the limit that it names, if any."""
-        self._limits.noted(record, limit, job.sent_at)
+    def headed(self, job: Job, record: EndpointRecord, notice: Notice) -> None:
+        """Notes what an endpoint says of itself in the head of an answer."""
+        self._limits.noted(record, notice.limit, job.sent_at)
+        if notice.leaving or notice.rest:
+            log(
+                "endpoint_says",
+                request=job.key,
+                endpoint=record.endpoint,
+                leaving=notice.leaving,
+                rest=notice.rest,
+            )
 
     def first_token(self, record: EndpointRecord, wait: Wait | None) -> None:
         """Notes the first token of a stream."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -280,8 +280,9 @@
             self._evidence.silent(job, record)
             return Again.SILENT
         verdict = judge(job.key, head)
-        if verdict is not Verdict.FOREIGN:
-            self._evidence.headed(job, record, self._dialect.read_limit(head))
+        notice = self._dialect.read_notice(head)
+        if notice is not None:
+            self._evidence.headed(job, record, notice)
         if verdict in (Verdict.NOT_RUN, Verdict.MISDIRECTED):
             job.ran.remove(record.endpoint)
             return await self._refused_by(job, record, conn, under, verdict)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
@@ -285,6 +285,21 @@
         return next((value for key, value in self.headers if key == name), None)
 
 
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """What an endpoint says of itself in the head of an answer, whatever was asked.
+
+    Attributes:
+        leaving: Whether it is about to end.
+        rest: Seconds for which it wants nothing from this instance; 0 for none.
+        limit: Requests a second that it takes from all instances together; None for any number.
+    """
+
+    leaving: bool = False
+    rest: float = 0.0
+    limit: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Dialect:
     """How callers and endpoints spell things: the functions that translate.
@@ -298,8 +313,8 @@
             that can be read.
         forward: Headers of a caller's request to those for the endpoint.
         judge: Request id and head of an answer to a verdict.
-        read_limit: Head of an answer to the requests a second that the endpoint takes from all
-            instances together; None when it names none, or one that can't be read.
+        read_notice: Head of an answer to what the endpoint says of itself in it; None where another
+            endpoint may have sent it.
         order_body: An order to its body.
         order_result: Status of the answer to an order to its meaning.
         decode_report: Body of a report; raises ValueError.
@@ -316,7 +331,7 @@
     read_key: Callable[[Headers], str | None]
     forward: Callable[[Headers, Dispatch], list[tuple[bytes, bytes]]]
     judge: Callable[[str, AnswerHead], Verdict]
-    read_limit: Callable[[AnswerHead], float | None]
+    read_notice: Callable[[AnswerHead], Notice | None]
     order_body: Callable[[Order], bytes]
     order_result: Callable[[int], OrderResult]
     decode_report: Callable[[bytes], EngineReport]
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -91,6 +91,10 @@
     _pending: dict[str, int] = field(default_factory=dict)
     born: int = 0  # Start of its incarnation; 0 when it does not say.
     limit: str = ""  # Requests a second that its answers name; empty for none.
+    leaving: bool = False  # Whether all its answers say that it leaves.
+    rest: str = ""  # Seconds of rest that it asks for when it turns a request away.
+    asked_at: list[tuple[float, str]] = field(default_factory=list)  # Orders and reports.
+    away_at: list[tuple[float, str]] = field(default_factory=list)  # When, and whom it turned away.
     fatal: bytes = b""  # Body of a request that ends it as it begins to run.
     ends: int = 0  # Times that it ended so.
     away: float = 0.3  # Seconds after which it is back.
@@ -178,15 +182,20 @@
     ) -> bool:
         expected = seen.headers.get("x-expect-instance", self.name)
         if expected != self.name:
-            _write(writer, 421, {"X-Instance-Id": self.name})
+            _write(writer, 421, {"X-Instance-Id": self.name, **self._said()})
             return True
         if seen.target == "/wigeonarch/report":
-            _write(writer, 200, {}, json.dumps(self._report()).encode())
+            self.asked_at.append((time.monotonic(), seen.peer))
+            _write(writer, 200, self._said(), json.dumps(self._report()).encode())
             return True
         if seen.target == "/wigeonarch/order":
-            return await self._order(json.loads(seen.body), writer)
+            return await self._order(json.loads(seen.body), seen.peer, writer)
         return await self._run(seen, reader, writer)
 
+    def _said(self) -> dict[str, str]:
+        """Returns what all its answers say of it."""
+        return {"Server-Leaving": "1"} if self.leaving else {}
+
     def _report(self) -> dict[str, Any]:
         adapters = [f"{name}@{version}" for name, version in self.held.items()]
         models = [{"name": self.model, "version": 1, "adapters": adapters}]
@@ -201,15 +210,16 @@
             **({"born": self.born} if self.born else {}),
         }
 
-    async def _order(self, body: dict[str, Any], writer: asyncio.StreamWriter) -> bool:
+    async def _order(self, body: dict[str, Any], peer: str, writer: asyncio.StreamWriter) -> bool:
         arrived = asyncio.get_running_loop().time()
+        self.asked_at.append((time.monotonic(), peer))
         self.order_arrivals.append((arrived, str(body["holder"]), int(body["fence"])))
         if self.late_orders:
             self._spawn(self._late_order(body))
             await asyncio.sleep(3600)
         status = self._carry_out(body)
         self.orders.append((body, status))
-        _write(writer, status, {})
+        _write(writer, status, self._said())
         return True
 
     async def _late_order(self, body: dict[str, Any]) -> None:
@@ -293,10 +303,12 @@
         lacks = (adapter and adapter not in self.held) or (model and self.without_model)
         other = adapter and version and self.held.get(adapter) != int(version)
         if (model and model != self.model) or lacks or other:
-            _write(writer, 421, {"X-Instance-Id": self.name})
+            _write(writer, 421, {"X-Instance-Id": self.name, **self._said()})
             return True
         if self.trouble is Trouble.SHED:
-            _write(writer, 503, {"X-Not-Executed": "1"})
+            self.away_at.append((time.monotonic(), seen.peer))
+            asked = {"Retry-After": self.rest} if self.rest else {}
+            _write(writer, 503, {"X-Not-Executed": "1", **asked, **self._said()})
             return True
         self.ran.append(seen)
         if self.fatal and seen.body == self.fatal:
@@ -313,6 +325,7 @@
         self, seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         own = {"X-Request-Id": seen.headers.get("x-request-id", ""), "X-Server-Stamp": self.name}
+        own |= self._said()
         if self.limit:
             own["Server-Limit"] = self.limit
         if self.trouble is Trouble.SILENT:
--- /dev/null
+++ b/tests/test_endpoint_notices.py
@@ -0,0 +1,35 @@
+"""What endpoints say of themselves in the heads of their answers."""
+
+from __future__ import annotations
+
+import pytest
+from wigeonarch_gateway.ports import AnswerHead, Notice
+from wigeonarch_platform.dialect import read_notice
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "notice"),
+    [
+        (200, {}, Notice()),
+        (200, {b"server-leaving": b"1"}, Notice(leaving=True)),
+        (500, {b"server-leaving": b" 1 "}, Notice(leaving=True)),
+        (503, {b"server-leaving": b"1", b"retry-after": b"2"}, Notice(leaving=True, rest=2.0)),
+        (200, {b"server-leaving": b"0"}, Notice()),
+        (200, {b"server-leaving": b""}, Notice()),
+        (503, {b"retry-after": b"0.5"}, Notice(rest=0.5)),
+        (503, {b"retry-after": b"0"}, Notice()),
+        (503, {b"retry-after": b"-1"}, Notice()),
+        (503, {b"retry-after": b"nan"}, Notice()),
+        (503, {b"retry-after": b"inf"}, Notice()),
+        (503, {b"retry-after": b"Fri, 04 Dec 2026 10:00:00 GMT"}, Notice()),
+        # Rest is asked for by turning a request away, and by nothing else.
+        (200, {b"retry-after": b"3"}, Notice()),
+        (500, {b"retry-after": b"3"}, Notice()),
+        # Another endpoint may have the address by now.
+        (421, {b"server-leaving": b"1", b"server-limit": b"1"}, None),
+    ],
+)
+def test_what_an_endpoint_says_of_itself_is_read(
+    status: int, headers: dict[bytes, bytes], notice: Notice | None
+) -> None:
+    assert read_notice(AnswerHead(status, tuple(headers.items()))) == notice
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -13,7 +13,7 @@
 from wigeonarch_core.permits import HOLDS
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_gateway.ports import AnswerHead
-from wigeonarch_platform.dialect import read_limit
+from wigeonarch_platform.dialect import read_notice
 
 WINDOW = 4.0  # Seconds over which arrivals count.
 OVER = 1.5  # Times the limit that may arrive in a window,
@@ -40,7 +40,9 @@
 )
 def test_a_limit_is_read(value: bytes | None, limit: float | None) -> None:
     headers = () if value is None else ((b"server-limit", value),)
-    assert read_limit(AnswerHead(200, headers)) == limit
+    notice = read_notice(AnswerHead(200, headers))
+    assert notice is not None
+    assert notice.limit == limit
 
 
 def most_arrivals(replica: Replica, since: float) -> int:
