--- /dev/null
+++ b/tests/test_gateway_rests.py
@@ -0,0 +1,65 @@
+"""An endpoint turns a request away and asks the instance for rest."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+from gateway_world import World, until_true, world
+from standins.replica import Replica, Trouble
+
+NOTICED = 0.5  # Seconds from a refusal in which requests may still arrive.
+ARRIVE_MOST = 2  # Requests of an instance that may arrive in the rest of the time.
+
+
+def most_in_a_rest(replica: Replica, rest: float) -> int:
+    """Returns the most requests of one instance in any time for which it was to rest."""
+    times = [(seen.at, seen.peer) for seen in replica.arrived] + replica.asked_at
+    return max(
+        (
+            sum(peer == asked and at + NOTICED < t < at + rest for t, peer in times)
+            for at, asked in replica.away_at
+        ),
+        default=0,
+    )
+
+
+async def all_ready(found: World, service: str, count: int) -> None:
+    """Waits until all instances know so many endpoints of a service."""
+    await until_true(
+        lambda: all(len(node._endpoints.ready(service)) == count for node in found.nodes)
+    )
+
+
+async def load(found: World, path: str, seconds: float, model: str) -> list[int]:
+    """Sends requests to all instances for some seconds; returns the statuses."""
+    statuses: list[int] = []
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        asked = [found.ask(path, node=n, X_Model=model) for n in range(len(found.nodes))]
+        statuses += [answer.status for answer in await asyncio.gather(*asked)]
+        await asyncio.sleep(0.01)
+    return statuses
+
+
+@pytest.mark.parametrize(
+    ("path", "rest"), [("/ask/x", "1.5"), ("/book/x", "2"), ("/write/x", "1.5")]
+)
+async def test_an_endpoint_that_asked_for_rest_gets_no_request_of_that_instance(
+    path: str, rest: str
+) -> None:
+    async with world(nodes=2) as found:
+        engine = path.startswith("/write")
+        service = "llm" if engine else "desk"
+        tired = found.replicas[0 if engine else 1]
+        model = "m" if engine else ""
+        await found.add_replica(Replica(service, model=model, name="i-other"))
+        await all_ready(found, service, 2)
+        for node in range(2):
+            await found.served(path, node=node)
+        tired.rest, tired.trouble = rest, Trouble.SHED
+        statuses = await load(found, path, 3.0, model)
+        assert tired.away_at
+        assert most_in_a_rest(tired, float(rest)) <= ARRIVE_MOST
+        assert statuses == [200] * len(statuses)
