An endpoint that says in an answer that it leaves gets no further request, from any instance

Callers saw: requests went on to an engine for twelve seconds after its answers had said that it leaves, as the store that would have told was away; had it ended, their streams would have been cut. Cause: only the store's entry made an endpoint leave; nobody read what its answers say. The class: what one instance alone is told by an answer concerns all, and another source that is older says otherwise. Ruled out: an entry that takes it back (nothing had read it), requests that waited (0.1 s at most). Change: `gateway.notices`; an incarnation that said so never takes work again, whatever its entry says before or later; who reads it first tells all others, and those that start later. Answers to orders and reports tell it, too; answers of other requests and of another endpoint at the address don't.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/calls.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/calls.py
@@ -8,7 +8,7 @@
 
 from wigeonarch_gateway.connections import Lost
 from wigeonarch_gateway.pools import Pools
-from wigeonarch_gateway.ports import Dialect, EndpointRecord
+from wigeonarch_gateway.ports import Dialect, EndpointRecord, Notice
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,11 +19,13 @@
         status: Status of the answer; 0 when there was none.
         body: Its body.
         sent: Whether a byte of the call was sent.
+        notice: What the endpoint says of itself; None when it can't be told.
     """
 
     status: int
     body: bytes
     sent: bool
+    notice: Notice | None = None
 
 
 async def call(
@@ -77,4 +79,4 @@
         conn.close()
         raise
     pools.give_back(endpoint.endpoint, conn)
-    return CallAnswer(head.status, b"".join(parts), True)
+    return CallAnswer(head.status, b"".join(parts), True, dialect.read_notice(head))
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
@@ -7,12 +7,16 @@
 An endpoint may start again under its id. Its incarnations are told apart by the time of their
 start, which only grows: what an older one said is void however late it comes. An entry that can't
 be read was written by somebody else, and names no endpoint to use.
+
+An endpoint may say that it leaves before the store does, in an answer to this instance or another.
+An incarnation that has said so never takes work again, whatever its entry says.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Final
 
 from wigeonarch_entry.clock import monotonic
@@ -22,6 +26,7 @@
 
 # Endpoints whose last start is remembered, gone ones included; a deployment has some hundred.
 STARTS_KEPT: Final = 4000
+NEVER_BORN: Final = -1  # Before the start of all incarnations, those that don't tell it included.
 
 
 class Endpoints:
@@ -35,6 +40,7 @@
     __slots__ = (
         "_born",
         "_by_service",
+        "_left",
         "_may_lapse_until",
         "_missing",
         "_records",
@@ -58,6 +64,7 @@
             on_restarted: Called with the record of an endpoint that started again under its id.
         """
         self._born: OrderedDict[str, int] = OrderedDict()
+        self._left: OrderedDict[str, int] = OrderedDict()  # Start of the incarnation that leaves.
         self._restarted: dict[str, float] = {}
         self._records: dict[str, EndpointRecord] = {}
         self._by_service: dict[str, dict[str, EndpointRecord]] = {}
@@ -97,6 +104,8 @@
         if record.born < known:
             return False
         before = self._records.get(record.endpoint)
+        if self._left.get(record.endpoint, NEVER_BORN) >= record.born:
+            record = replace(record, state=EndpointState.LEAVING)
         self._note_start(record, known)
         self._missing.pop(record.endpoint, None)
         self._records[record.endpoint] = record
@@ -127,6 +136,32 @@
             self._restarted[endpoint] = monotonic()
             self.on_restarted(record)
 
+    def leaves(self, endpoint: str, born: int) -> bool:
+        """Notes that an incarnation of an endpoint said that it leaves.
+
+        What its entry says of the same incarnation, before or later, can't take that back.
+
+        Returns:
+            Whether the entry had not said so yet.
+        """
+        if self._left.get(endpoint, NEVER_BORN) >= born:
+            return False
+        self._left[endpoint] = born
+        self._left.move_to_end(endpoint)
+        while len(self._left) > STARTS_KEPT:
+            self._left.popitem(last=False)
+        record = self._records.get(endpoint)
+        if record is None:
+            return True
+        if record.born > born or record.state is not EndpointState.READY:
+            return False
+        self.put(record)
+        return True
+
+    def leaving(self) -> list[tuple[str, int]]:
+        """Returns the endpoints that said that they leave, for an instance that just started."""
+        return [(endpoint, born) for endpoint, born in self._left.items() if self.get(endpoint)]
+
     def unreadable(self, endpoint: str) -> None:
         """Notes that the entry of an endpoint names none any more: nothing is sent there."""
         self._drop(endpoint, "unreadable")
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/evidence.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/evidence.py
@@ -9,10 +9,10 @@
 from wigeonarch_core.doubt import Doubts
 from wigeonarch_core.engine_pace import EnginePaces, Wait
 from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
 
 from wigeonarch_gateway.jobs import Job
 from wigeonarch_gateway.limits import Limits
+from wigeonarch_gateway.notices import Notices
 from wigeonarch_gateway.ports import EndpointRecord, Notice
 from wigeonarch_gateway.suspects import Suspects
 
@@ -20,15 +20,21 @@
 class Evidence:
     """Takes down what tries show."""
 
-    __slots__ = ("_doubts", "_limits", "_paces", "_suspects")
+    __slots__ = ("_doubts", "_limits", "_notices", "_paces", "_suspects")
 
     def __init__(
-        self, doubts: Doubts, paces: EnginePaces, suspects: Suspects, limits: Limits
+        self,
+        doubts: Doubts,
+        paces: EnginePaces,
+        suspects: Suspects,
+        limits: Limits,
+        notices: Notices,
     ) -> None:
         self._doubts = doubts
         self._paces = paces
         self._suspects = suspects
         self._limits = limits
+        self._notices = notices
 
     def held_for(self, job: Job) -> float:
         """Returns the seconds for which a request is sent nowhere; 0 when it may be sent."""
@@ -75,15 +81,7 @@
 
     def headed(self, job: Job, record: EndpointRecord, notice: Notice) -> None:
         """Notes what an endpoint says of itself in the head of an answer."""
-        self._limits.noted(record, notice.limit, job.sent_at)
-        if notice.leaving or notice.rest:
-            log(
-                "endpoint_says",
-                request=job.key,
-                endpoint=record.endpoint,
-                leaving=notice.leaving,
-                rest=notice.rest,
-            )
+        self._notices.answered(record, notice, job.sent_at)
 
     def first_token(self, record: EndpointRecord, wait: Wait | None) -> None:
         """Notes the first token of a stream."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -341,6 +341,17 @@
     rate: float | None
 
 
+class LeavingTold(msgspec.Struct, array_like=True, tag="leaving"):
+    """Endpoints said in answers that they leave.
+
+    Attributes:
+        leaving: Each endpoint, with the start of the incarnation that said so; 0 where it does not
+            tell its start.
+    """
+
+    leaving: list[tuple[str, int]]
+
+
 class PermitAsk(msgspec.Struct, array_like=True, tag="permit"):
     """A request of the sender could go to an endpoint that has a limit.
 
@@ -403,6 +414,7 @@
     | CreditLoan
     | EndsTold
     | LimitNamed
+    | LeavingTold
     | PermitAsk
     | PermitAnswer
 )
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -44,6 +44,7 @@
     EndsTold,
     Follow,
     Introduction,
+    LeavingTold,
     LimitNamed,
     LoadWish,
     Message,
@@ -62,6 +63,7 @@
     decode,
 )
 from wigeonarch_gateway.metrics import Metrics
+from wigeonarch_gateway.notices import Notices
 from wigeonarch_gateway.options import Options
 from wigeonarch_gateway.orderer import Surroundings
 from wigeonarch_gateway.ownobjects import content, read_lease
@@ -167,7 +169,8 @@
             self._members.send_all,
             self._metrics,
         )
-        evidence = Evidence(self._doubts, self._paces, self._suspects, self._limits)
+        self._notices = Notices(self._endpoints, self._limits, self._members.send_all)
+        evidence = Evidence(self._doubts, self._paces, self._suspects, self._limits, self._notices)
         self._members.discovery.on_entry = lambda entry: self._suspects.read(entry.ended_under)
         self._sharing = Sharing(
             opts.instance,
@@ -457,6 +460,7 @@
             CreditLoan: self._quotas.lent,
             EndsTold: self._suspects.told,
             LimitNamed: self._limits.told,
+            LeavingTold: self._notices.told,
             PermitAsk: self._limits.asked,
             PermitAnswer: self._limits.answered,
         }
@@ -490,6 +494,9 @@
         for endpoint, names in self._views.remembered():
             self._members.send(started, Remembered(endpoint, names))
         self._members.send(started, self._suspects.known())
+        leaving = self._notices.known()
+        if leaving is not None:
+            self._members.send(started, leaving)
 
     def _lease_left(self) -> tuple[int, int]:
         """Returns the own lease's revision and the milliseconds for which it holds."""
@@ -550,6 +557,7 @@
             lambda endpoint, key: self._views.get(endpoint).warm(key),
             self._model_turn,
             self._endpoints.since_restart,
+            lambda record, notice: self._notices.called(record, notice),
         )
 
     def _in_use(self, endpoint: str) -> set[AdapterName]:
--- /dev/null
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/notices.py
@@ -0,0 +1,54 @@
+"""What endpoints say of themselves in the heads of answers, and who has to know.
+
+That an endpoint leaves concerns all instances, and each may be the only one that hears it: the
+store, by which all would learn it, may be away. So whoever reads it first tells all others, and
+those that start later. It holds for the incarnation that said so, and is never taken back.
+
+How many requests a second an endpoint takes from all instances is kept by `limits`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from wigeonarch_entry.logs import log
+
+from wigeonarch_gateway.endpoints import Endpoints
+from wigeonarch_gateway.limits import Limits
+from wigeonarch_gateway.messages import LeavingTold, Message
+from wigeonarch_gateway.ports import EndpointRecord, Notice
+
+
+class Notices:
+    """Takes up what endpoints say of themselves."""
+
+    __slots__ = ("_endpoints", "_limits", "_send_all")
+
+    def __init__(
+        self, endpoints: Endpoints, limits: Limits, send_all: Callable[[Message], None]
+    ) -> None:
+        self._endpoints = endpoints
+        self._limits = limits
+        self._send_all = send_all
+
+    def answered(self, record: EndpointRecord, notice: Notice, sent: float) -> None:
+        """Takes up what the answer to a caller's request says that was sent at a time."""
+        self._limits.noted(record, notice.limit, sent)
+        self.called(record, notice)
+
+    def called(self, record: EndpointRecord, notice: Notice) -> None:
+        """Takes up what any answer says, also to an order or a report's request."""
+        if notice.leaving and self._endpoints.leaves(record.endpoint, record.born):
+            log("endpoint_leaves", endpoint=record.endpoint, born=record.born)
+            self._send_all(LeavingTold([(record.endpoint, record.born)]))
+
+    def told(self, told: LeavingTold) -> None:
+        """Takes over what other instances read."""
+        for endpoint, born in told.leaving:
+            if self._endpoints.leaves(endpoint, born):
+                log("endpoint_leaves", endpoint=endpoint, born=born, by="peer")
+
+    def known(self) -> LeavingTold | None:
+        """Returns what an instance that just started should know; None for nothing."""
+        leaving = self._endpoints.leaving()
+        return LeavingTold(leaving) if leaving else None
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
@@ -20,7 +20,7 @@
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
 
-from wigeonarch_gateway.calls import call
+from wigeonarch_gateway.calls import CallAnswer, call
 from wigeonarch_gateway.messages import PlacesNews
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.pools import Pools
@@ -28,6 +28,7 @@
     Dialect,
     EndpointRecord,
     EngineReport,
+    Notice,
     Order,
     OrderResult,
 )
@@ -124,6 +125,7 @@
         was_seen: Tells whether an engine was seen with an adapter before.
         model_turn: Tells whether a load of a base model may begin now.
         since_restart: Returns the seconds since an endpoint was seen to start again under its id.
+        noticed: Takes up what an endpoint says of itself in an answer.
     """
 
     pools: Pools
@@ -139,6 +141,7 @@
     was_seen: Callable[[str, AdapterKey], bool]
     model_turn: Callable[[], bool]
     since_restart: Callable[[str], float]
+    noticed: Callable[[EndpointRecord, Notice], None]
 
 
 class Orderer:
@@ -378,15 +381,8 @@
         order = Order(load, key, self._right.holder, fence, self._sequence)
         body = self._around.dialect.order_body(order)
         path = self._around.dialect.order_path
-        answer = await call(
-            self._around.pools,
-            self._around.dialect,
-            record,
-            "POST",
-            path,
-            body,
-            ORDER_TIMEOUT,
-            may_send=lambda: self._right.fence() == fence,
+        answer = await self._call(
+            record, "POST", path, body, ORDER_TIMEOUT, lambda: self._right.fence() == fence
         )
         result = OrderResult.UNKNOWN
         if not answer.sent:
@@ -396,6 +392,24 @@
         self._ordered(order, result, answer.status)
         return result
 
+    async def _call(
+        self,
+        record: EndpointRecord,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout: float,
+        may_send: Callable[[], bool],
+    ) -> CallAnswer:
+        """Calls the engine, and takes up what its answer says of it."""
+        around = self._around
+        answer = await call(
+            around.pools, around.dialect, record, method, path, body, timeout, may_send
+        )
+        if answer.notice is not None:
+            around.noticed(record, answer.notice)
+        return answer
+
     def _ordered(self, order: Order, result: OrderResult, status: int) -> None:
         log(
             "order",
@@ -430,9 +444,7 @@
     async def _learn(self, record: EndpointRecord) -> bool:
         """Reads the engine's report; returns whether it shows all orders given."""
         path = self._around.dialect.report_path
-        answer = await call(
-            self._around.pools, self._around.dialect, record, "GET", path, b"", REPORT_TIMEOUT
-        )
+        answer = await self._call(record, "GET", path, b"", REPORT_TIMEOUT, lambda: True)
         self._around.metrics.reports.inc()
         if answer.status != 200:
             log("report_failed", "WARNING", endpoint=self._endpoint, status=answer.status)
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -92,6 +92,7 @@
     born: int = 0  # Start of its incarnation; 0 when it does not say.
     limit: str = ""  # Requests a second that its answers name; empty for none.
     leaving: bool = False  # Whether all its answers say that it leaves.
+    foreign_leaving: bool = False  # Whether only answers that nobody asked for say so.
     rest: str = ""  # Seconds of rest that it asks for when it turns a request away.
     asked_at: list[tuple[float, str]] = field(default_factory=list)  # Orders and reports.
     away_at: list[tuple[float, str]] = field(default_factory=list)  # When, and whom it turned away.
@@ -347,7 +348,8 @@
     async def _plain(self, seen: Seen, writer: asyncio.StreamWriter, own: dict[str, str]) -> bool:
         body = b"answer of " + self.name.encode() + b" to " + seen.body
         if self.trouble is Trouble.FOREIGN_FIRST:
-            _write(writer, 200, {**own, "X-Request-Id": "somebody-else"}, b"not yours")
+            said = {"Server-Leaving": "1"} if self.foreign_leaving else {}
+            _write(writer, 200, {**own, **said, "X-Request-Id": "somebody-else"}, b"not yours")
         if self.trouble is Trouble.CUT:
             writer.write(_head(200, own, len(body)) + body[: len(body) // 2])
             return False
@@ -360,7 +362,8 @@
             return False
         _write(writer, 200, own, body)
         if self.trouble is Trouble.DOUBLE:
-            _write(writer, 200, own, body)
+            said = {"Server-Leaving": "1"} if self.foreign_leaving else {}
+            _write(writer, 200, {**own, **said}, body)
         return True
 
     async def _stream(
