Tests' world: the port for messages between gateways is looked for among datagram ports

Evidence: tests/test_gateway_passing.py::test_a_stream_that_breaks_off_does_not_look_complete failed once in six workers at its start: "Address already in use" on the datagram socket. Cause: the port was chosen because no stream socket had it, so another worker's gateways could. Callers saw: nothing; tests only. Change: a datagram socket is bound to choose it. No assertion changed.

--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -34,9 +34,9 @@
 )
 
 
-def free_port(host: str) -> int:
-    """Returns a port that nothing listens on."""
-    with socket.socket() as sock:
+def free_port(host: str, kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    """Returns a port that nothing listens on; for messages between gateways, of datagrams."""
+    with socket.socket(type=kind) as sock:
         sock.bind((host, 0))
         port: int = sock.getsockname()[1]
         return port
@@ -234,7 +234,7 @@
     standin = StoreStandIn()
     await standin.start()
     await standin.put("config", "main", configuration())
-    found = World(standin, peer_port=free_port("127.0.0.10"), store_options=store)
+    found = World(standin, peer_port=free_port("127.0.0.10", socket.SOCK_DGRAM), store_options=store)
     await found.add_replica(Replica("llm", model="m", name="i-llm"))
     await found.add_replica(Replica("desk", name="i-desk"))
     try:
