An endpoint that asks an instance for rest gets nothing from it until the time is over

Callers saw: for nine seconds two engines of five turned all requests away; each request tried both, one after the other, and 64 were refused for want of allowed repeats while three engines had room. Cause: a 503's `Retry-After` was not read; a refusal left no trace of the endpoint, and one that turns all away has few requests under way and looks like the best choice. The class: what an answer tells is kept by one request and not by the instance that is meant. Ruled out: requests that were on their way (the surplus lies up to 3 s after); a request that comes twice to one endpoint (`job.avoid` keeps it from that). Change: `core.rests`, asked by the choice and again as the request is about to be sent; orders and reports of a holder wait, too, and it tells that no loads can be asked for there. Where all endpoints rest, a request is refused at once with the least time left. Told to nobody: each instance is asked by itself.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/evidence.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/evidence.py
@@ -8,6 +8,7 @@
 
 from wigeonarch_core.doubt import Doubts
 from wigeonarch_core.engine_pace import EnginePaces, Wait
+from wigeonarch_core.rests import Rests
 from wigeonarch_entry.clock import monotonic
 
 from wigeonarch_gateway.jobs import Job
@@ -20,7 +21,7 @@
 class Evidence:
     """Takes down what tries show."""
 
-    __slots__ = ("_doubts", "_limits", "_notices", "_paces", "_suspects")
+    __slots__ = ("_doubts", "_limits", "_notices", "_paces", "_rests", "_suspects")
 
     def __init__(
         self,
@@ -28,12 +29,14 @@
         paces: EnginePaces,
         suspects: Suspects,
         limits: Limits,
+        rests: Rests,
         notices: Notices,
     ) -> None:
         self._doubts = doubts
         self._paces = paces
         self._suspects = suspects
         self._limits = limits
+        self._rests = rests
         self._notices = notices
 
     def held_for(self, job: Job) -> float:
@@ -46,18 +49,20 @@
         """Tells whether nothing should be sent to an endpoint now, as nothing gets through."""
         return self._doubts.shut(record.endpoint, now)
 
-    @property
-    def any_limits(self) -> bool:
-        """Tells whether any endpoint has named a limit."""
-        return self._limits.any_named
+    def any_limits(self, now: float) -> bool:
+        """Tells whether any endpoint takes fewer requests than it could be sent."""
+        return self._limits.any_named or self._rests.any(now)
 
     def limited_for(self, record: EndpointRecord, now: float) -> float:
-        """Returns the seconds until an endpoint takes another request by the limit it named."""
-        return self._limits.wait(record.endpoint, now)
+        """Returns the seconds until an endpoint takes another request, by what it said."""
+        return self._rests.left(record.endpoint, now) or self._limits.wait(record.endpoint, now)
 
     def permitted(self, record: EndpointRecord) -> bool:
-        """Uses a permit for a request that is about to be sent; False when it may not be."""
-        return self._limits.spend(record.endpoint, monotonic())
+        """Tells whether a request may be sent that is about to be, and uses its permit."""
+        now = monotonic()
+        if self._rests.left(record.endpoint, now):
+            return False
+        return self._limits.spend(record.endpoint, now)
 
     def failing(self, record: EndpointRecord) -> float:
         """Returns the recent share of an endpoint's answers that were failures."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
@@ -174,7 +174,7 @@
         fresh = [record for record in ready if record.endpoint not in job.avoid]
         fresh = fresh or [record for record in ready if record.endpoint not in job.ran]
         reached = [record for record in fresh if not self._evidence.shut(record, now)]
-        if not self._evidence.any_limits:
+        if not self._evidence.any_limits(now):
             return reached
         return [record for record in reached if not self._evidence.limited_for(record, now)]
 
@@ -183,7 +183,7 @@
 
         It is 0 where limits don't keep the request from all endpoints.
         """
-        if not self._evidence.any_limits:
+        if not self._evidence.any_limits(now):
             return 0.0
         ready = self._endpoints.ready(job.service)
         reached = [record for record in ready if not self._evidence.shut(record, now)]
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -13,6 +13,7 @@
 from wigeonarch_core.engine_places import AdapterName
 from wigeonarch_core.load_pace import LoadPace
 from wigeonarch_core.quota_bank import QuotaBank
+from wigeonarch_core.rests import Rests
 from wigeonarch_core.retry_window import RetryWindow
 from wigeonarch_core.routes import EngineSpec, RoutingTable
 from wigeonarch_core.store_contact import LapseTimes, StoreContact
@@ -117,6 +118,7 @@
         self._pools = Pools(loop, opts.ip)
         self._doubts = Doubts()
         self._paces = EnginePaces()
+        self._rests = Rests()
         self._traffic = Traffic()
         self._views = EngineViews()
         self._pace = LoadPace()
@@ -169,8 +171,10 @@
             self._members.send_all,
             self._metrics,
         )
-        self._notices = Notices(self._endpoints, self._limits, self._members.send_all)
-        evidence = Evidence(self._doubts, self._paces, self._suspects, self._limits, self._notices)
+        self._notices = Notices(self._endpoints, self._limits, self._rests, self._members.send_all)
+        evidence = Evidence(
+            self._doubts, self._paces, self._suspects, self._limits, self._rests, self._notices
+        )
         self._members.discovery.on_entry = lambda entry: self._suspects.read(entry.ended_under)
         self._sharing = Sharing(
             opts.instance,
@@ -425,6 +429,7 @@
         self._doubts.forget(record.endpoint)
         self._paces.forget(record.endpoint)
         self._limits.forget(record.endpoint)
+        self._rests.forget(record.endpoint)
         self._suspects.endpoint_ended(record.endpoint)
         self._views.restarted(record.endpoint, record.born)
         orderer = self._holders.orderer(record.endpoint)
@@ -558,6 +563,7 @@
             self._model_turn,
             self._endpoints.since_restart,
             lambda record, notice: self._notices.called(record, notice),
+            lambda endpoint: self._rests.left(endpoint, monotonic()),
         )
 
     def _in_use(self, endpoint: str) -> set[AdapterName]:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
@@ -126,6 +126,7 @@
         model_turn: Tells whether a load of a base model may begin now.
         since_restart: Returns the seconds since an endpoint was seen to start again under its id.
         noticed: Takes up what an endpoint says of itself in an answer.
+        rest_left: Returns the seconds for which an endpoint wants nothing from this instance.
     """
 
     pools: Pools
@@ -142,6 +143,7 @@
     model_turn: Callable[[], bool]
     since_restart: Callable[[str], float]
     noticed: Callable[[EndpointRecord, Notice], None]
+    rest_left: Callable[[str], float]
 
 
 class Orderer:
@@ -162,6 +164,7 @@
         "_news_fence",
         "_places",
         "_report_due",
+        "_rests",
         "_right",
         "_sequence",
         "_spec",
@@ -195,6 +198,7 @@
         self._answered = 0.0  # Time of the last answer that moved it on.
         self._fetches: dict[AdapterName, Fetch] = {}
         self._report_due = 0.0
+        self._rests = False  # Whether it was told that the engine wants no orders for a while.
 
     def _note_start(self, born: int) -> None:
         """Notes the start of the engine's incarnation, which may be a new one."""
@@ -274,6 +278,11 @@
         self._places.capacity = max(1, self._spec.places - KEPT_FOR_LATE * late)
         if now < self._blocked_until:
             return self._blocked_until - now + TIMER_SLACK
+        rest = self._around.rest_left(self._endpoint)
+        if rest:
+            self._tell_of_rest()
+            return rest + TIMER_SLACK
+        self._rests = False
         if self._sequence is None or now >= self._report_due:
             if not await self._learn(record):
                 return REPORT_LAG
@@ -382,7 +391,7 @@
         body = self._around.dialect.order_body(order)
         path = self._around.dialect.order_path
         answer = await self._call(
-            record, "POST", path, body, ORDER_TIMEOUT, lambda: self._right.fence() == fence
+            record, "POST", path, body, ORDER_TIMEOUT, lambda: self._may_order(fence)
         )
         result = OrderResult.UNKNOWN
         if not answer.sent:
@@ -410,6 +419,13 @@
             around.noticed(record, answer.notice)
         return answer
 
+    def _is_welcome(self) -> bool:
+        """Tells whether the engine takes calls from this instance now."""
+        return not self._around.rest_left(self._endpoint)
+
+    def _may_order(self, fence: int) -> bool:
+        return self._right.fence() == fence and self._is_welcome()
+
     def _ordered(self, order: Order, result: OrderResult, status: int) -> None:
         log(
             "order",
@@ -444,7 +460,7 @@
     async def _learn(self, record: EndpointRecord) -> bool:
         """Reads the engine's report; returns whether it shows all orders given."""
         path = self._around.dialect.report_path
-        answer = await self._call(record, "GET", path, b"", REPORT_TIMEOUT, lambda: True)
+        answer = await self._call(record, "GET", path, b"", REPORT_TIMEOUT, self._is_welcome)
         self._around.metrics.reports.inc()
         if answer.status != 200:
             log("report_failed", "WARNING", endpoint=self._endpoint, status=answer.status)
@@ -484,6 +500,12 @@
         self._report_due = now + (MODEL_POLL if report.busy else REPORT_EVERY)
         return True
 
+    def _tell_of_rest(self) -> None:
+        """Tells, once for each rest, that no loads can be asked for, so that nobody waits."""
+        if not self._rests:
+            self._rests = True
+            self._tell()
+
     def _tell_in_turn(self) -> None:
         if monotonic() - self._told >= self._around.news_pause():
             self._tell()
@@ -516,7 +538,7 @@
                 if key.model in place
             ],
             free=self._places.idle(in_use, now),
-            orders=bool(fence) and self._sequence is not None,
+            orders=bool(fence) and self._sequence is not None and self._is_welcome(),
             born=self._born,
             load_ms=int(self._around.pace.base * 1000),
         )
--- a/tests/gateway_slopes.py
+++ b/tests/gateway_slopes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import sys
 import time
 from dataclasses import replace
@@ -43,7 +44,7 @@
     store = StoreStandIn()
     await store.start()
     await store.put("config", "main", configuration())
-    found = World(store, peer_port=free_port("127.0.0.10"))
+    found = World(store, peer_port=free_port("127.0.0.10", socket.SOCK_DGRAM))
     for number in range(engines):
         await found.add_replica(Replica("llm", model="m", name=f"i-{number}"))
     for number in range(gateways):
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -234,7 +234,9 @@
     standin = StoreStandIn()
     await standin.start()
     await standin.put("config", "main", configuration())
-    found = World(standin, peer_port=free_port("127.0.0.10", socket.SOCK_DGRAM), store_options=store)
+    found = World(
+        standin, peer_port=free_port("127.0.0.10", socket.SOCK_DGRAM), store_options=store
+    )
     await found.add_replica(Replica("llm", model="m", name="i-llm"))
     await found.add_replica(Replica("desk", name="i-desk"))
     try:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,6 +18,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -111,7 +112,7 @@
             await self._add(Replica("desk", name=f"i-desk{number}"))
         if self.needs is not None:
             self.needs.prepare(self.replicas, self._enter)
-        peer_port = free_port("127.0.0.10")
+        peer_port = free_port("127.0.0.10", socket.SOCK_DGRAM)
         for number in range(gateways):
             gateway = self._gateway(number, peer_port)
             self.gateways.append(gateway)
--- a/tests/test_gateway_rests.py
+++ b/tests/test_gateway_rests.py
@@ -63,3 +63,49 @@
         assert tired.away_at
         assert most_in_a_rest(tired, float(rest)) <= ARRIVE_MOST
         assert statuses == [200] * len(statuses)
+
+
+async def test_where_all_endpoints_want_rest_a_request_is_refused_at_once_with_the_time() -> None:
+    async with world(nodes=2) as found:
+        desk = found.replicas[1]
+        for node in range(2):
+            await found.served("/ask/x", node=node)
+        desk.rest, desk.trouble = "6", Trouble.SHED
+        await found.ask("/ask/x")
+        arrived = len(desk.arrived)
+        desk.trouble = Trouble.NONE
+        answers = [await found.ask("/ask/x") for _ in range(3)]
+        assert [answer.status for answer in answers] == [503] * 3
+        assert all(1.0 < float(answer.headers["retry-after"]) <= 6.0 for answer in answers)
+        assert len(desk.arrived) == arrived
+        # The other instance was not asked for rest.
+        assert (await found.ask("/ask/x", node=1)).status == 200
+
+
+async def test_an_endpoint_is_used_again_when_its_rest_is_over() -> None:
+    async with world(nodes=1) as found:
+        desk = found.replicas[1]
+        await found.served("/ask/x")
+        desk.rest, desk.trouble = "1", Trouble.SHED
+        assert (await found.ask("/ask/x")).status == 503
+        desk.trouble = Trouble.NONE
+        await found.served("/ask/x")
+
+
+async def test_a_holder_gives_no_orders_while_its_engine_wants_rest() -> None:
+    async with world(nodes=1) as found:
+        engine = found.replicas[0]
+        await found.add_replica(Replica("llm", model="m", name="i-other"))
+        await all_ready(found, "llm", 2)
+        for adapter in ("a", "b", "c"):
+            await found.served("/write/x", adapter=adapter)
+        await until_true(lambda: found.holder("i-llm") and found.holder("i-other"))
+        engine.rest, engine.trouble = "2.5", Trouble.SHED
+        end = time.monotonic() + 3.0
+        statuses: list[int] = []
+        while time.monotonic() < end:
+            adapter = f"rare{len(statuses)}"
+            statuses.append((await found.ask("/write/x", adapter=adapter)).status)
+        assert engine.away_at
+        assert most_in_a_rest(engine, 2.5) <= ARRIVE_MOST
+        assert statuses.count(200) >= len(statuses) - 1
