Tests that fail, and sight: a store that came back older, whose revisions are given out again

Passing already: a configuration that the copy lacks stays; an endpoint that was leaving stays so (only as the older list is refused as a whole). Change: the stand-in store comes back from a copy, with an era in its answers; `store_came_back_older` and `list_is_older` in the log. The client reads the era; nothing acts on it.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/counting.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/counting.py
@@ -12,6 +12,7 @@
 
 from wigeonarch_core.store_contact import StoreContact
 from wigeonarch_entry.clock import monotonic
+from wigeonarch_entry.logs import log
 
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.ports import (
@@ -36,14 +37,20 @@
         calls: Calls so far, by kind.
     """
 
-    __slots__ = ("_contact", "_metrics", "_store", "calls")
+    __slots__ = ("_contact", "_era", "_metrics", "_store", "calls")
 
     def __init__(self, store: ObjectStore, metrics: Metrics, contact: StoreContact) -> None:
         self._store = store
         self._contact = contact
         self._metrics = metrics
+        self._era = store.era
         self.calls: Counter[str] = Counter()
 
+    @property
+    def era(self) -> int:
+        """Returns the latest era that an answer named; 0 before one did."""
+        return self._store.era
+
     async def list(self, kind: Kinds, stale: bool = False) -> Listing | Unavailable:
         """Returns all objects of a kind."""
         return await self._count("list", self._store.list(kind, stale), telling=not stale)
@@ -83,9 +90,15 @@
         self.calls[call] += 1
         began = monotonic()
         result = await made
+        self._note_era()
         if isinstance(result, Unavailable):
             self._contact.failed(began)
         elif telling:
             self._contact.answered(monotonic())
         self._metrics.store_calls.labels(call, type(result).__name__.lower()).inc()
         return result
+
+    def _note_era(self) -> None:
+        before, self._era = self._era, self._store.era
+        if 0 < before < self._era:
+            log("store_came_back_older", "WARNING", era=self._era, before=before)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
@@ -90,7 +90,15 @@
 
 
 class ObjectStore(Protocol):
-    """The store of everything that must last."""
+    """The store of everything that must last.
+
+    It may come back from a copy some seconds old: what was written since is gone, and revisions are
+    given out again. Each time that it does, an era ends and the next one begins.
+    """
+
+    @property
+    def era(self) -> int:
+        """Returns the latest era that an answer named; 0 before one did."""
 
     async def list(self, kind: Kinds, stale: bool = False) -> Listing | Unavailable:
         """Returns all objects of a kind; `stale` allows what is some seconds old."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
@@ -192,7 +192,9 @@
         return False
     state.reachable(kind)
     sharing.store_answered(kind)
+    known = sharing.feed(kind).as_of
     if not sharing.listed(kind, result.objects, result.as_of, asked):
+        log("list_is_older", "WARNING", kind=kind.value, as_of=result.as_of, known=known)
         return False
     if first:
         watched.listed(result.objects)
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -40,7 +40,9 @@
         self.history_from = 0
         self.calls: list[tuple[str, str, int]] = []
         self.spoiled: dict[bytes, bytes] = {}
+        self.era: int | None = 1  # None where answers name none.
         self.revision = 1
+        self._copy: tuple[int, dict[tuple[str, str], dict[str, Any]]] = (1, {})
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
         self._changed = asyncio.Condition()
@@ -83,6 +85,19 @@
             self.revision += 1
             self._changed.notify_all()
 
+    def take_copy(self) -> None:
+        """Copies all objects, as they are to be when the store comes back older."""
+        self._copy = self.revision, dict(self.objects)
+
+    async def come_back_older(self) -> None:
+        """Comes back as of the copy: later revisions are given out again, in the next era."""
+        async with self._changed:
+            assert self.era is not None
+            self.era += 1
+            self.revision, self.objects = self._copy[0], dict(self._copy[1])
+            self._events = [event for event in self._events if event[0] <= self.revision]
+            self._changed.notify_all()
+
     def spec(self, kind: str, name: str) -> Any:
         """Returns the content of an object."""
         return self.objects[kind, name]["spec"]
@@ -116,7 +131,7 @@
         if trouble in (Trouble.BUSY, Trouble.MANY):
             status = 503 if trouble is Trouble.BUSY else 429
             self.calls.append((request.method, kind, status))
-            return web.Response(status=status)
+            return web.Response(status=status, headers={"Store-Era": str(self.era or 0)})
         status, document = await self._answer(request, kind, name)
         self.calls.append((request.method, kind, status))
         if trouble is Trouble.LOST and request.method != "GET":
@@ -124,7 +139,10 @@
         body = json.dumps(document).encode()
         for good, bad in self.spoiled.items():
             body = body.replace(good, bad)
-        return web.Response(body=body, status=status, content_type="application/json")
+        named = {} if self.era is None else {"Store-Era": str(self.era)}
+        return web.Response(
+            body=body, status=status, content_type="application/json", headers=named
+        )
 
     async def _answer(self, request: web.BaseRequest, kind: str, name: str) -> tuple[int, Any]:
         if request.method == "GET" and "watch" in request.query:
@@ -159,19 +177,22 @@
 
     async def _watch(self, kind: str, request: web.BaseRequest) -> tuple[int, Any]:
         since = int(request.query["watch"])
+        era = self.era
         wait = int(request.query["wait_ms"]) / 1000
         try:
             async with asyncio.timeout(wait), self._changed:
-                await self._changed.wait_for(lambda: self._news(kind, since) or self._gone(since))
+                await self._changed.wait_for(
+                    lambda: self._news(kind, since) or self._gone(since) or self.era != era
+                )
         except TimeoutError:
             pass
-        if self._gone(since):
+        if self._gone(since) or self.era != era:
             return 410, {}
         events = [{"object": o, "deleted": d} for _, k, o, d in self._news(kind, since) if k]
         return 200, {"events": events, "as_of": self.revision}
 
     def _gone(self, since: int) -> bool:
-        return since < self.history_from
+        return since < self.history_from or since > self.revision
 
     def _news(self, kind: str, since: int) -> list[tuple[int, str, dict[str, Any], bool]]:
         return [event for event in self._events if event[0] > since and event[1] == kind]
--- /dev/null
+++ b/tests/test_gateway_older_store.py
@@ -0,0 +1,105 @@
+"""The store comes back from a copy some seconds old."""
+
+from __future__ import annotations
+
+import pytest
+from gateway_world import World, configuration, route, until, until_true, world
+from standins.replica import Replica
+from wigeonarch_gateway.ports import EndpointState
+
+LATER = 100_000  # Revisions by which the copy is older than what is known.
+
+
+async def move_on(found: World) -> None:
+    """Lets revisions move on by many, until all instances know of that in all kinds."""
+    found.store.revision += LATER
+    least = found.store.revision
+    await found.store.put("servers", "i-desk", {**found.replicas[1].record(), "n": least})
+    await until_true(
+        lambda: all(
+            (node._sharing.feed(kind).as_of or 0) >= least
+            for node in found.nodes
+            for kind in node._sharing.kinds()
+        )
+    )
+
+
+async def in_force(found: World, version: int) -> None:
+    """Waits until all instances have a configuration."""
+    await until_true(
+        lambda: all(
+            node._catalogue.table is not None and node._catalogue.table.version == version
+            for node in found.nodes
+        )
+    )
+
+
+@pytest.mark.parametrize("nodes", [1, 3])
+async def test_a_configuration_with_a_revision_given_out_again_is_in_force(nodes: int) -> None:
+    async with world(nodes=nodes) as found:
+        for node in range(nodes):
+            await found.served("/ask/x", node=node)
+        found.store.take_copy()
+        await found.store.put("config", "main", configuration(2))
+        await in_force(found, 2)
+        await move_on(found)
+        await found.store.come_back_older()
+        await found.store.put("config", "main", configuration(2))
+        await found.store.put(
+            "config", "main", configuration(3, route("new", "idempotent", "desk"))
+        )
+        await in_force(found, 3)
+        for node in range(nodes):
+            assert (await found.ask("/new/x", node=node)).status == 200
+
+
+async def test_a_leaving_with_a_revision_given_out_again_is_obeyed() -> None:
+    async with world(nodes=2) as found:
+        other = await found.add_replica(Replica("desk", name="i-desk2"))
+        await until_true(
+            lambda: all(len(node._endpoints.ready("desk")) == 2 for node in found.nodes)
+        )
+        found.store.take_copy()
+        await move_on(found)
+        await found.store.come_back_older()
+        await found.store.put("servers", other.name, other.record("draining"))
+        await until_true(
+            lambda: all(len(node._endpoints.ready("desk")) == 1 for node in found.nodes)
+        )
+
+
+async def test_a_configuration_that_the_copy_lacks_stays_in_force() -> None:
+    async with world(nodes=2) as found:
+        await found.served("/ask/x")
+        found.store.take_copy()
+        await found.store.put(
+            "config", "main", configuration(2, route("new", "idempotent", "desk"))
+        )
+        await in_force(found, 2)
+        await found.store.come_back_older()
+
+        async def asked_again() -> bool:
+            return all(node._store.era == 2 for node in found.nodes)
+
+        await until(asked_again)
+        for node in range(2):
+            assert (await found.ask("/new/x", node=node)).status == 200
+
+
+async def test_an_endpoint_that_was_leaving_is_not_made_ready_by_the_copy() -> None:
+    async with world(nodes=2) as found:
+        other = await found.add_replica(Replica("desk", name="i-desk2"))
+        await until_true(
+            lambda: all(len(node._endpoints.ready("desk")) == 2 for node in found.nodes)
+        )
+        found.store.take_copy()
+        await found.store.put("servers", other.name, other.record("draining"))
+        await until_true(
+            lambda: all(len(node._endpoints.ready("desk")) == 1 for node in found.nodes)
+        )
+        await found.store.come_back_older()
+        await found.store.put("config", "main", configuration(2))
+        await in_force(found, 2)
+        for node in found.nodes:
+            record = node._endpoints.get(other.name)
+            assert record is None or record.state is EndpointState.LEAVING
