An older entry does not take back that an endpoint leaves

Cause: the state was whatever was read last; only what an answer had told was kept for an incarnation. Ruled out: lists that are refused as a whole (so it is today, and is to be mended; the state must not rest on it). Change: leaving by an entry is remembered by incarnation as leaving by an answer is, also over its removal.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
@@ -8,8 +8,9 @@
 start, which only grows: what an older one said is void however late it comes. An entry that can't
 be read was written by somebody else, and names no endpoint to use.
 
-An endpoint may say that it leaves before the store does, in an answer to this instance or another.
-An incarnation that has said so never takes work again, whatever its entry says.
+An endpoint may say that it leaves before the store does, in an answer to this instance or another,
+and its entry may be one of before. An incarnation that has said so, by whatever way, never takes
+work again.
 """
 
 from __future__ import annotations
@@ -106,6 +107,8 @@
         before = self._records.get(record.endpoint)
         if self._left.get(record.endpoint, NEVER_BORN) >= record.born:
             record = replace(record, state=EndpointState.LEAVING)
+        elif record.state is EndpointState.LEAVING:
+            self._note_leaving(record.endpoint, record.born)
         self._note_start(record, known)
         self._missing.pop(record.endpoint, None)
         self._records[record.endpoint] = record
@@ -146,10 +149,7 @@
         """
         if self._left.get(endpoint, NEVER_BORN) >= born:
             return False
-        self._left[endpoint] = born
-        self._left.move_to_end(endpoint)
-        while len(self._left) > STARTS_KEPT:
-            self._left.popitem(last=False)
+        self._note_leaving(endpoint, born)
         record = self._records.get(endpoint)
         if record is None:
             return True
@@ -158,6 +158,12 @@
         self.put(record)
         return True
 
+    def _note_leaving(self, endpoint: str, born: int) -> None:
+        self._left[endpoint] = born
+        self._left.move_to_end(endpoint)
+        while len(self._left) > STARTS_KEPT:
+            self._left.popitem(last=False)
+
     def leaving(self) -> list[tuple[str, int]]:
         """Returns the endpoints that said that they leave, for an instance that just started."""
         return [(endpoint, born) for endpoint, born in self._left.items() if self.get(endpoint)]
--- a/tests/test_endpoint_starts.py
+++ b/tests/test_endpoint_starts.py
@@ -53,6 +53,33 @@
     assert restarted == restarts
 
 
+READY, LEAVING = EndpointState.READY, EndpointState.LEAVING
+
+
+@pytest.mark.parametrize(
+    ("said", "state"),
+    [
+        ([(0, READY), (0, LEAVING)], LEAVING),
+        ([(0, LEAVING), (0, READY)], LEAVING),  # An entry of before.
+        ([(5, LEAVING), (5, READY)], LEAVING),
+        ([(5, LEAVING), (9, READY)], READY),
+        ([(5, READY), (9, LEAVING), (9, READY)], LEAVING),
+    ],
+)
+@pytest.mark.parametrize("gone", [False, True])
+def test_an_older_entry_does_not_take_back_that_an_endpoint_leaves(
+    said: list[tuple[int, EndpointState]], state: EndpointState, gone: bool
+) -> None:
+    found, _ = endpoints()
+    for born, stated in said:
+        if gone:
+            found.removed("i-1", 1e12)
+        found.put(record(born, stated))
+    now = found.get("i-1")
+    assert now is not None
+    assert now.state is state
+
+
 def test_an_old_incarnation_does_not_come_back_after_the_new_one_is_gone() -> None:
     found, _ = endpoints()
     found.put(record(5))
