Revisions bear the store's era, so that nothing is ordered by a number that goes back

Callers saw: for eight seconds after the store came back older, configurations that it had accepted were in force nowhere, and requests went to an engine that was leaving; not reported, but shown by a test: an engine whose holder is lost then can't load adapters. Cause: a list whose revision is lower than what is known is taken for a late one, a change with a lower one for no news, a fence with a lower one for a former holder's. All three are ordered by the store's revision, which was said never to go back. The class: what is ordered, fenced or remembered by a number that may. Ruled out: watches that wait in vain (calls rise from 3 to 13 a second), changes the store lacked (all instances take them over at one moment). Change: the platform's client puts the era above the revision (`core.revisions`), so feeds, leases, fences and messages between instances need no word of eras. What the copy repeats without news is not told to followers.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/catalogue.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/catalogue.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from wigeonarch_core.engine_places import AdapterKey
+from wigeonarch_core.revisions import era_of, within_era
 from wigeonarch_core.routes import RoutingTable
 from wigeonarch_entry.logs import log
 
@@ -47,44 +48,48 @@
         for found in objects:
             self._take_table(found)
 
-    def table_changed(self, change: Change) -> None:
-        """Takes over a changed configuration."""
-        if not change.deleted:
-            self._take_table(change.found)
+    def table_changed(self, change: Change) -> bool:
+        """Takes over a changed configuration; returns whether followers need the change."""
+        return change.deleted or self._take_table(change.found)
 
     def versions_listed(self, objects: tuple[StoredObject, ...]) -> None:
         """Takes over all versions."""
         for found in objects:
             self._take_version(found)
 
-    def version_changed(self, change: Change) -> None:
-        """Takes over a new version."""
-        if not change.deleted:
-            self._take_version(change.found)
+    def version_changed(self, change: Change) -> bool:
+        """Takes over a new version; returns whether followers need the change."""
+        return change.deleted or self._take_version(change.found)
 
-    def _take_table(self, found: StoredObject) -> None:
+    def _take_table(self, found: StoredObject) -> bool:
+        """Takes a configuration over; returns whether it is news."""
         try:
             table = self._decode_table(found)
         except ValueError as exc:
             log("configuration_unreadable", "ERROR", name=found.name, reason=str(exc))
-            return
+            return True
         if self.table is not None and table.version <= self.table.version:
-            return
+            return False
         self.table = table
         log(
             "configuration_in_force",
             version=table.version,
-            revision=found.revision,
+            revision=within_era(found.revision),
+            era=era_of(found.revision),
             routes=len(table.routes()),
         )
+        return True
 
-    def _take_version(self, found: StoredObject) -> None:
+    def _take_version(self, found: StoredObject) -> bool:
+        """Takes a version over; returns whether it is news."""
         try:
             key = self._decode_version(found)
         except ValueError as exc:
             log("version_unreadable", "ERROR", name=found.name, reason=str(exc))
-            return
+            return True
         name = (key.model, key.adapter)
-        if key.version > self._versions.get(name, 0):
-            self._versions[name] = key.version
-            log("version_in_force", model=key.model, adapter=key.adapter, version=key.version)
+        if key.version <= self._versions.get(name, 0):
+            return False
+        self._versions[name] = key.version
+        log("version_in_force", model=key.model, adapter=key.adapter, version=key.version)
+        return True
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/feeding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/feeding.py
@@ -5,6 +5,9 @@
 change that is not newer than the state is dropped, and so is a removal of an object that was made
 anew since. What came lately is kept in order, so a peer that has the state of an earlier revision
 can be brought to this one; one that lacks more must ask the store.
+
+Revisions bear the store's era (see `core.revisions`). A list of the next era differs in all of its
+revisions, so each object counts as changed, whatever its number was before.
 """
 
 from __future__ import annotations
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/intake.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/intake.py
@@ -51,8 +51,8 @@
 
     def share(self, sharing: Sharing) -> None:
         """Says what becomes of changes, whoever tells of them."""
-        sharing.add(Kinds.CONFIGURATION, _for_all(self._catalogue.table_changed))
-        sharing.add(Kinds.VERSIONS, _for_all(self._catalogue.version_changed))
+        sharing.add(Kinds.CONFIGURATION, self._catalogue.table_changed)
+        sharing.add(Kinds.VERSIONS, self._catalogue.version_changed)
         sharing.add(Kinds.ENDPOINTS, self._endpoint_changed)
 
     def watched(self) -> list[Watched]:
@@ -110,13 +110,3 @@
         adapters = {key.name: key.version for model in record.models for key in model.adapters}
         models = frozenset(model.model for model in record.models)
         self._views.first_seen(record.endpoint, models, adapters)
-
-
-def _for_all(apply: Callable[[Change], None]) -> Callable[[Change], bool]:
-    """Returns a function that takes a change over which all need to know."""
-
-    def applied(change: Change) -> bool:
-        apply(change)
-        return True
-
-    return applied
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -208,12 +208,12 @@
     good = {"metadata": {"name": "i-good-one", "revision": 4}, "spec": GOOD}
     body = json.dumps({"items": [*before, good, *after], "as_of": 9}).encode()
     page = documents.read_document(body, documents.WireList)
-    found = {one.name: one.spec for one in documents.read_objects(page.items)}
+    found = {one.name: one.spec for one in documents.read_objects(page.items, 0)}
     assert found["i-good-one"] == GOOD
     events = [*before, {"object": good, "deleted": False}, *after]
     body = json.dumps({"events": events, "as_of": 9}).encode()
     told = documents.read_document(body, documents.WireEvents)
-    changes = {change.found.name: change for change in documents.read_events(told.events)}
+    changes = {change.found.name: change for change in documents.read_events(told.events, 0)}
     record = records.decode_endpoint(changes["i-good-one"].found)
     assert record.state is EndpointState.READY
 
--- a/tests/test_gateway_older_store.py
+++ b/tests/test_gateway_older_store.py
@@ -34,7 +34,8 @@
     )
 
 
-@pytest.mark.parametrize("nodes", [1, 3])
+# In a zone of eight, most follow others that watch the store.
+@pytest.mark.parametrize("nodes", [1, 3, 8])
 async def test_a_configuration_with_a_revision_given_out_again_is_in_force(nodes: int) -> None:
     async with world(nodes=nodes) as found:
         for node in range(nodes):
