What an older copy lacks is written again, and what it has again may be gone: endpoints bear both

Callers saw: not seen yet; it is what taking over the list of a copy would bring: endpoints that registered since the copy are missing for a moment and would be dropped, those that were gone are listed again. Cause: a missing entry is kept only after an outage long enough to lapse, and the drill is shorter; an entry that is listed is believed. Followers are told of the era by what their keeper tells.

--- a/packages/wigeonarch-core/src/wigeonarch_core/store_contact.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/store_contact.py
@@ -15,6 +15,9 @@
 
 So late notice, the time to come back and the look at the clock can't add up beyond the bound,
 whatever the pauses between calls are. Times are handed in.
+
+A store that came back from an older copy lacks the entries that were made since, however short it
+was away; they are written again within the time in which lapsed ones are back.
 """
 
 from __future__ import annotations
@@ -58,7 +61,7 @@
 class StoreContact:
     """When the store answered this instance, by itself or by one that watches for it."""
 
-    __slots__ = ("_before", "_reached", "_since", "_times", "_tried", "_until")
+    __slots__ = ("_before", "_older", "_reached", "_since", "_times", "_tried", "_until")
 
     def __init__(self, times: LapseTimes) -> None:
         """Has had no answer yet."""
@@ -68,6 +71,7 @@
         self._before = NEVER  # Last answer before the last outage.
         self._reached = NEVER  # Earliest time at which the way may have been back after it.
         self._tried = NEVER  # Start of the last call that failed.
+        self._older = NEVER  # Time at which the store was seen to have come back older.
 
     def answered(self, at: float) -> None:
         """Notes an answer of the store, as of a time."""
@@ -85,6 +89,10 @@
         """Notes a call without an answer that began at a time."""
         self._tried = max(self._tried, began)
 
+    def came_back_older(self, at: float) -> None:
+        """Notes that the store came back from an older copy."""
+        self._older = at
+
     def contact(self) -> Contact | None:
         """Returns the stretch that goes on, or the last one; None before the first answer."""
         return Contact(self._since, self._until) if self._until > NEVER else None
@@ -95,10 +103,12 @@
         Args:
             witnesses: Contacts of those who would have shared an outage of the endpoint.
         """
+        written_again = self._older + self._times.comes_back
         if self._before == NEVER or any(map(self._spans_outage, witnesses)):
-            return NEVER
+            return written_again
         times = self._times
-        return min(self._since + times.comes_back, self._reached + times.unsure)
+        lapsed = min(self._since + times.comes_back, self._reached + times.unsure)
+        return max(lapsed, written_again)
 
     def _spans_outage(self, contact: Contact) -> bool:
         """Tells whether it leaves too little of the last outage for an entry to lapse."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
@@ -11,6 +11,9 @@
 An endpoint may say that it leaves before the store does, in an answer to this instance or another,
 and its entry may be one of before. An incarnation that has said so, by whatever way, never takes
 work again.
+
+A store that comes back older lists endpoints again that were gone. Nothing is sent to one until its
+entry is written anew, or has stood long enough that a silent endpoint's would have lapsed.
 """
 
 from __future__ import annotations
@@ -27,6 +30,9 @@
 
 # Endpoints whose last start is remembered, gone ones included; a deployment has some hundred.
 STARTS_KEPT: Final = 4000
+# Seconds after the store came back older in which an entry of its copy brings back no endpoint that
+# was gone: those of silent endpoints lapse in it.
+COPY_DOUBTED: Final = 4.0
 NEVER_BORN: Final = -1  # Before the start of all incarnations, those that don't tell it included.
 
 
@@ -41,6 +47,9 @@
     __slots__ = (
         "_born",
         "_by_service",
+        "_copied",
+        "_copy_until",
+        "_gone",
         "_left",
         "_may_lapse_until",
         "_missing",
@@ -66,6 +75,9 @@
         """
         self._born: OrderedDict[str, int] = OrderedDict()
         self._left: OrderedDict[str, int] = OrderedDict()  # Start of the incarnation that leaves.
+        self._gone: OrderedDict[str, int] = OrderedDict()  # Start of the incarnation that is gone.
+        self._copied: dict[str, EndpointRecord] = {}  # Gone ones that the store's copy has.
+        self._copy_until = float("-inf")
         self._restarted: dict[str, float] = {}
         self._records: dict[str, EndpointRecord] = {}
         self._by_service: dict[str, dict[str, EndpointRecord]] = {}
@@ -104,6 +116,8 @@
             return False
         if record.born < known:
             return False
+        if self._is_only_copied(record):
+            return False
         before = self._records.get(record.endpoint)
         if self._left.get(record.endpoint, NEVER_BORN) >= record.born:
             record = replace(record, state=EndpointState.LEAVING)
@@ -125,6 +139,23 @@
 
         return True
 
+    def came_back_older(self, now: float) -> None:
+        """Notes that the entries that follow are of a copy that is older than those before."""
+        self._copy_until = now + COPY_DOUBTED
+        self._copied.clear()
+
+    def _is_only_copied(self, record: EndpointRecord) -> bool:
+        """Tells whether an entry is the first of an endpoint that was gone before the copy."""
+        endpoint = record.endpoint
+        if self._gone.get(endpoint, NEVER_BORN) < record.born:
+            return False
+        if endpoint in self._copied or monotonic() >= self._copy_until:
+            self._copied.pop(endpoint, None)
+            del self._gone[endpoint]
+            return False
+        self._copied[endpoint] = record
+        return True
+
     def _note_start(self, record: EndpointRecord, known: int) -> None:
         """Notes the start of an endpoint; ends what was believed of an earlier incarnation."""
         if not record.born:
@@ -174,6 +205,7 @@
 
     def removed(self, endpoint: str, now: float) -> None:
         """Notes that an entry is not in the store any more."""
+        self._copied.pop(endpoint, None)
         record = self._records.get(endpoint)
         if record is None:
             return
@@ -202,6 +234,9 @@
         for endpoint in list(self._missing):
             if now >= self._may_lapse_until(self._records[endpoint].zone):
                 self._drop(endpoint, "missing_after_outage")
+        if self._copied and now >= self._copy_until:
+            for record in list(self._copied.values()):
+                self.put(record)
 
     def _drop(self, endpoint: str, reason: str) -> None:
         missing = self._missing.pop(endpoint, None)
@@ -209,6 +244,10 @@
         if record is None:
             return
         self._by_service[record.service].pop(endpoint, None)
+        self._gone[endpoint] = record.born
+        self._gone.move_to_end(endpoint)
+        while len(self._gone) > STARTS_KEPT:
+            self._gone.popitem(last=False)
         kept = 0.0 if missing is None else monotonic() - missing
         log("endpoint_gone", endpoint=endpoint, service=record.service, reason=reason, kept=kept)
         self.on_gone(endpoint)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -183,6 +183,7 @@
             self._members.send_frame,
             self._contact,
             self._members.discovery.is_alone,
+            self._came_back_older,
         )
         self._intake.share(self._sharing)
         self._holders = Holders(
@@ -410,6 +411,13 @@
         """Returns the time until which a missing entry of a zone may be one that lapsed."""
         return self._contact.may_lapse_until(self._members.contacts(zone))
 
+    def _came_back_older(self, kind: Kinds) -> None:
+        """Notes that what follows of a kind is of an older copy of the store."""
+        if kind is Kinds.ENDPOINTS:
+            now = monotonic()
+            self._contact.came_back_older(now)
+            self._endpoints.came_back_older(now)
+
     def _limiter(self, endpoint: str) -> str:
         """Returns the instance that gives permits for an endpoint."""
         record = self._endpoints.get(endpoint)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -32,6 +32,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from wigeonarch_core.revisions import era_of
 from wigeonarch_core.store_contact import StoreContact
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
@@ -102,6 +103,7 @@
         "_kinds",
         "_left",
         "_me",
+        "_on_next_era",
         "_opts",
         "_send",
         "_started",
@@ -116,6 +118,7 @@
         send: Callable[[str, bytes], bool],
         contact: StoreContact,
         is_alone: Callable[[], bool] = lambda: True,
+        on_next_era: Callable[[Kinds], None] = lambda kind: None,
     ) -> None:
         """Makes the sharing of no kinds.
 
@@ -126,6 +129,8 @@
             send: Sends an encoded message to an instance.
             contact: What is noted of the store's answers to the keeper.
             is_alone: Tells whether the own zone is known to need no keeper.
+            on_next_era: Called before the changes by which a kind's state is of the store's next
+                era, which began with a copy that is older than the state before.
         """
         self._me = me
         self._opts = opts
@@ -139,6 +144,7 @@
         self._asked_at: dict[int, float] = {}  # Times of the last words to the keeper.
         self._left: dict[str, float] = {}  # Keepers that failed, and when.
         self._is_alone = is_alone
+        self._on_next_era = on_next_era
         self._started = monotonic()
 
     def add(self, kind: Kinds, apply: Callable[[Change], bool]) -> None:
@@ -226,10 +232,12 @@
         """Takes over a list that was asked for at a time; returns whether it counts."""
         shared = self._kinds[kind]
         told_up_to = shared.feed.kept_up_to()
+        before = shared.feed.as_of
         changes = shared.feed.listed(objects, as_of)
         if changes is None:
             return False
         shared.answered = asked
+        self._note_era(kind, before, as_of)
         self._keep_and_tell(kind, changes, told_up_to)
         return True
 
@@ -245,6 +253,12 @@
         fresh = shared.feed.take(changes, since, as_of) or []
         self._keep_and_tell(kind, fresh, told_up_to)
 
+    def _note_era(self, kind: Kinds, before: int | None, as_of: int) -> None:
+        """Tells, before the changes do, that a state is of a store that came back older."""
+        if before is not None and era_of(before) < era_of(as_of):
+            log("state_of_next_era", kind=kind.value, as_of=as_of, before=before)
+            self._on_next_era(kind)
+
     def _keep_and_tell(self, kind: Kinds, fresh: Sequence[Change], told_up_to: int) -> None:
         """Takes over what is news, and tells the followers what of it they need."""
         needed = self._apply(self._kinds[kind], fresh)
@@ -357,7 +371,10 @@
             Change(StoredObject(name, revision, spec), deleted)
             for name, revision, spec, deleted in told.changes
         ]
-        self._apply(shared, shared.feed.take(changes, told.since, told.as_of) or [])
+        before = shared.feed.as_of
+        fresh = shared.feed.take(changes, told.since, told.as_of) or []
+        self._note_era(KINDS[told.kind], before, told.as_of)
+        self._apply(shared, fresh)
 
     def _vouch(self, shared: Shared, asked: float, age: float) -> None:
         """Notes the time up to which a keeper vouches; one that is the bound's age vouches not."""
--- a/tests/test_gateway_older_store.py
+++ b/tests/test_gateway_older_store.py
@@ -104,3 +104,62 @@
         for node in found.nodes:
             record = node._endpoints.get(other.name)
             assert record is None or record.state is EndpointState.LEAVING
+
+
+async def test_endpoints_that_the_copy_lacks_stay_in_use_until_they_are_written_again() -> None:
+    async with world(nodes=2) as found:
+        found.store.take_copy()
+        other = await found.add_replica(Replica("desk", name="i-desk2"))
+        await until_true(
+            lambda: all(len(node._endpoints.ready("desk")) == 2 for node in found.nodes)
+        )
+        await found.store.come_back_older()
+        await until_true(
+            lambda: all(node._endpoints.is_missing(other.name) for node in found.nodes)
+        )
+        assert all(len(node._endpoints.ready("desk")) == 2 for node in found.nodes)
+        await found.store.put("servers", other.name, other.record())
+        await until_true(
+            lambda: not any(node._endpoints.is_missing(other.name) for node in found.nodes)
+        )
+        assert all(len(node._endpoints.ready("desk")) == 2 for node in found.nodes)
+
+
+async def gone_and_copied(found: World) -> Replica:
+    """Has an endpoint that is gone listed again by the copy."""
+    other = await found.add_replica(Replica("desk", name="i-desk2"))
+    await until_true(lambda: all(len(node._endpoints.ready("desk")) == 2 for node in found.nodes))
+    found.store.take_copy()
+    await found.store.delete("servers", other.name)
+    await until_true(lambda: all(len(node._endpoints.ready("desk")) == 1 for node in found.nodes))
+    await found.store.come_back_older()
+    await found.store.put("config", "main", configuration(2))
+    await until_true(lambda: all(other.name in node._endpoints._copied for node in found.nodes))
+    await in_force(found, 2)
+    return other
+
+
+async def test_an_endpoint_that_was_gone_is_not_brought_back_by_the_copy() -> None:
+    async with world(nodes=2) as found:
+        other = await gone_and_copied(found)
+        for _ in range(20):
+            assert (await found.ask("/ask/x")).status == 200
+        assert other.arrived == []
+        await found.store.delete("servers", other.name)
+        await until_true(
+            lambda: not any(other.name in node._endpoints._copied for node in found.nodes)
+        )
+        assert all(len(node._endpoints.ready("desk")) == 1 for node in found.nodes)
+
+
+@pytest.mark.parametrize("written", [True, False])
+async def test_an_endpoint_that_was_gone_is_back_when_it_writes_or_its_entry_stays(
+    written: bool,
+) -> None:
+    async with world(nodes=2) as found:
+        other = await gone_and_copied(found)
+        if written:
+            await found.store.put("servers", other.name, {**other.record(), "n": 1})
+        await until_true(
+            lambda: all(len(node._endpoints.ready("desk")) == 2 for node in found.nodes)
+        )
