Soak: endpoints that say in answers that they leave or ask for rest, a store that comes back older

Callers saw: nothing; a check. Checks: requests later than 2 s after an answer that said so; more than 2 in a rest; those of orders as before.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -120,8 +120,7 @@
 
     async def _add(self, replica: Replica) -> None:
         await replica.start()
-        if self.all_faults:
-            replica.born = FIRST_START
+        replica.born = FIRST_START
         self.replicas.append(replica)
         await self._enter(replica)
 
@@ -238,6 +237,7 @@
             self.new_configuration,
             self.leave,
             *([self.restart, self.foreign] if self.all_faults else []),
+            *([self.older_store, self.rest] if self.needs is not None else []),
         ]
 
     async def kill(self) -> None:
@@ -289,6 +289,32 @@
         """Drops the store's history."""
         await self.store.forget_history()
 
+    async def older_store(self) -> None:
+        """Lets the store be away for a moment and come back as it was some seconds before."""
+        self.store.take_copy()
+        await asyncio.sleep(self.rng.uniform(0.5, 5.0))
+        self.proxy.way = Way.RESET
+        begin = time.monotonic()
+        await asyncio.sleep(self.rng.uniform(0.1, 2.0))
+        await self.store.come_back_older()
+        self.proxy.way = Way.OPEN
+        self._disturbed(self.gateways, begin)
+        # What the operator and the endpoints wrote since is written again.
+        await asyncio.sleep(self.rng.uniform(0.0, 1.5))
+        await self._configure()
+        for replica in self.replicas:
+            if not replica.leaving:
+                await self._enter(replica)
+
+    async def rest(self) -> None:
+        """Lets an endpoint turn all away and ask each for rest."""
+        replica = self.rng.choice(self.replicas)
+        replica.rest = str(self.rng.choice((1, 2.5)))
+        replica.trouble = ReplicaTrouble.SHED
+        await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+        replica.trouble = ReplicaTrouble.NONE
+        replica.rest = ""
+
     async def store_way(self) -> None:
         """Delays, resets, silences or cuts one way the connections to the store."""
         self.proxy.way = self.rng.choice(list(Way))
@@ -329,10 +355,18 @@
         await self.store.put("config", "main", configuration(self.version, teams=teams))
 
     async def leave(self) -> None:
-        """Lets an endpoint say that it leaves, and come back as another one later."""
+        """Lets an endpoint say that it leaves, and come back as another one later.
+
+        Where it also says so in its answers, its entry may say it late, or never.
+        """
         replica = self.rng.choice(self.replicas)
+        if self.needs is not None:
+            replica.leaving = True
+            await asyncio.sleep(self.rng.uniform(0.0, 4.0))
         await self.store.put("servers", replica.name, replica.record("draining"))
         await asyncio.sleep(self.rng.uniform(1.0, 3.0))
+        replica.leaving = False
+        replica.restart()
         await self.store.put("servers", replica.name, replica.record())
 
     async def restart(self) -> None:
--- a/tests/soak_endpoints.py
+++ b/tests/soak_endpoints.py
@@ -1,7 +1,7 @@
 """Endpoints in need, for the soak: engines end under one request, a plain one names a limit.
 
 A caller comes back again and again with the request that ends engines; the limit is named and
-lifted by turns. The checks count what arrives from gateways that had been undisturbed for long
+lifted by turns; endpoints say in answers that they leave, or ask for rest. The checks count what arrives from gateways that had been undisturbed for long
 enough to know: the bounds are the ones that the operators demand.
 """
 
@@ -25,6 +25,9 @@
 WINDOW = 4.0  # Seconds over which arrivals under a limit count.
 OVER = 1.5  # Times the limit that may arrive in a window,
 BESIDES = 5  # and so many requests besides.
+LEFT = 2.0  # Seconds from an answer that says so in which requests may still arrive.
+REST_NOTICED = 0.5  # Seconds from a demand for rest in which requests may still arrive.
+IN_REST = 2  # Requests of a gateway that may arrive in the rest of that time.
 
 
 @dataclass
@@ -81,7 +84,12 @@
 
     def broken(self, replicas: list[Replica]) -> list[str]:
         """Returns the promises that were broken."""
-        return [*self._broken_quarantine(replicas), *self._broken_limits()]
+        return [
+            *self._broken_quarantine(replicas),
+            *self._broken_limits(),
+            *self._broken_leaving(replicas),
+            *self._broken_rests(replicas),
+        ]
 
     def _broken_quarantine(self, replicas: list[Replica]) -> list[str]:
         runs = [seen for replica in replicas for seen in replica.ran if seen.body == FATAL]
@@ -111,3 +119,37 @@
         """Tells whether the sending gateway had not been disturbed for long."""
         since = seen.at - CONTACT
         return all(end < since or begin > seen.at for begin, end in self.disturbed[seen.peer])
+
+    def _broken_leaving(self, replicas: list[Replica]) -> list[str]:
+        found = []
+        for replica in replicas:
+            first: dict[tuple[str, int], float] = {}
+            for told in replica.told:
+                first.setdefault((told.peer, told.born), told.at)
+            for seen in replica.arrived:
+                at = first.get((seen.peer, seen.born))
+                if (
+                    at is None
+                    or seen.at <= at + LEFT
+                    or self._was_disturbed(seen.peer, at, seen.at)
+                ):
+                    continue
+                found.append(f"LEFT: {replica.name} got a request {seen.at - at:.1f} s after")
+        return found
+
+    def _broken_rests(self, replicas: list[Replica]) -> list[str]:
+        found = []
+        for replica in replicas:
+            for away, rest in replica.rests:
+                since, until = away.at + REST_NOTICED, away.at + rest
+                late = [
+                    seen
+                    for seen in replica.arrived
+                    if (seen.peer, seen.born) == (away.peer, away.born) and since < seen.at < until
+                ]
+                if len(late) > IN_REST and not self._was_disturbed(away.peer, away.at, until):
+                    found.append(f"REST: {replica.name} got {len(late)} requests in {rest} s")
+        return found
+
+    def _was_disturbed(self, peer: str, since: float, until: float) -> bool:
+        return any(end >= since and begin <= until for begin, end in self.disturbed[peer])
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -45,6 +45,7 @@
     body: bytes
     at: float = field(default_factory=time.monotonic)
     peer: str = ""  # Address that it came from.
+    born: int = 0  # Start of the incarnation that it came to.
 
 
 @dataclass
@@ -96,6 +97,8 @@
     rest: str = ""  # Seconds of rest that it asks for when it turns a request away.
     asked_at: list[tuple[float, str]] = field(default_factory=list)  # Orders and reports.
     away_at: list[tuple[float, str]] = field(default_factory=list)  # When, and whom it turned away.
+    rests: list[tuple[Seen, float]] = field(default_factory=list)  # Turned away, seconds of rest.
+    told: list[Seen] = field(default_factory=list)  # Requests whose answer said that it leaves.
     fatal: bytes = b""  # Body of a request that ends it as it begins to run.
     ends: int = 0  # Times that it ended so.
     away: float = 0.3  # Seconds after which it is back.
@@ -169,6 +172,7 @@
         try:
             while (seen := await _read(reader)) is not None:
                 seen.peer = writer.get_extra_info("peername")[0]
+                seen.born = self.born
                 if not await self._answer(seen, reader, writer):
                     break
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -309,6 +313,8 @@
         if self.trouble is Trouble.SHED:
             self.away_at.append((time.monotonic(), seen.peer))
             asked = {"Retry-After": self.rest} if self.rest else {}
+            if self.rest:
+                self.rests.append((seen, float(self.rest)))
             _write(writer, 503, {"X-Not-Executed": "1", **asked, **self._said()})
             return True
         self.ran.append(seen)
@@ -341,6 +347,8 @@
         if self.trouble is Trouble.GARBAGE:
             writer.write(b"\x00\x01 this is not an answer\r\n\r\n")
             return False
+        if self.leaving and self.trouble is Trouble.NONE:
+            self.told.append(seen)
         if self.model:
             return await self._stream(seen, reader, writer, own)
         return await self._plain(seen, writer, own)
