--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -64,10 +64,10 @@
     decode,
 )
 from wigeonarch_gateway.metrics import Metrics
+from wigeonarch_gateway.model_turns import ModelTurns
 from wigeonarch_gateway.notices import Notices
 from wigeonarch_gateway.options import Options
 from wigeonarch_gateway.orderer import Surroundings
-from wigeonarch_gateway.ownobjects import content, read_lease
 from wigeonarch_gateway.passing import Passing
 from wigeonarch_gateway.pools import Pools
 from wigeonarch_gateway.ports import (
@@ -75,12 +75,12 @@
     EndpointRecord,
     Kinds,
     ObjectStore,
-    StoredObject,
 )
 from wigeonarch_gateway.quotas import NUMBERS, Quotas
 from wigeonarch_gateway.serving import Serving
 from wigeonarch_gateway.sharing import Sharing
 from wigeonarch_gateway.status import Page, StatusServer
+from wigeonarch_gateway.support import Support
 from wigeonarch_gateway.suspects import Suspects
 from wigeonarch_gateway.traffic import Traffic
 from wigeonarch_gateway.watching import StoreState, keep_watching
@@ -96,7 +96,6 @@
 DRAIN_STEP: Final = 0.05  # Seconds between looks at whether all requests have ended.
 # Seconds before the hard end at which the process ends by itself.
 END_MARGIN: Final = 0.7
-MODEL_LOADS_WINDOW: Final = 5.0  # Seconds over which loads of base models are counted.
 DEFAULT_BODY_MOST: Final = 4 * 1024 * 1024
 
 
@@ -113,7 +112,6 @@
         self._incarnation = os.urandom(6).hex()
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._model_loads: list[float] = []
         loop = asyncio.get_running_loop()
         self._pools = Pools(loop, opts.ip)
         self._doubts = Doubts()
@@ -186,6 +184,9 @@
             self._came_back_older,
         )
         self._intake.share(self._sharing)
+        self._model_turns = ModelTurns(
+            lambda: (spec.loads_per_second for _, spec in self._engines()), self._members.count
+        )
         self._holders = Holders(
             opts.instance,
             opts.holding,
@@ -197,6 +198,7 @@
             self._surroundings(),
             self._metrics,
         )
+        self._support = Support(opts.instance, store, self._state, self._holders, self._members)
         wishes = Wishes(opts.instance, self._views, self._holders, self._members.send)
         finder = Finder(
             self._catalogue,
@@ -458,7 +460,7 @@
             Used: self._used,
             Remembered: lambda told: self._views.remember(told.endpoint, told.names),
             PromiseMade: self._leasing.promised,
-            RenewalPlea: self._pleaded,
+            RenewalPlea: self._support.pleaded,
             RenewalDone: self._leasing.renewed_by_peer,
             Relay: self._relay,
             Follow: self._sharing.asked,
@@ -483,11 +485,6 @@
         if orderer is not None:
             orderer.wish(from_adapter(message.adapter), message.priority, message.missing)
 
-    def _pleaded(self, plea: RenewalPlea) -> None:
-        self._promise(plea)
-        if plea.renew:
-            asyncio.create_task(self._renew_for(plea))  # noqa: RUF006 - ends by itself.
-
     def _relay(self, relayed: Relay) -> None:
         inner = decode(relayed.frame)
         if inner is None or isinstance(inner, Relay):
@@ -518,30 +515,6 @@
         left = lease.remaining(now) if lease.holds(now) else 0.0
         return self._leasing.revision(), int(left * 1000)
 
-    def _promise(self, plea: RenewalPlea) -> None:
-        """Promises to take nothing over, unless that may already have been begun."""
-        if self._holders.may_be_taking_from(plea.sender):
-            return
-        self._holders.promises.give(plea.sender, monotonic())
-        self._members.send(plea.sender, PromiseMade(self._opts.instance, plea.number))
-
-    async def _renew_for(self, plea: RenewalPlea) -> None:
-        """Renews a peer's lease in its name, unless the store does not answer here either."""
-        if self._state.away:
-            return
-        found = await self._store.get(Kinds.LEASES, plea.sender)
-        lease = read_lease(found) if isinstance(found, StoredObject) else None
-        if not isinstance(found, StoredObject) or lease is None:
-            return
-        if lease.incarnation != plea.incarnation:
-            return
-        lease.count += 1
-        spec = content(lease)
-        result = await self._store.replace(Kinds.LEASES, plea.sender, spec, found.revision)
-        if isinstance(result, StoredObject):
-            done = RenewalDone(self._opts.instance, plea.number, result.revision)
-            self._members.send(plea.sender, done)
-
     # What the parts ask.
 
     def _engines(self) -> list[tuple[EndpointRecord, EngineSpec]]:
@@ -568,7 +541,7 @@
             self._pace,
             self._views.loads_under_way,
             lambda endpoint, key: self._views.get(endpoint).warm(key),
-            self._model_turn,
+            self._model_turns.take,
             self._endpoints.since_restart,
             lambda record, notice: self._notices.called(record, notice),
             lambda endpoint: self._rests.left(endpoint, monotonic()),
@@ -582,17 +555,6 @@
         self._views.news(news)
         self._members.send_all(news)
 
-    def _model_turn(self) -> bool:
-        """Takes a turn to load a base model, within what the weight store allows in all."""
-        now = monotonic()
-        self._model_loads = [at for at in self._model_loads if now - at < MODEL_LOADS_WINDOW]
-        rates = [spec.loads_per_second for _, spec in self._engines()]
-        share = min(rates, default=0.0) * MODEL_LOADS_WINDOW / self._members.count()
-        if len(self._model_loads) >= max(1.0, share):
-            return False
-        self._model_loads.append(now)
-        return True
-
     def _body_most(self) -> int:
         table = self._catalogue.table
         return table.limits.body_bytes if table is not None else DEFAULT_BODY_MOST
--- a/tests/soak_endpoints.py
+++ b/tests/soak_endpoints.py
@@ -1,8 +1,9 @@
 """Endpoints in need, for the soak: engines end under one request, a plain one names a limit.
 
 A caller comes back again and again with the request that ends engines; the limit is named and
-lifted by turns; endpoints say in answers that they leave, or ask for rest. The checks count what arrives from gateways that had been undisturbed for long
-enough to know: the bounds are the ones that the operators demand.
+lifted by turns; endpoints say in answers that they leave, or ask for rest. The checks count what
+arrives from gateways that had been undisturbed for long enough to know: the bounds are the ones
+that the operators demand.
 """
 
 from __future__ import annotations
