--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -69,7 +69,7 @@
 # in answers that they leave, or ask for rest; a store that comes back older. Gateways, callers.
 NEEDS_SEEDS = [
     (8000, 10.0, 4, 6),
-    # Once more arrived than a limit allows: it was forgotten as the endpoint's entry was overwritten.
+    # More than a limit allows arrived: it was forgotten as the endpoint's entry was overwritten.
     (9152, 8.0, 3, 8),
 ]
 
