--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/closing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/closing.py
@@ -119,6 +119,10 @@
 
     def answered(self, job: Job, endpoint: str, status: int) -> None:
         """Notes that a caller has its answer."""
+        took = monotonic() - job.req.received
+        if job.team is not None:
+            waited = job.first_event - job.req.received if job.first_event else took
+            self._metrics.answered_team(job.team.name, waited)
         log(
             "answered",
             request=job.key,
@@ -126,7 +130,7 @@
             status=status,
             sends=job.sends,
             held=job.waited,
-            took=monotonic() - job.req.received,
+            took=took,
             first_event=job.first_event - job.req.received if job.first_event else 0.0,
             pause=job.pause,
         )
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
@@ -52,6 +52,13 @@
             ["team", "outcome"],
             registry=reg,
         )
+        self.team_answers = Histogram(
+            "wigeonarch_gateway_team_answer_seconds",
+            "Time to the first event or the whole answer, by team",
+            ["team"],
+            buckets=WAIT_BUCKETS,
+            registry=reg,
+        )
         self.quarantined = Counter(
             "wigeonarch_gateway_quarantined",
             "Requests that are held back, as endpoints ended under them",
@@ -126,10 +133,19 @@
         """Counts a request that its team's quota kept out."""
         self._count_quota(team, "refused", units)
 
-    def _count_quota(self, team: str, outcome: str, units: float) -> None:
+    def answered_team(self, team: str, seconds: float) -> None:
+        """Notes how long a team's caller waited for its answer to begin."""
+        self.team_answers.labels(self._shown(team)).observe(seconds)
+
+    def _shown(self, team: str) -> str:
+        """Returns the name under which a team's figures stand."""
         if team not in self._teams and len(self._teams) >= TEAMS_MOST:
-            team = OTHER_TEAMS
+            return OTHER_TEAMS
         self._teams.add(team)
+        return team
+
+    def _count_quota(self, team: str, outcome: str, units: float) -> None:
+        team = self._shown(team)
         self.quota_units.labels(team, outcome).inc(units)
         self.quota_requests.labels(team, outcome).inc()
 
--- a/tests/test_gateway_teams.py
+++ b/tests/test_gateway_teams.py
@@ -225,5 +225,6 @@
         await put_teams(found, 2, team("one", KEY, **LIMIT))
         await served(found, KEY)
         page = await found.metrics()
+        assert 'wigeonarch_gateway_team_answer_seconds_count{team="one"}' in page
         assert 'wigeonarch_gateway_quota_requests_total{outcome="admitted",team="one"}' in page
         assert KEY not in page
