A promise keeps others from an engine only where the store's copy may have forgotten its holder

Cause, suspected: the look at an engine whose holder has a promise was left out altogether, and with it the reading of the holder's lease, by which a takeover is timed. Change: the promise counts only where the holder object is absent or of an earlier era.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
@@ -244,9 +244,6 @@
             return False
         view = self._views.get(record.endpoint)
         now = monotonic()
-        if self.promises.in_force(view.holder, now):
-            # It goes on by the promise, whomever an older copy of the store names.
-            return False
         return now - view.heard >= NEWS_VALID or view.holder not in heard
 
     def _keeps(self, held: Held) -> bool:
@@ -274,6 +271,8 @@
             if name not in (self._me, *self._members.holding()):
                 await self._observe(name)
         held = self._held.get(endpoint)
+        if held is None and self._may_be_forgotten(endpoint, holder):
+            return
         self._own.discard(endpoint)
         wanted = claim(
             endpoint,
@@ -294,6 +293,12 @@
             log("endpoint_lost_to", endpoint=endpoint, holder=holder.holder if holder else "")
             self._drop(endpoint)
 
+    def _may_be_forgotten(self, endpoint: str, holder: HolderRecord | None) -> bool:
+        """Tells whether a holder goes on by a promise, whom an older copy of the store lacks."""
+        if holder is not None and holder.current:
+            return False
+        return self.promises.in_force(self._views.get(endpoint).holder, monotonic())
+
     async def _find_holder(self, endpoint: str) -> StoredObject | Absent | Unavailable:
         """Returns the holder object of an engine.
 
