--- /dev/null
+++ b/tests/test_verification.py
@@ -0,0 +1,61 @@
+"""The table of what the journal shows counts what was played, and nothing else."""
+
+from __future__ import annotations
+
+import importlib.util
+import json
+import sys
+from pathlib import Path
+from types import ModuleType
+from typing import Any
+
+import pytest
+
+FILE = Path(__file__).parent.parent / "deploy" / "verification.py"
+
+
+@pytest.fixture(scope="module")
+def verification() -> ModuleType:
+    spec = importlib.util.spec_from_file_location("verification", FILE)
+    assert spec is not None
+    assert spec.loader is not None
+    module = importlib.util.module_from_spec(spec)
+    sys.modules[spec.name] = module
+    spec.loader.exec_module(module)
+    return module
+
+
+def entry(cmd: str, *days: dict[str, Any], score: float | None = None) -> dict[str, Any]:
+    return {"cmd": cmd, "head": "0123456789abcdef", "site": "s", "days": list(days), "score": score}
+
+
+def day(worth: float, rules: dict[str, int] | None = None, fault: str | None = None) -> Any:
+    return {"G": worth, "rules": rules or {}, "fault": fault}
+
+
+@pytest.mark.parametrize(
+    ("found", "shown"),
+    [
+        ([entry("run", day(0.5))], None),
+        ([entry("hunt", day(0.5), day(0.7))], {"worths": [0.5, 0.7]}),
+        ([entry("hunt", day(0.5, {"DRAIN": 1}))], {"worths": [0.5], "broken": 1}),
+        ([entry("hunt", day(0.0, fault="too slow"))], {"given_up": 1}),
+        ([entry("hunt", day(0.5)), entry("hunt", day(0.6))], {"worths": [0.5, 0.6]}),
+        ([entry("score", score=0.9)], {"score": 0.9}),
+        ([entry("sweep", day(0.5), day(0.6))], {"sweep": "clean"}),
+        ([entry("sweep", day(0.5), day(0.6, {"ONE": 2}))], {"sweep": "broken"}),
+        ([entry("sweep", day(0.5, {"ONE": 2})), entry("sweep", day(0.6))], {"sweep": "broken"}),
+    ],
+)
+def test_what_entries_show(
+    verification: ModuleType, found: list[dict[str, Any]], shown: dict[str, Any] | None
+) -> None:
+    expected = None if shown is None else verification.Shown(**shown)
+    assert verification.table(found).get(("01234567", "s")) == expected
+
+
+def test_what_can_not_be_read_is_left_out(verification: ModuleType, tmp_path: Path) -> None:
+    (tmp_path / "1.json").write_text("{")
+    (tmp_path / "2.json").write_text("[]")
+    (tmp_path / "3.json").write_text(json.dumps(entry("hunt", day(0.5))))
+    assert [one["cmd"] for one in verification.entries(tmp_path)] == ["hunt"]
