An endpoint that writes again late after a copy is back at once, as it was not gone before the copy

Callers saw: not seen; read in the diff. Cause: what was dropped after the copy was seen counted as gone before it. Evidence: the new test failed before, passes now.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
@@ -50,6 +50,7 @@
         "_copied",
         "_copy_until",
         "_gone",
+        "_gone_before",
         "_left",
         "_may_lapse_until",
         "_missing",
@@ -76,7 +77,8 @@
         self._born: OrderedDict[str, int] = OrderedDict()
         self._left: OrderedDict[str, int] = OrderedDict()  # Start of the incarnation that leaves.
         self._gone: OrderedDict[str, int] = OrderedDict()  # Start of the incarnation that is gone.
-        self._copied: dict[str, EndpointRecord] = {}  # Gone ones that the store's copy has.
+        self._gone_before: dict[str, int] = {}  # The same, before the store came back older.
+        self._copied: dict[str, EndpointRecord] = {}  # Those of them that the store's copy has.
         self._copy_until = float("-inf")
         self._restarted: dict[str, float] = {}
         self._records: dict[str, EndpointRecord] = {}
@@ -142,16 +144,17 @@
     def came_back_older(self, now: float) -> None:
         """Notes that the entries that follow are of a copy that is older than those before."""
         self._copy_until = now + COPY_DOUBTED
+        self._gone_before = dict(self._gone)
         self._copied.clear()
 
     def _is_only_copied(self, record: EndpointRecord) -> bool:
         """Tells whether an entry is the first of an endpoint that was gone before the copy."""
         endpoint = record.endpoint
-        if self._gone.get(endpoint, NEVER_BORN) < record.born:
+        if self._gone_before.get(endpoint, NEVER_BORN) < record.born:
             return False
         if endpoint in self._copied or monotonic() >= self._copy_until:
             self._copied.pop(endpoint, None)
-            del self._gone[endpoint]
+            del self._gone_before[endpoint]
             return False
         self._copied[endpoint] = record
         return True
@@ -234,9 +237,10 @@
         for endpoint in list(self._missing):
             if now >= self._may_lapse_until(self._records[endpoint].zone):
                 self._drop(endpoint, "missing_after_outage")
-        if self._copied and now >= self._copy_until:
+        if self._gone_before and now >= self._copy_until:
             for record in list(self._copied.values()):
                 self.put(record)
+            self._gone_before.clear()
 
     def _drop(self, endpoint: str, reason: str) -> None:
         missing = self._missing.pop(endpoint, None)
--- a/tests/test_gateway_older_store.py
+++ b/tests/test_gateway_older_store.py
@@ -125,6 +125,19 @@
         assert all(len(node._endpoints.ready("desk")) == 2 for node in found.nodes)
 
 
+async def test_an_endpoint_that_was_written_again_late_is_back_at_once() -> None:
+    async with world(nodes=1) as found:
+        found.store.take_copy()
+        other = await found.add_replica(Replica("desk", name="i-desk2"))
+        endpoints = found.nodes[0]._endpoints
+        await until_true(lambda: len(endpoints.ready("desk")) == 2)
+        await found.store.come_back_older()
+        await until_true(lambda: endpoints.get(other.name) is None)
+        await found.store.put("servers", other.name, other.record())
+        await until_true(lambda: other.name in endpoints._copied or endpoints.get(other.name))
+        assert other.name not in endpoints._copied
+
+
 async def gone_and_copied(found: World) -> Replica:
     """Has an endpoint that is gone listed again by the copy."""
     other = await found.add_replica(Replica("desk", name="i-desk2"))
