--- a/tests/test_verification.py
+++ b/tests/test_verification.py
@@ -38,13 +38,13 @@
     [
         ([entry("run", day(0.5))], None),
         ([entry("hunt", day(0.5), day(0.7))], {"worths": [0.5, 0.7]}),
-        ([entry("hunt", day(0.5, {"DRAIN": 1}))], {"worths": [0.5], "broken": 1}),
+        ([entry("hunt", day(0.5, {"RULE": 1}))], {"worths": [0.5], "broken": 1}),
         ([entry("hunt", day(0.0, fault="too slow"))], {"given_up": 1}),
         ([entry("hunt", day(0.5)), entry("hunt", day(0.6))], {"worths": [0.5, 0.6]}),
         ([entry("score", score=0.9)], {"score": 0.9}),
         ([entry("sweep", day(0.5), day(0.6))], {"sweep": "clean"}),
-        ([entry("sweep", day(0.5), day(0.6, {"ONE": 2}))], {"sweep": "broken"}),
-        ([entry("sweep", day(0.5, {"ONE": 2})), entry("sweep", day(0.6))], {"sweep": "broken"}),
+        ([entry("sweep", day(0.5), day(0.6, {"RULE": 2}))], {"sweep": "broken"}),
+        ([entry("sweep", day(0.5, {"RULE": 2})), entry("sweep", day(0.6))], {"sweep": "broken"}),
     ],
 )
 def test_what_entries_show(
