--- a/tests/gateway_slopes.py
+++ b/tests/gateway_slopes.py
@@ -16,8 +16,9 @@
 
 import gateway_world
 import uvloop
-from gateway_world import World, configuration, free_port
+from gateway_world import World, configuration
 from loguru import logger
+from ports import free_port
 from standins.replica import Replica
 from standins.store import StoreStandIn
 from wigeonarch_gateway.links import Links
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import aiohttp
+from ports import free_port
 from standins.replica import Replica
 from standins.store import StoreStandIn
 from wigeonarch_core.quota_bank import QuotaBounds
@@ -34,14 +35,6 @@
 )
 
 
-def free_port(host: str, kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    """Returns a port that nothing listens on; for messages between gateways, of datagrams."""
-    with socket.socket(type=kind) as sock:
-        sock.bind((host, 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
 def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
     """Returns a route of the configuration."""
     return {
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -28,7 +28,8 @@
 from pathlib import Path
 
 import aiohttp
-from gateway_world import HOST, configuration, free_port
+from gateway_world import HOST, configuration
+from ports import free_port
 from soak_endpoints import FATAL, Needs
 from soak_teams import CALM, SETTINGS, Teams
 from standins.proxy import Proxy, Way
--- a/tests/test_gateway_members.py
+++ b/tests/test_gateway_members.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import pytest
-from gateway_world import contact, free_port
+from gateway_world import contact
+from ports import free_port
 from wigeonarch_gateway import members as module
 from wigeonarch_gateway.directory import GONE, LIST_EVERY
 from wigeonarch_gateway.links import Links
--- a/tests/test_start_signals.py
+++ b/tests/test_start_signals.py
@@ -8,7 +8,7 @@
 import sys
 from pathlib import Path
 
-from gateway_world import free_port
+from ports import free_port
 
 # Holds the start up at an import until a line comes, by which time a signal has been sent.
 HELD_UP = """
