A process that starts takes a store's era for new, unless it is the store's first

What callers saw: nothing yet; it is the first point that the postmortem of the store that came back older had left. Two instances could order one engine within the pause: a holder that is cut off and goes on by its lease, a copy that forgot it, and another instance that starts within some nine seconds of the drill.

Cause: a process that first hears of an era took it as begun long ago, so it found no holder of this era and ordered at once.

Evidence: the drawn histories had assumed this away (a restarted instance was given its earlier knowledge).

Ruled out: an era's age in heartbeats, the other way: a process that hears no peer, which is the case at hand, still does not know.

Change: Era takes any but the first era for new when a process first hears of it. So that a restart after a drill costs nothing where the store tells who holds an engine, a claim says whether no earlier holder can be in the way: the own object, of this era, whose writer was not waiting. Those go on at once, as before.

Before and after: the two new histories, one fails before; all others as before. The world of the histories now begins in the first era, as stores do. The price: after a drill, a process that has just started gives a new engine its first order a term, a margin, a second and a pause later.

--- a/packages/wigeonarch-core/src/wigeonarch_core/holding.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/holding.py
@@ -32,6 +32,7 @@
 
 NEVER: Final = float("-inf")  # Before all times.
 UNKNOWN_ERA: Final = -1  # Before all eras.
+FIRST_ERA: Final = 0  # Of a store that never came back from a copy.
 # Seconds in which a holder goes on by what it wrote in an earlier era, until it is written again.
 CONFIRMED_WITHIN: Final = 1.0
 
@@ -42,8 +43,8 @@
 
     Attributes:
         number: Its number.
-        since: Time at which it was seen to begin. What was before the first one seen is not known;
-            it counts as having begun long ago.
+        since: Time at which it was seen to begin. A process that starts in one that is not the
+            store's first can't tell how long ago it began, and takes it for new.
     """
 
     number: int = UNKNOWN_ERA
@@ -52,7 +53,7 @@
     def saw(self, number: int, now: float) -> None:
         """Notes the era that the store is in."""
         if number > self.number:
-            self.since = NEVER if self.number == UNKNOWN_ERA else now
+            self.since = NEVER if number == FIRST_ERA else now
             self.number = number
 
     def settled(self, term: float, margin: float, pause: float) -> float:
@@ -100,11 +101,14 @@
         endpoint: The endpoint.
         revision: Revision that the object must have.
         pause: Seconds after the write in which nothing may be ordered.
+        settled: Whether no holder of an earlier era can be in the way; if not, nothing may be
+            ordered before `Era.settled` either.
     """
 
     endpoint: str
     revision: int
     pause: float
+    settled: bool = False
 
 
 @dataclass(slots=True)
@@ -180,8 +184,9 @@
     if keeps and not confirmed and (record is None or not record.current):
         return Claim(endpoint, record.revision if record else 0, 0.0)
     if record is not None and record.holder == me:
-        wait = pause if record.taken_over or not record.current else 0.0
-        return None if confirmed else Claim(endpoint, record.revision, wait)
+        settled = record.current and not record.taken_over
+        wait = 0.0 if settled else pause
+        return None if confirmed else Claim(endpoint, record.revision, wait, settled)
     if wanted_holder(endpoint, candidates) != me:
         return None
     if record is None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
@@ -350,6 +350,8 @@
         held = self._held.get(wanted.endpoint)
         if held is not None and self._keeps(held):
             return max(from_now, held.not_before)
+        if wanted.settled:
+            return from_now
         opts = self._opts
         return max(from_now, self._era.settled(opts.term, opts.margin, opts.pause))
 
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -29,7 +29,7 @@
     [
         (None, False, set(), ["me"], [], Claim(ENDPOINT, 0, 0.0)),
         (None, False, {"b"}, ["b"], [], None),  # This instance is leaving.
-        ("me", False, set(), ["me"], [], Claim(ENDPOINT, 7, 0.0)),  # The same holder resumes.
+        ("me", False, set(), ["me"], [], Claim(ENDPOINT, 7, 0.0, True)),  # The same resumes.
         ("me", True, set(), ["me"], [], None),
         ("b", False, {"b"}, ["me"], ["b"], None),  # It says that its lease holds.
         ("b", False, set(), ["me"], [], None),  # Its lease was not watched for a whole term.
@@ -90,7 +90,7 @@
     (None, True, Claim(ENDPOINT, 0, 0.0)),
     (("b", False), True, Claim(ENDPOINT, 7, 0.0)),
     (("me", False), True, Claim(ENDPOINT, 7, 0.0)),
-    (("me", True), True, Claim(ENDPOINT, 7, 0.0)),  # The own write, whose answer was lost.
+    (("me", True), True, Claim(ENDPOINT, 7, 0.0, True)),  # The own write, whose answer was lost.
     (("b", True), True, None),  # Taken over in this era.
     # Somebody else may hold it by what the copy lacks.
     (("me", False), False, Claim(ENDPOINT, 7, PAUSE)),
@@ -131,8 +131,8 @@
     def __init__(self, pause: float, generations: bool, eras: bool) -> None:
         self.now = 0.0
         self.eras = eras
-        self.era = 1
-        self.revision = in_era(1, 0)
+        self.era = 0
+        self.revision = 0
         self.past: list[tuple[int, dict[str, int], HolderRecord | None]] = []
         self.leases: dict[str, int] = {}
         self.record: HolderRecord | None = None
@@ -203,7 +203,7 @@
         not_before = self.now + found.pause
         if keeps:
             not_before = max(not_before, inst.not_before)
-        else:
+        elif not found.settled:
             not_before = max(not_before, inst.era.settled(TERM, MARGIN, self.pause))
         self.revision += 1
         self.record = HolderRecord(ENDPOINT, inst.name, self.revision, not_before > self.now)
@@ -241,9 +241,7 @@
             case "cut" | "heal":
                 inst.reaches = what == "heal"
             case "restart":
-                # It does not know how long ago the era began; that it does is assumed here.
-                era = Era(inst.era.number, inst.era.since)
-                world.instances[which] = Instance(inst.name, reaches=inst.reaches, era=era)
+                world.instances[which] = Instance(inst.name, reaches=inst.reaches)
             case "older":
                 world.come_back_older(duration)
         for _ in range(duration):
@@ -266,6 +264,9 @@
     [(0, "cut", 1), (0, "older", 25), (1, "run", 90)],
     # Two copies in a row: a holder that had to stop in the first era does not go on in the next.
     [(0, "freeze", 56), (0, "thaw", 14), (0, "older", 68), (0, "older", 38)],
+    # One that starts right after the drill finds nothing, while a holder that is cut off goes on.
+    [(0, "cut", 1), (0, "older", 25), (1, "restart", 90)],
+    [(0, "freeze", 110), (1, "run", 30), (1, "cut", 1), (1, "older", 5), (0, "restart", 90)],
 ]
 
 
