make bench: experiment `quota`, four ways to keep a quota over all instances, with a plot

Until now the first two ways were ruled out by reckoning only.

Ruled out: a single banker for all zones, by reckoning as before, not built.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 
 bench: $(READY)
 	$(BIN)/python -m wigeonarch_fakes.bench --size $(BENCH)
+	$(BIN)/python -m wigeonarch_fakes.quota_bench
 
 slopes: $(READY)
 	$(BIN)/python -m wigeonarch_fakes.slopes
--- a/tests/quota_world.py
+++ b/packages/wigeonarch-fakes/src/wigeonarch_fakes/quota_world.py
@@ -2,7 +2,9 @@
 
 Instances are frozen, killed, cut off alone or with their zone and started again, in series and
 overlapping; messages are lost, and loans doubled. Callers send at any instance, far more than the
-quota at times. What was given is kept for the tests to judge.
+quota at times. How an instance decides on a request is a way of its own: that of the product asks
+the zone's banker, others stand beside it for comparison. What was given is kept for tests and
+figures to judge.
 """
 
 from __future__ import annotations
@@ -11,21 +13,61 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Final, Protocol
 
 from wigeonarch_core.homes import ranked
 from wigeonarch_core.quota_bank import Part, QuotaBank, QuotaBounds, Verdict
 from wigeonarch_core.teams import Quota, Unit
 
-TEAM = "t"
-STEP = 0.05  # Seconds of the world's clock.
-BEAT = 0.5  # Seconds between heartbeats.
-HEARD = 1.6  # Seconds without one after which an instance is not heard.
-SETTLED = 5.0
-RESTART = 1.2  # Seconds until a killed process serves again.
-LOOK = 0.25
-BOUNDS = QuotaBounds(8.0, 0.1, 11_000.0)
-REQUEST = 1_500.0  # Units of a request, about.
-REQUEST_MOST = 4_500.0
+TEAM: Final = "t"
+STEP: Final = 0.05  # Seconds of the world's clock.
+BEAT: Final = 0.5  # Seconds between heartbeats.
+HEARD: Final = 1.6  # Seconds without one after which an instance is not heard.
+SETTLED: Final = 5.0
+RESTART: Final = 1.2  # Seconds until a killed process serves again.
+LOOK: Final = 0.25
+BOUNDS: Final = QuotaBounds(8.0, 0.1, 11_000.0)
+REQUEST: Final = 1_500.0  # Units of a request, about.
+REQUEST_MOST: Final = 4_500.0
+
+
+class Way(Protocol):
+    """How the instances of a world decide on requests together."""
+
+    def take(self, world: World, asker: Instance, cost: float) -> bool:
+        """Tells whether an instance may serve a request of so many units."""
+
+    def beat(self, world: World) -> None:
+        """Lets instances tell each other what heartbeats carry for this way."""
+
+    def restarted(self, one: Instance) -> None:
+        """Forgets what a process knew that was killed."""
+
+
+class AskBankers:
+    """Asks the banker of the zone for each request, and its deputy where that does not answer."""
+
+    def take(self, world: World, asker: Instance, cost: float) -> bool:
+        """Asks at most two; a second time where others were asked for a loan."""
+        for name in world.bankers(asker)[:2]:
+            banker = world.by_name[name]
+            for _ in range(2):
+                if not world.arrives(asker, banker):
+                    break
+                verdict = world.ask(banker, cost)
+                if not world.arrives(banker, asker):
+                    break
+                if verdict.granted:
+                    return True
+                if not verdict.loan:
+                    return False
+        return False
+
+    def beat(self, world: World) -> None:
+        """Heartbeats carry nothing more."""
+
+    def restarted(self, one: Instance) -> None:
+        """The bank of the new process is empty."""
 
 
 @dataclass
@@ -62,6 +104,8 @@
     events: list[tuple[float, str]] = field(default_factory=list)
     bank_made: Callable[[QuotaBounds, float, int], QuotaBank] = QuotaBank
     share_of: Callable[[int, int], float] = lambda heard, known: heard / known
+    way: Way = field(default_factory=AskBankers)
+    messages: int = 0  # Sent for requests, heartbeats not counted.
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
@@ -78,6 +122,7 @@
     # What instances see.
 
     def alive(self, one: Instance) -> bool:
+        """Tells whether an instance runs."""
         return self.now >= one.away_until
 
     def cut_off(self, one: Instance) -> int:
@@ -91,11 +136,14 @@
         )
 
     def reach(self, one: Instance, other: Instance) -> bool:
+        """Tells whether two instances run and no cut lies between them."""
         if not (self.alive(one) and self.alive(other)):
             return False
         return one is other or self.cut_off(one) == self.cut_off(other)
 
     def arrives(self, one: Instance, other: Instance) -> bool:
+        """Sends a message; tells whether it arrives."""
+        self.messages += one is not other
         return self.reach(one, other) and (one is other or self.rng.random() >= self.loss)
 
     def in_zone(self, one: Instance) -> list[str]:
@@ -105,12 +153,14 @@
         return [o.name for o in nearby if o is one or one.heard.get(o.name, -1e9) > lately]
 
     def bankers(self, one: Instance) -> list[str]:
+        """Returns who is banker of the zone as an instance sees it, then the deputies."""
         names = self.in_zone(one)
         latest = self.now - SETTLED
         settled = [name for name in names if one.told.get(name, one.started) <= latest]
         return ranked(TEAM, sorted(settled or names))
 
     def part(self, one: Instance) -> Part:
+        """Returns what an instance may give by its own view."""
         share = self.share_of(len(self.in_zone(one)), self.per_zone) / self.zones
         return Part(share, self.bankers(one)[0] == one.name)
 
@@ -124,27 +174,13 @@
             return
         asker = self.rng.choice(alive)
         cost = min(REQUEST_MOST, self.rng.expovariate(1.0 / REQUEST) + 100.0)
-        granted = self.take(asker, cost)
+        granted = self.way.take(self, asker, cost)
         self.asked.append((self.now, cost, granted))
         if granted:
             self.given.append((self.now, cost))
 
-    def take(self, asker: Instance, cost: float) -> bool:
-        for name in self.bankers(asker)[:2]:
-            banker = self.by_name[name]
-            for _ in range(2):  # Once more, if others were asked for a loan.
-                if not self.arrives(asker, banker):
-                    break
-                verdict = self.ask(banker, cost)
-                if not self.arrives(banker, asker):
-                    break
-                if verdict.granted:
-                    return True
-                if not verdict.loan:
-                    return False
-        return False
-
     def ask(self, banker: Instance, cost: float) -> Verdict:
+        """Returns a banker's verdict; one that is short asks other zones for a loan."""
         part = self.part(banker)
         verdict = banker.bank.ask(TEAM, self.quota, part, cost, self.now)
         plea = banker.bank.plea(TEAM, self.quota, part, self.now)
@@ -156,6 +192,7 @@
         return Verdict(verdict.granted, verdict.wait, verdict.turn, verdict.level, loan=True)
 
     def plead(self, borrower: Instance, zone: int, number: int, wanted: float) -> None:
+        """Asks another zone for a loan, by any instance of it."""
         first = self.rng.choice([one for one in self.instances if one.zone == zone])
         if not self.arrives(borrower, first):
             return
@@ -168,12 +205,14 @@
                 borrower.bank.borrowed(TEAM, number, lender.name, units, self.now)
 
     def beat(self) -> None:
+        """Lets all instances hear of those in reach."""
         for one in self.instances:
             for other in self.instances:
                 if one is other or one.zone != other.zone or not self.reach(one, other):
                     continue
                 one.heard[other.name] = self.now
                 one.told[other.name] = other.started
+        self.way.beat(self)
 
     def kill(self, one: Instance) -> None:
         """Kills a process, which begins anew and knows nobody."""
@@ -181,6 +220,7 @@
         one.started = one.away_until
         one.bank = self.bank_made(BOUNDS, one.away_until, self.rng.randrange(1 << 30))
         one.heard, one.told = {}, {one.name: one.started}
+        self.way.restarted(one)
 
     def trouble(self) -> None:
         """One of the things that happen to instances."""
--- a/tests/test_quota_bank.py
+++ b/tests/test_quota_bank.py
@@ -12,9 +12,9 @@
 
 import pytest
 import wigeonarch_core.quota_bank as quota_bank
-from quota_world import BOUNDS, World, quota
 from wigeonarch_core.quota_bank import Part, QuotaBank, QuotaBounds
 from wigeonarch_core.teams import Quota, Unit
+from wigeonarch_fakes.quota_world import BOUNDS, World, quota
 
 USUAL = 0.55  # Part of its quota that a team asks for on the whole.
 HOT = 7.5
