A gateway that has closed its socket drops messages instead of failing in the task that sends them

What was seen: "Task exception was never retrieved ... 'NoneType' object has no attribute 'sendto'" from orderer-i-llm at the end of test worlds: a task that still tells news after the socket was closed. Callers saw nothing.

Cause: Links.close closed the transport but kept it. Ruled out: a task that should have ended first; news may be due between the close and its cancellation.

Change: close forgets the transport, so send_frame counts the message as dropped, as before open.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/links.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/links.py
@@ -84,6 +84,7 @@
         """Closes the socket."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
 
 def split_address(address: str) -> tuple[str, int]:
