What repeats itself in messages of peers costs less: engines' news, loads in heartbeats

Most news and heartbeats repeat the last.

Ruled out: fewer messages; that would change how fast lost instances are noticed.

Change: news that name the same places as before are not taken apart again (unless loads are under way, or an engine refused what was believed there); loads of a heartbeat that are the same are not subtracted and added; a frame is looked at once; an engine's state skips what can't be there. No decision changes. Tests: repeated news bring back what an engine refused, and end loads; each of the two conditions, taken out, fails one.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
@@ -24,6 +24,7 @@
 TRIAL: Final = 0.008
 # News are repeated every one to three seconds, so a holder without any for so long is not heard.
 NEWS_VALID: Final = 6.0  # Seconds.
+NEVER: Final = float("-inf")  # Before all times.
 
 
 @dataclass(slots=True)
@@ -43,6 +44,7 @@
         orders: Whether the holder may order now.
         tried: When a copy that should just have come was first asked for.
         began: When the loads under way were first heard of.
+        told: Models and adapters as its holder last told them, while `ready` is what they say.
         born: Start of the engine's incarnation; 0 when it is not known.
         load_time: Seconds of a load that must be fetched, while few others are.
     """
@@ -50,7 +52,7 @@
     holder: str = ""
     fence: int = 0
     number: int = 0
-    heard: float = float("-inf")
+    heard: float = NEVER
     models: frozenset[str] = frozenset()
     ready: dict[AdapterName, int] = field(default_factory=dict)
     loading: dict[AdapterKey, float] = field(default_factory=dict)
@@ -59,6 +61,7 @@
     seen: OrderedDict[AdapterName, None] = field(default_factory=OrderedDict)
     tried: dict[AdapterName, float] = field(default_factory=dict)
     began: dict[AdapterName, float] = field(default_factory=dict)
+    told: tuple[list[str], list[tuple[int, str, int]]] | None = None
     born: int = 0
     load_time: float = COLD_LOAD
 
@@ -72,13 +75,13 @@
         When a load should have ended, one request goes first; the others follow if it was not
         refused within the time of an answer.
         """
-        tried = self.tried.get(key.name)
-        if tried is not None and now - tried < TRIAL:
+        name = key.name
+        if self.tried and now - self.tried.get(name, NEVER) < TRIAL:
             return False
-        held = self.ready.get(key.name)
+        held = self.ready.get(name)
         if held is not None and satisfies(held, key.version):
             return True
-        return self.loading.get(key, float("inf")) <= now
+        return bool(self.loading) and self.loading.get(key, float("inf")) <= now
 
     def sending(self, key: AdapterKey, now: float) -> None:
         """Notes that a request is sent; the first one after a load is a trial."""
@@ -87,6 +90,8 @@
 
     def loading_left(self, key: AdapterKey, now: float) -> float | None:
         """Returns the seconds until a load ends; None when none is under way."""
+        if not self.loading:
+            return None
         ready_at = self.loading.get(key)
         return None if ready_at is None else max(0.0, ready_at - now)
 
@@ -149,23 +154,30 @@
         view.fence = news.fence
         view.number = news.number
         view.heard = now
-        view.models = frozenset(news.models)
+        # Most news repeat what is known.
+        if news.loading or view.loading or view.told != (news.models, news.ready):
+            self._take_places(view, news, now)
+        if view.tried:
+            view.tried = {name: at for name, at in view.tried.items() if now - at < TRIAL}
+        view.free = news.free
+        view.orders = news.orders
+        view.load_time = news.load_ms / 1000 or COLD_LOAD
+        self.wake(news.endpoint)
+
+    def _take_places(self, view: EngineView, news: PlacesNews, now: float) -> None:
         models = news.models
         before = view.names()
+        view.told = (models, news.ready)
+        view.models = frozenset(models)
         view.ready = {(models[place], name): version for place, name, version in news.ready}
         view.loading = {
             AdapterKey(models[place], name, version): now + ms / 1000
             for place, name, version, ms in news.loading
         }
         view.began = {key.name: view.began.get(key.name, now) for key in view.loading}
-        view.tried = {name: at for name, at in view.tried.items() if now - at < TRIAL}
-        view.free = news.free
-        view.orders = news.orders
-        view.load_time = news.load_ms / 1000 or COLD_LOAD
         # What stays is remembered as it leaves.
         for name in before ^ view.names():
             self._remember(view, name)
-        self.wake(news.endpoint)
 
     def unheard(self, holder: str) -> None:
         """Notes that a holder is not heard any more: nobody can be asked for loads there."""
@@ -193,6 +205,7 @@
             view.loading[key] = monotonic() + pause
         else:
             view.ready.pop(key.name, None)
+            view.told = None
 
     def loads_under_way(self) -> int:
         """Returns the loads begun within the time that a fetch takes, over all engines.
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -442,11 +442,12 @@
     """Returns the message in a frame, or None when it is not one that this version knows."""
     try:
         decoded: Message | Packed = _decoder.decode(frame)
-        if isinstance(decoded, Packed):
-            decoded = _decoder.decode(_unpack(decoded.frame))
+        if not isinstance(decoded, Packed):
+            return decoded
+        unpacked: Message | Packed = _decoder.decode(_unpack(decoded.frame))
     except (msgspec.DecodeError, zlib.error):
         return None
-    return None if isinstance(decoded, Packed) else decoded
+    return None if isinstance(unpacked, Packed) else unpacked
 
 
 def _unpack(packed: bytes) -> bytes:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/traffic.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/traffic.py
@@ -115,7 +115,11 @@
 
     def heard(self, sender: str, loads: list[LoadShare]) -> None:
         """Takes over what another instance has under way."""
-        self._count(self._others.pop(sender, []), -1)
+        before = self._others.get(sender)
+        if before == loads:
+            return
+        if before:
+            self._count(before, -1)
         self._others[sender] = loads
         self._count(loads, 1)
 
@@ -136,7 +140,8 @@
             total.add(own)
         if others is not None:
             total.add(others)
-        total.recent_tokens += self._recently(endpoint, monotonic())
+        if endpoint in self._recent:
+            total.recent_tokens += self._recently(endpoint, monotonic())
         return total
 
     def _recently(self, endpoint: str, now: float) -> float:
--- a/tests/test_engineviews.py
+++ b/tests/test_engineviews.py
@@ -55,3 +55,34 @@
 def test_the_same_view_is_returned_each_time() -> None:
     views = EngineViews()
     assert views.get("i-1") is views.get("i-1")
+
+
+KEY = AdapterKey("m", "a", 1)
+
+
+def test_news_that_repeat_what_is_known_bring_back_what_an_engine_refused() -> None:
+    views = EngineViews()
+    views.news(news(1, ["a"], []))
+    views.refuted("i-1", KEY, 0.0)
+    assert not views.get("i-1").holds(KEY, 0.0)
+    views.news(news(2, ["a"], []))
+    assert views.get("i-1").holds(KEY, 0.0)
+
+
+@pytest.mark.parametrize("known", [["a"], []])
+def test_news_that_repeat_what_is_known_end_loads_that_are_told_no_more(known: list[str]) -> None:
+    views = EngineViews()
+    views.news(news(1, known, []))
+    views.news(news(2, known, ["b"]))
+    views.news(news(3, known, []))
+    view = views.get("i-1")
+    assert not view.loading
+    assert not view.began
+    assert set(view.ready) == {("m", name) for name in known}
+
+
+def test_the_first_news_of_an_engine_end_what_it_had_said_of_itself() -> None:
+    views = EngineViews()
+    views.first_seen("i-1", frozenset({"m"}), {("m", "a"): 1})
+    views.news(news(1, [], []))
+    assert not views.get("i-1").holds(KEY, 0.0)
