--- a/packages/wigeonarch-core/src/wigeonarch_core/acceptance.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/acceptance.py
@@ -18,22 +18,21 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from wigeonarch_core.messages import Heartbeat
 from wigeonarch_core.records import LeaseRecord
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Lagging:
+class Lagging(msgspec.Struct, frozen=True, order=True):
     """An instance that is not known to have a change in force."""
 
     zone: str
     instance: str
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
+class Member(msgspec.Struct, frozen=True):
     """An instance as seen by the one that judges.
 
     Attributes:
--- a/packages/wigeonarch-core/src/wigeonarch_core/custody.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/custody.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 from wigeonarch_core.lease import HeldLease
 from wigeonarch_core.messages import DeclarePins, HeldPin, HeldPins
 from wigeonarch_core.ownership import Holding, confirmed
@@ -30,8 +32,7 @@
     at: float
 
 
-@dataclass(frozen=True, slots=True)
-class Declared:
+class Declared(msgspec.Struct, frozen=True):
     """What a declaration changes.
 
     Attributes:
--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 from wigeonarch_core.load_pace import COLD_LOAD, WARM_LOAD
 
 # Adapters on their way to one engine at once; engines refuse more.
@@ -52,8 +53,7 @@
 PLACES_SHORT: Final = 4
 
 
-@dataclass(frozen=True, slots=True)
-class EngineState:
+class EngineState(msgspec.Struct, frozen=True):
     """What an instance believes of one engine when it has to choose.
 
     Attributes:
@@ -98,8 +98,7 @@
     largest_pause: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Choice:
+class Choice(msgspec.Struct, frozen=True):
     """An engine to send to, or to ask for a load.
 
     Attributes:
--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_places.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_places.py
@@ -15,6 +15,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 from wigeonarch_core.rates import DecayedCounts
 
 RATE_HALF_LIFE: Final = 12.0  # Seconds; demand moves to other adapters within several of these.
@@ -28,8 +30,7 @@
 AdapterName = tuple[str, str]
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class AdapterKey:
+class AdapterKey(msgspec.Struct, frozen=True, order=True):
     """An adapter of a base model at a version.
 
     As a wish, version 0 means any; as a copy, that its version is not known yet.
--- a/packages/wigeonarch-core/src/wigeonarch_core/fatal_requests.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/fatal_requests.py
@@ -21,6 +21,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+import msgspec
+
 ENDS_MOST: Final = 3  # Endpoints that end one after the other until a request is held back.
 # Ends from which a request is worth a place in the store: nearly all others share one end only.
 ENDS_NOTABLE: Final = 2
@@ -39,8 +41,7 @@
 NOTABLE_MOST: Final = 32  # Requests that are kept in the store.
 
 
-@dataclass(frozen=True, slots=True)
-class End:
+class End(msgspec.Struct, frozen=True):
     """An endpoint that just ended under a request.
 
     Attributes:
@@ -54,8 +55,7 @@
     age: float
 
 
-@dataclass(frozen=True, slots=True)
-class Ends:
+class Ends(msgspec.Struct, frozen=True):
     """A request by the key of its content, and the endpoints that ended under it."""
 
     content: str
--- a/packages/wigeonarch-core/src/wigeonarch_core/fleet.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/fleet.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from wigeonarch_core.lease import SeenLease
 from wigeonarch_core.listing import Listed, Presence, Role
 from wigeonarch_core.messages import EngineSummary, Heartbeat
@@ -33,8 +35,7 @@
     heartbeat: Heartbeat | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Ownership:
+class Ownership(msgspec.Struct, frozen=True):
     """Who owns an engine.
 
     Attributes:
--- a/packages/wigeonarch-core/src/wigeonarch_core/holding.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/holding.py
@@ -28,6 +28,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 from wigeonarch_core.homes import ranked
 
 NEVER: Final = float("-inf")  # Before all times.
@@ -74,8 +76,7 @@
         return written < self.number
 
 
-@dataclass(frozen=True, slots=True)
-class HolderRecord:
+class HolderRecord(msgspec.Struct, frozen=True):
     """Who holds an endpoint, by the store.
 
     Attributes:
@@ -93,8 +94,7 @@
     current: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class Claim:
+class Claim(msgspec.Struct, frozen=True):
     """Write the holder object on condition of its revision (0: absent).
 
     Attributes:
--- a/packages/wigeonarch-core/src/wigeonarch_core/idempotency.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/idempotency.py
@@ -18,9 +18,10 @@
 
 import enum
 import hashlib
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 from wigeonarch_core.records import KeyRecord
 
 TRIES: Final = 4
@@ -89,35 +90,30 @@
     return _STEPS[KeyState(found.state)]
 
 
-@dataclass(frozen=True, slots=True)
-class Write:
+class Write(msgspec.Struct, frozen=True):
     """Write the record, on condition that the object is at version `expected` (0: absent)."""
 
     expected: int
 
 
-@dataclass(frozen=True, slots=True)
-class Read:
+class Read(msgspec.Struct, frozen=True):
     """Read the record."""
 
 
-@dataclass(frozen=True, slots=True)
-class Taken:
+class Taken(msgspec.Struct, frozen=True):
     """The key is held by this attempt, which may run the request once."""
 
     version: int
 
 
-@dataclass(frozen=True, slots=True)
-class Told:
+class Told(msgspec.Struct, frozen=True):
     """The request must not run here; `record` is what is known of the one that has the key."""
 
     step: Step
     record: KeyRecord
 
 
-@dataclass(frozen=True, slots=True)
-class GivenUp:
+class GivenUp(msgspec.Struct, frozen=True):
     """The key could not be taken, so nothing runs.
 
     Attributes:
--- a/packages/wigeonarch-core/src/wigeonarch_core/lifecycle.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/lifecycle.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 from wigeonarch_core.outcomes import Failed, NotRun, Outcome, Reason, Unknown
 
 
@@ -53,8 +54,7 @@
     FAILED = "failed"
 
 
-@dataclass(frozen=True, slots=True)
-class Ruling:
+class Ruling(msgspec.Struct, frozen=True):
     """What an event means in a phase."""
 
     end: End
--- a/packages/wigeonarch-core/src/wigeonarch_core/outcomes.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/outcomes.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+
+import msgspec
 
 
 class Reason(enum.StrEnum):
@@ -54,8 +55,7 @@
     CANCELLED = "cancelled"
 
 
-@dataclass(frozen=True, slots=True)
-class Answered:
+class Answered(msgspec.Struct, frozen=True):
     """The whole answer, from the adapter and version that the request named.
 
     Attributes:
@@ -72,8 +72,7 @@
     version: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class NotRun:
+class NotRun(msgspec.Struct, frozen=True):
     """Nothing of the request ran, and nothing of it will.
 
     Attributes:
@@ -87,15 +86,13 @@
     detail: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Unknown:
+class Unknown(msgspec.Struct, frozen=True):
     """The request may have run; whether it did cannot be known."""
 
     reason: Reason
 
 
-@dataclass(frozen=True, slots=True)
-class Failed:
+class Failed(msgspec.Struct, frozen=True):
     """The request ran and failed.
 
     Attributes:
--- a/packages/wigeonarch-core/src/wigeonarch_core/ownership.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/ownership.py
@@ -15,7 +15,8 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from wigeonarch_core.fleet import Fleet, Ownership
 from wigeonarch_core.homes import ranked
@@ -24,8 +25,7 @@
 from wigeonarch_core.records import VACANT
 
 
-@dataclass(frozen=True, slots=True)
-class Claim:
+class Claim(msgspec.Struct, frozen=True):
     """Write the ownership of an engine, on condition that its version is `expected` (0: absent).
 
     Attributes:
@@ -40,8 +40,7 @@
     last: Ownership | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class HandOver:
+class HandOver(msgspec.Struct, frozen=True):
     """Give an owned engine to a successor."""
 
     engine: str
@@ -49,8 +48,7 @@
     expected: int
 
 
-@dataclass(frozen=True, slots=True)
-class Holding:
+class Holding(msgspec.Struct, frozen=True):
     """An engine that this instance owns.
 
     Attributes:
@@ -64,8 +62,7 @@
     since: float
 
 
-@dataclass(frozen=True, slots=True)
-class Standing:
+class Standing(msgspec.Struct, frozen=True):
     """What an instance's moves depend on, besides the fleet.
 
     Attributes:
--- a/packages/wigeonarch-core/src/wigeonarch_core/quarantine.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/quarantine.py
@@ -20,7 +20,8 @@
 
 import enum
 from collections.abc import Collection
-from dataclasses import dataclass
+
+import msgspec
 
 from wigeonarch_core.engine_report import EngineReport
 from wigeonarch_core.refs import AdapterVersion
@@ -35,8 +36,7 @@
     OVER = "over"
 
 
-@dataclass(frozen=True, slots=True)
-class QuarantineBounds:
+class QuarantineBounds(msgspec.Struct, frozen=True):
     """Durations of a quarantine, in seconds.
 
     Attributes:
--- a/packages/wigeonarch-core/src/wigeonarch_core/quota_bank.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/quota_bank.py
@@ -39,6 +39,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+import msgspec
+
 from wigeonarch_core.teams import Quota
 
 USED: Final = 0.94  # Part of the bound that is given out.
@@ -68,8 +70,7 @@
 LITTLE: Final = 1e-9  # Units a second, where none are given.
 
 
-@dataclass(frozen=True, slots=True)
-class QuotaBounds:
+class QuotaBounds(msgspec.Struct, frozen=True):
     """How far all instances together may go beyond a quota's rate and burst.
 
     Attributes:
@@ -88,8 +89,7 @@
         return whole * (1.0 + self.overshoot) + self.slack
 
 
-@dataclass(frozen=True, slots=True)
-class Part:
+class Part(msgspec.Struct, frozen=True):
     """What an instance may give of a quota.
 
     Attributes:
@@ -101,8 +101,7 @@
     banker: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Verdict:
+class Verdict(msgspec.Struct, frozen=True):
     """The answer to a request for credit.
 
     Attributes:
@@ -120,16 +119,14 @@
     loan: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Plea:
+class Plea(msgspec.Struct, frozen=True):
     """Units that a zone wants of others, and the number that their loans must name."""
 
     number: int
     wanted: float
 
 
-@dataclass(frozen=True, slots=True)
-class _Grant:
+class _Grant(msgspec.Struct, frozen=True):
     """Units that were given to a team's request at a time."""
 
     team: str
--- a/packages/wigeonarch-core/src/wigeonarch_core/replica.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/replica.py
@@ -11,9 +11,10 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 from wigeonarch_core.catalogue import Catalogue
 from wigeonarch_core.changelog import Change, Result, Snapshot
 
@@ -29,8 +30,7 @@
     WENT_BACK = "went_back"  # It ends earlier, or holds another change in that place.
 
 
-@dataclass(frozen=True, slots=True)
-class Mark:
+class Mark(msgspec.Struct, frozen=True):
     """How far a copy was when a reading of the log began.
 
     A watch may bring more while the log is being read; what was read is not to be compared with
--- a/packages/wigeonarch-core/src/wigeonarch_core/routes.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/routes.py
@@ -13,7 +13,8 @@
 
 import enum
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from wigeonarch_core.teams import Teams
 
@@ -28,16 +29,14 @@
     STREAMING = "streaming"
 
 
-@dataclass(frozen=True, slots=True)
-class Share:
+class Share(msgspec.Struct, frozen=True):
     """A service and its weight in the split of a route."""
 
     service: str
     weight: int
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """Where requests of a host and path prefix go, and on which terms.
 
     Attributes:
@@ -74,8 +73,7 @@
         return self.kind is Kind.IDEMPOTENT
 
 
-@dataclass(frozen=True, slots=True)
-class ModelSpec:
+class ModelSpec(msgspec.Struct, frozen=True):
     """A base model that a service's engines can hold.
 
     Attributes:
@@ -91,8 +89,7 @@
     adapter_mb: float
 
 
-@dataclass(frozen=True, slots=True)
-class EngineSpec:
+class EngineSpec(msgspec.Struct, frozen=True):
     """What the engines of a service can do.
 
     Attributes:
@@ -112,8 +109,7 @@
     models: tuple[ModelSpec, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceSpec:
+class ServiceSpec(msgspec.Struct, frozen=True):
     """A service; `engine` is None for one that serves no models."""
 
     name: str
@@ -121,8 +117,7 @@
     engine: EngineSpec | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ClientLimits:
+class ClientLimits(msgspec.Struct, frozen=True):
     """What a caller may send, and how long it may take or stay idle.
 
     Attributes:
--- a/packages/wigeonarch-core/src/wigeonarch_core/routing.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/routing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 from wigeonarch_core.catalogue import Catalogue
 from wigeonarch_core.entries import EntryKey, EntryKind, Rule, Split
@@ -10,8 +10,7 @@
 from wigeonarch_core.refs import AdapterVersion, ModelName
 
 
-@dataclass(frozen=True, slots=True)
-class Unresolved:
+class Unresolved(msgspec.Struct, frozen=True):
     """A model name that nothing in the catalogue answers to."""
 
     reason: Reason
--- a/packages/wigeonarch-core/src/wigeonarch_core/service_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/service_choice.py
@@ -18,9 +18,10 @@
 
 import random
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 # What a way to another availability zone is worth, in requests under way per slot.
 ZONE_COST: Final = 0.35
 # A failing share of 1 is as bad as so many requests waiting per slot.
@@ -31,8 +32,7 @@
 ARRIVALS: Final = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceState:
+class ServiceState(msgspec.Struct, frozen=True):
     """What an instance believes of one endpoint of a plain service.
 
     Attributes:
--- a/packages/wigeonarch-core/src/wigeonarch_core/serving_right.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/serving_right.py
@@ -21,7 +21,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 from wigeonarch_core.outcomes import Reason
 
@@ -96,8 +96,7 @@
         return self.reaches(now) and now >= self._since + self._settle
 
 
-@dataclass(frozen=True, slots=True)
-class ZonePeer:
+class ZonePeer(msgspec.Struct, frozen=True):
     """What another instance of the zone said of itself.
 
     Attributes:
@@ -142,8 +141,7 @@
         return tuple(p for p in self._peers.values() if now - p.heard <= self._timeout)
 
 
-@dataclass(frozen=True, slots=True)
-class Situation:
+class Situation(msgspec.Struct, frozen=True):
     """All that the right to serve depends on.
 
     Attributes:
--- a/packages/wigeonarch-core/src/wigeonarch_core/settings.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/settings.py
@@ -9,7 +9,6 @@
 import ipaddress
 import math
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 from typing import Final
 
 import msgspec
@@ -22,8 +21,7 @@
 LOG_LEVELS: Final = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
 
 
-@dataclass(frozen=True, slots=True)
-class BadSettings:
+class BadSettings(msgspec.Struct, frozen=True):
     """Settings that cannot be used.
 
     Attributes:
@@ -35,8 +33,7 @@
     message: str
 
 
-@dataclass(frozen=True, slots=True)
-class Range:
+class Range(msgspec.Struct, frozen=True):
     """Which numbers a setting may be; the bounds belong to it unless said otherwise.
 
     Attributes:
@@ -60,8 +57,7 @@
         return low if math.isinf(self.most) else f"{low} and at most {self.most:g}"
 
 
-@dataclass(frozen=True, slots=True)
-class Check:
+class Check(msgspec.Struct, frozen=True):
     """One rule about settings that go together, told at the path of the one to change."""
 
     path: str
--- a/packages/wigeonarch-core/src/wigeonarch_core/store_contact.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/store_contact.py
@@ -23,14 +23,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 NEVER: Final = float("-inf")  # Before all times.
 
 
-@dataclass(frozen=True, slots=True)
-class Contact:
+class Contact(msgspec.Struct, frozen=True):
     """A stretch of time in which the store answered an instance without an outage.
 
     Attributes:
@@ -42,8 +42,7 @@
     until: float
 
 
-@dataclass(frozen=True, slots=True)
-class LapseTimes:
+class LapseTimes(msgspec.Struct, frozen=True):
     """What is known of entries that lapse, in seconds.
 
     Attributes:
--- a/packages/wigeonarch-core/src/wigeonarch_core/teams.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/teams.py
@@ -12,6 +12,8 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
+import msgspec
+
 
 class Unit(enum.StrEnum):
     """What a quota counts."""
@@ -20,8 +22,7 @@
     TOKENS = "tokens"
 
 
-@dataclass(frozen=True, slots=True)
-class Quota:
+class Quota(msgspec.Struct, frozen=True):
     """What all instances together may run for a team.
 
     Attributes:
@@ -43,8 +44,7 @@
         return self.plain_cost if tokens is None else float(tokens)
 
 
-@dataclass(frozen=True, slots=True)
-class Team:
+class Team(msgspec.Struct, frozen=True):
     """A team.
 
     Attributes:
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/claims.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/claims.py
@@ -4,10 +4,10 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Final
 
 import msgspec
+from msgspec.structs import replace
 from wigeonarch_core import ownership
 from wigeonarch_core.custody import Custody
 from wigeonarch_core.fleet import Ownership
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/admission.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/admission.py
@@ -12,9 +12,9 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
 from wigeonarch_core.routes import Route, RoutingTable
 from wigeonarch_core.teams import KeyProblem, Quota, Team, team_of
 
@@ -36,24 +36,21 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
+class Admitted(msgspec.Struct, frozen=True):
     """The request may be served, for a team or for none, on credit or without."""
 
     team: Team | None = None
     credit: Credit | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Denied:
+class Denied(msgspec.Struct, frozen=True):
     """The request is not allowed, and coming back does not help: its key is not known."""
 
     reason: str
     text: str
 
 
-@dataclass(frozen=True, slots=True)
-class Deferred:
+class Deferred(msgspec.Struct, frozen=True):
     """The request may come back.
 
     Attributes:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/calls.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/calls.py
@@ -4,15 +4,15 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from wigeonarch_gateway.connections import Lost
 from wigeonarch_gateway.pools import Pools
 from wigeonarch_gateway.ports import Dialect, EndpointRecord, Notice
 
 
-@dataclass(frozen=True, slots=True)
-class CallAnswer:
+class CallAnswer(msgspec.Struct, frozen=True):
     """The answer to a call; `sent` is False when it can't have reached the endpoint.
 
     Attributes:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
@@ -20,9 +20,9 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import replace
 from typing import Final
 
+from msgspec.structs import replace
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/exchange.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/exchange.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from wigeonarch_gateway.ports import Headers
 
 
-@dataclass(frozen=True, slots=True)
-class Incoming:
+class Incoming(msgspec.Struct, frozen=True):
     """A whole request of a caller.
 
     Attributes:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+import msgspec
 from wigeonarch_core.holding import Claim, Era, HolderRecord, Observed, claim, wanted_holder
 from wigeonarch_core.promises import PromisesGiven
 from wigeonarch_core.revisions import era_of
@@ -69,8 +70,7 @@
     task: asyncio.Task[None]
 
 
-@dataclass(frozen=True, slots=True)
-class GivenUp:
+class GivenUp(msgspec.Struct, frozen=True):
     """An engine that left the list while this instance held it.
 
     Attributes:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/intake.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/intake.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
 
+from msgspec.structs import replace
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
@@ -11,9 +11,9 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable, Collection
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
 from wigeonarch_core.lease import HeldLease
 from wigeonarch_core.promises import PromisesHeld
 from wigeonarch_entry.clock import monotonic
@@ -34,8 +34,7 @@
 URGENT_LEAST: Final = 0.25  # Seconds between renewals at least, however much there is to keep.
 
 
-@dataclass(frozen=True, slots=True)
-class Identity:
+class Identity(msgspec.Struct, frozen=True):
     """An instance.
 
     Attributes:
@@ -51,8 +50,7 @@
     zone: str
 
 
-@dataclass(frozen=True, slots=True)
-class Memory:
+class Memory(msgspec.Struct, frozen=True):
     """What a lease keeps besides: requests under which several endpoints ended.
 
     Attributes:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Final
 
+import msgspec
 from wigeonarch_core.quota_bank import QuotaBounds
 
 RETRY_MOST: Final = 1.6  # Seconds, where the time in which an instance must be up to date is short.
 
 
-@dataclass(frozen=True, slots=True)
-class RetryOptions:
+class RetryOptions(msgspec.Struct, frozen=True):
     """Bound on repeated sends over all instances: `share` of the fresh ones plus `allowance`.
 
     Attributes:
@@ -25,8 +24,7 @@
     window: float = 10.0
 
 
-@dataclass(frozen=True, slots=True)
-class HoldingOptions:
+class HoldingOptions(msgspec.Struct, frozen=True):
     """Times of leases and takeovers, in seconds.
 
     Attributes:
@@ -43,8 +41,7 @@
     pause: float = 3.3
 
 
-@dataclass(frozen=True, slots=True)
-class ObeyedOptions:
+class ObeyedOptions(msgspec.Struct, frozen=True):
     """Times within which what the store accepted must be in force everywhere, in seconds."""
 
     endpoints: float = 2.0
@@ -52,8 +49,7 @@
     versions: float = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class StoreOptions:
+class StoreOptions(msgspec.Struct, frozen=True):
     """Times of the watches of the store, in seconds.
 
     Attributes:
@@ -82,11 +78,10 @@
     returned: float = 2.2
     lapse: float = 3.0
     contact: float = 3.0
-    obeyed: ObeyedOptions = field(default_factory=ObeyedOptions)
+    obeyed: ObeyedOptions = msgspec.field(default_factory=ObeyedOptions)
 
 
-@dataclass(frozen=True, slots=True)
-class Options:
+class Options(msgspec.Struct, frozen=True):
     """Everything that a gateway is told at its start.
 
     Attributes:
@@ -118,7 +113,7 @@
     unready_noticed: float = 2.6
     log_level: str = "INFO"
     zones: int = 1
-    quotas: QuotaBounds = field(default_factory=QuotaBounds)
-    retries: RetryOptions = field(default_factory=RetryOptions)
-    holding: HoldingOptions = field(default_factory=HoldingOptions)
-    store: StoreOptions = field(default_factory=StoreOptions)
+    quotas: QuotaBounds = msgspec.field(default_factory=QuotaBounds)
+    retries: RetryOptions = msgspec.field(default_factory=RetryOptions)
+    holding: HoldingOptions = msgspec.field(default_factory=HoldingOptions)
+    store: StoreOptions = msgspec.field(default_factory=StoreOptions)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+import msgspec
 from wigeonarch_core.engine_choice import LOADS_AT_ONCE
 from wigeonarch_core.engine_places import AdapterKey, AdapterName, Places
 from wigeonarch_core.load_pace import LoadPace
@@ -94,8 +95,7 @@
     tried: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Right:
+class Right(msgspec.Struct, frozen=True):
     """The right to order an engine, judged by the holder of the lease.
 
     Attributes:
@@ -107,8 +107,7 @@
     fence: Callable[[], int]
 
 
-@dataclass(frozen=True, slots=True)
-class Surroundings:
+class Surroundings(msgspec.Struct, frozen=True):
     """What an orderer uses of its instance.
 
     Attributes:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
@@ -9,9 +9,9 @@
 
 import enum
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 from typing import Any, Protocol
 
+import msgspec
 from wigeonarch_core.engine_places import AdapterKey
 from wigeonarch_core.routes import RoutingTable
 
@@ -28,8 +28,7 @@
     HOLDERS = "holders"
 
 
-@dataclass(frozen=True, slots=True)
-class StoredObject:
+class StoredObject(msgspec.Struct, frozen=True):
     """An object of the store; `revision` is that of its last change."""
 
     name: str
@@ -37,47 +36,40 @@
     spec: Any
 
 
-@dataclass(frozen=True, slots=True)
-class Listing:
+class Listing(msgspec.Struct, frozen=True):
     """All objects of a kind as of a revision."""
 
     objects: tuple[StoredObject, ...]
     as_of: int
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
+class Change(msgspec.Struct, frozen=True):
     """One change that a watch told of."""
 
     found: StoredObject
     deleted: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Changes:
+class Changes(msgspec.Struct, frozen=True):
     """Changes of a kind up to a revision; none when the wait was over."""
 
     changes: tuple[Change, ...]
     as_of: int
 
 
-@dataclass(frozen=True, slots=True)
-class HistoryGone:
+class HistoryGone(msgspec.Struct, frozen=True):
     """The changes since the revision asked for are no longer kept; the kind must be listed."""
 
 
-@dataclass(frozen=True, slots=True)
-class Absent:
+class Absent(msgspec.Struct, frozen=True):
     """There is no such object."""
 
 
-@dataclass(frozen=True, slots=True)
-class Conflict:
+class Conflict(msgspec.Struct, frozen=True):
     """The object has another revision, or exists already."""
 
 
-@dataclass(frozen=True, slots=True)
-class Unavailable:
+class Unavailable(msgspec.Struct, frozen=True):
     """The store could not be used.
 
     Attributes:
@@ -135,8 +127,7 @@
     LEAVING = "leaving"
 
 
-@dataclass(frozen=True, slots=True)
-class HeldModel:
+class HeldModel(msgspec.Struct, frozen=True):
     """A base model that an engine holds, with its version and the adapters on it."""
 
     model: str
@@ -144,8 +135,7 @@
     adapters: tuple[AdapterKey, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointRecord:
+class EndpointRecord(msgspec.Struct, frozen=True):
     """What an endpoint says of itself.
 
     Attributes:
@@ -170,8 +160,7 @@
     born: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class EngineReport:
+class EngineReport(msgspec.Struct, frozen=True):
     """An engine's answer about itself; some hundred milliseconds old.
 
     Attributes:
@@ -201,8 +190,7 @@
     UNKNOWN = "unknown"  # No answer: it may have been or may yet be carried out.
 
 
-@dataclass(frozen=True, slots=True)
-class Order:
+class Order(msgspec.Struct, frozen=True):
     """An order to an engine.
 
     Attributes:
@@ -220,8 +208,7 @@
     sequence: int | None
 
 
-@dataclass(frozen=True, slots=True)
-class RequestTerms:
+class RequestTerms(msgspec.Struct, frozen=True):
     """What a caller's headers ask for.
 
     Attributes:
@@ -247,8 +234,7 @@
     tokens: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Dispatch:
+class Dispatch(msgspec.Struct, frozen=True):
     """What the system tells an endpoint of a request, besides what the caller sent.
 
     Attributes:
@@ -281,8 +267,7 @@
     FOREIGN = "foreign"  # The answer belongs to another request.
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerHead:
+class AnswerHead(msgspec.Struct, frozen=True):
     """Status line and headers of an answer; names are in lower case."""
 
     status: int
@@ -293,8 +278,7 @@
         return next((value for key, value in self.headers if key == name), None)
 
 
-@dataclass(frozen=True, slots=True)
-class Notice:
+class Notice(msgspec.Struct, frozen=True):
     """What an endpoint says of itself in the head of an answer, whatever was asked.
 
     Attributes:
@@ -308,8 +292,7 @@
     limit: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Dialect:
+class Dialect(msgspec.Struct, frozen=True):
     """How callers and endpoints spell things: the functions that translate.
 
     Attributes:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/quotas.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/quotas.py
@@ -12,9 +12,11 @@
 import math
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Final, Protocol
 
+import msgspec
+from msgspec.structs import replace
 from wigeonarch_core.quota_bank import Part, QuotaBank, Verdict
 from wigeonarch_core.teams import Quota, Team, Teams
 from wigeonarch_entry.clock import monotonic
@@ -61,16 +63,14 @@
         """Sends a message to any one instance of another zone."""
 
 
-@dataclass(frozen=True, slots=True)
-class Credit:
+class Credit(msgspec.Struct, frozen=True):
     """Credit that was given for a request, by a banker under a number."""
 
     banker: str
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(msgspec.Struct, frozen=True):
     """No credit.
 
     Attributes:
@@ -92,8 +92,7 @@
     at: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class _Held:
+class _Held(msgspec.Struct, frozen=True):
     """A refusal, until when it holds, and for what cost."""
 
     verdict: Verdict
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/status.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/status.py
@@ -4,13 +4,12 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
+import msgspec
 from aiohttp import web
 
 
-@dataclass(frozen=True, slots=True)
-class Page:
+class Page(msgspec.Struct, frozen=True):
     """A page: its path, and a function that returns its status and text."""
 
     path: str
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspects.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspects.py
@@ -19,9 +19,9 @@
 import asyncio
 from collections import defaultdict, deque
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
 from wigeonarch_core.fatal_requests import (
     ENDS_MOST,
     ENDS_NOTABLE,
@@ -52,8 +52,7 @@
 EndsByContent = list[tuple[str, list[str]]]
 
 
-@dataclass(frozen=True, slots=True)
-class _Run:
+class _Run(msgspec.Struct, frozen=True):
     """A run that was given up at a time; what it was, and where and when it was sent."""
 
     content: str
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
@@ -16,9 +16,9 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
 from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.logs import log
 
@@ -38,8 +38,7 @@
 FOUND_LOOK: Final = 0.1  # The same whether there is a keeper, before there is a first word of one.
 
 
-@dataclass(frozen=True, slots=True)
-class Watched:
+class Watched(msgspec.Struct, frozen=True):
     """What a watch tells of.
 
     Attributes:
--- a/tests/gateway_slopes.py
+++ b/tests/gateway_slopes.py
@@ -11,13 +11,13 @@
 import socket
 import sys
 import time
-from dataclasses import replace
 from typing import Final
 
 import gateway_world
 import uvloop
 from gateway_world import World, configuration
 from loguru import logger
+from msgspec.structs import replace
 from ports import free_port
 from standins.replica import Replica
 from standins.store import StoreStandIn
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -10,10 +10,11 @@
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
 import aiohttp
+from msgspec.structs import replace
 from ports import free_port
 from standins.replica import Replica
 from standins.store import StoreStandIn
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
+from msgspec.structs import replace
 from wigeonarch_core.acceptance import Lagging, Member, lagging
 from wigeonarch_core.catalogue import Catalogue
 from wigeonarch_core.changelog import Change, Put
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
 from engine_states import IDLE
+from msgspec.structs import replace
 from wigeonarch_core.engine_choice import EngineState, choose, choose_again
 from wigeonarch_core.service_choice import ServiceState, choose_plain
 
--- a/tests/test_engine_pace.py
+++ b/tests/test_engine_pace.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
 from engine_states import IDLE
+from msgspec.structs import replace
 from wigeonarch_core.engine_choice import EngineState, choose, until_first_token
 from wigeonarch_core.engine_pace import FADES, EnginePaces
 
--- a/tests/test_given_up_engines.py
+++ b/tests/test_given_up_engines.py
@@ -10,9 +10,9 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 
 from gateway_world import HOLDING, World, until_true, world
+from msgspec.structs import replace
 from wigeonarch_gateway.node import Node
 
 HOLDER = ("wigeonarch-holders", "i-llm")
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from itertools import pairwise
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 from wigeonarch_core.holding import Claim, Era, HolderRecord, Observed, claim
 from wigeonarch_core.lease import HeldLease
 from wigeonarch_core.revisions import era_of, in_era, within_era
--- a/tests/test_missing_endpoints.py
+++ b/tests/test_missing_endpoints.py
@@ -12,9 +12,9 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 
 from gateway_world import STORE, cut_from_store, until_true, world
+from msgspec.structs import replace
 from wigeonarch_gateway.options import StoreOptions
 
 INSTANCES = 8
--- a/tests/test_pausing.py
+++ b/tests/test_pausing.py
@@ -8,10 +8,11 @@
 
 import random
 from collections import deque
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import pytest
 from engine_states import IDLE
+from msgspec.structs import replace
 from wigeonarch_core.engine_choice import READ_RATE, EngineState, choose, stalls
 
 STEP = 0.0045  # Seconds of a step without a prompt.
