make gateway-demo: the gateway shown to a newcomer, as separate processes, in twenty seconds

Change: tests/gateway_demo.py starts a stand-in store, two engines, a plain service and four gateways in two zones as processes of their own (standins/__main__.py runs one stand-in) and shows eight things, each with a command to see it: all serve; a stream; an adapter that no engine held; calls that ran once; an engine that leaves and the one that takes its place; the gateway killed that ordered an engine, which another takes over; the store silent for 4 s, with an adapter loaded meanwhile; a new route. Exit 0 only if each was shown.

Ruled out: stand-ins in the demo's own process; then the store could not be silent by a signal.

--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,9 @@
 SEED ?= 1
 SEEDS ?= 1
 SECONDS ?= 15
+KEEP ?=
 
-.PHONY: setup test check format unit demo demo-serve bench slopes soak gateway-slopes schema
+.PHONY: setup test check format unit demo demo-serve gateway-demo bench slopes soak gateway-slopes schema
 
 $(READY): constraints.txt requirements.txt $(PACKAGES)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -50,6 +51,9 @@
 slopes: $(READY)
 	$(BIN)/python -m wigeonarch_fakes.slopes
 
+gateway-demo: $(READY)
+	$(BIN)/python tests/gateway_demo.py $(KEEP)
+
 soak: $(READY)
 	$(BIN)/python tests/soak.py --seed $(SEED) --seconds $(SECONDS) --seeds $(SEEDS)
 
--- /dev/null
+++ b/tests/standins/__main__.py
@@ -0,0 +1,51 @@
+"""Runs one stand-in as a process: `python -m standins store`, `python -m standins replica ...`.
+
+Its first line is `ready ADDRESS`; a replica also writes a line for each request that it runs.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+
+from standins.replica import Replica, Seen
+from standins.store import StoreStandIn
+
+
+class Log(list[Seen]):
+    """Runs of a replica, each told as it begins."""
+
+    def append(self, seen: Seen) -> None:
+        """Notes and tells a run."""
+        super().append(seen)
+        print("ran", seen.headers.get("x-request-id", ""), flush=True)
+
+
+async def run(args: argparse.Namespace) -> None:
+    """Listens until the process is ended."""
+    if args.what == "store":
+        store = StoreStandIn()
+        await store.start()
+        print("ready", store.address, flush=True)
+    else:
+        replica = Replica(args.service, args.zone, args.model, name=args.name, ran=Log())
+        replica.load_time = args.load_time
+        await replica.start()
+        print("ready", replica.address, flush=True)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Runs the stand-in that the arguments name."""
+    parser = argparse.ArgumentParser(prog="python -m standins", description=__doc__)
+    parser.add_argument("what", choices=["store", "replica"])
+    parser.add_argument("--service", default="")
+    parser.add_argument("--zone", default="a")
+    parser.add_argument("--model", default="", help="model that it holds; none for a plain service")
+    parser.add_argument("--name", default="i-1")
+    parser.add_argument("--load-time", type=float, default=0.1, help="seconds")
+    asyncio.run(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_gateway_demo.py
@@ -0,0 +1,11 @@
+"""The demo of the gateway shows what it says."""
+
+from __future__ import annotations
+
+import pytest
+from gateway_demo import STEPS, show
+
+
+async def test_all_steps_are_shown(capsys: pytest.CaptureFixture[str]) -> None:
+    assert await show(keep=False) == 0, capsys.readouterr().out
+    assert capsys.readouterr().out.count("\n     ") == len(STEPS)
