--- a/tests/gateway_demo.py
+++ b/tests/gateway_demo.py
@@ -360,8 +360,8 @@
     finally:
         demo.programs["store"].signal(signal.SIGCONT)
     return (
-        f"the store was silent for {AWAY:.0f} s: all of {demo.asked - asked} requests were answered "
-        "meanwhile, one with an adapter that had to be loaded",
+        f"the store was silent for {AWAY:.0f} s: all of {demo.asked - asked} requests were "
+        "answered meanwhile, one with an adapter that had to be loaded",
         f"grep -ho 'store_away=[A-Za-z]*' {demo.folder}/edge-*.log",
     )
 
