--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,7 +8,7 @@
     touch target/deps/.libraries
 fi
 for package in packages/wigeonarch-core/src/wigeonarch_core \
-    packages/wigeonarch-entry/src/wigeonarch_entry \
+    packages/wigeonarch-runtime/src/wigeonarch_runtime \
     packages/wigeonarch-gateway/src/wigeonarch_gateway \
     platform/wigeonarch_platform; do
     rm -rf "target/deps/$(basename "$package")"
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/calling.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/calling.py
@@ -8,9 +8,9 @@
 from wigeonarch_core.fleet import Endpoint
 from wigeonarch_core.lifecycle import Event, Phase
 from wigeonarch_core.outcomes import Answered, Failed, Outcome, Reason
+from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_entry.attempts import NO_ENDPOINT_RETRY, Mishap, Progress
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.endpoints import Endpoints
 from wigeonarch_entry.journal import Journal
 from wigeonarch_entry.requests import Call, Request
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/changefeed.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/changefeed.py
@@ -16,9 +16,9 @@
 from wigeonarch_core.changelog import Change
 from wigeonarch_core.records import CHANGES, change_name
 from wigeonarch_core.replica import Mark, Replica, Tail, judge_tail, mark_of
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.metrics import Metrics
 from wigeonarch_entry.platform import Page, Platform, Unavailable
 from wigeonarch_entry.snapshots import SnapshotReader
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/claims.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/claims.py
@@ -16,10 +16,10 @@
 from wigeonarch_core.quarantine import Quarantine, QuarantineBounds
 from wigeonarch_core.records import LEASES, OWNERS, LeaseRecord, OwnerRecord
 from wigeonarch_core.scheduler import EngineScheduler
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.handover import HandOvers
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.owned import Owned, OwnerContext
 from wigeonarch_entry.platform import Found, Missing, Unavailable, Written
 
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/cli.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/cli.py
@@ -13,8 +13,8 @@
 import uvloop
 from wigeonarch_core.options import Options
 from wigeonarch_core.settings import BadSettings, decode_options
+from wigeonarch_runtime import logs
 
-from wigeonarch_entry import logs
 from wigeonarch_entry.node import Node
 
 EXIT_OK: Final = 0
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/configuration.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/configuration.py
@@ -27,10 +27,10 @@
 from wigeonarch_core.records import CHANGES, LEASES, LeaseRecord, change_name
 from wigeonarch_core.replica import Replica
 from wigeonarch_core.serving_right import Situation, ZonePeer, ZoneView
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_entry.changefeed import ChangeFeed
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.membership import Membership
 from wigeonarch_entry.metrics import Metrics
 from wigeonarch_entry.platform import Conflict, Found, Platform, Unavailable, Written
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/dispatch.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/dispatch.py
@@ -16,17 +16,17 @@
 from wigeonarch_core.options import Options
 from wigeonarch_core.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from wigeonarch_core.retry import PAUSE_LEAST, PAUSE_MOST, RetryBudget, full_jitter
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_entry.attempts import NO_ENDPOINT_RETRY, Mishap, Progress
 from wigeonarch_entry.calling import Calling
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.endpoints import Endpoints
 from wigeonarch_entry.engines import Engines
 from wigeonarch_entry.generating import Generating
 from wigeonarch_entry.grants import Grants
 from wigeonarch_entry.journal import Journal
 from wigeonarch_entry.keys import Hold, Keys
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.metrics import Metrics
 from wigeonarch_entry.requests import Generate, Request, Show
 from wigeonarch_entry.services import Services
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/endpoints.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/endpoints.py
@@ -9,9 +9,9 @@
 from wigeonarch_core.fleet import Endpoint, Fleet
 from wigeonarch_core.lifecycle import Event, Phase
 from wigeonarch_core.outcomes import Reason
+from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_entry.attempts import NO_ENDPOINT_RETRY, Mishap, Progress
-from wigeonarch_entry.clock import monotonic
 
 # What says that an endpoint cannot be reached, whatever the request.
 _TRANSPORT: Final = frozenset({Event.CONNECT_FAILED, Event.LOST, Event.SILENT})
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/following.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/following.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.logs import log
+
 from wigeonarch_entry.platform import Platform, Unavailable, WatchEvent
 
 RETRY_LEAST: Final = 0.5
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/generating.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/generating.py
@@ -12,9 +12,9 @@
 from wigeonarch_core.options import Options
 from wigeonarch_core.outcomes import Outcome, Reason
 from wigeonarch_core.placement import EngineView, choose
+from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_entry.attempts import Mishap, Progress
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.endpoints import Endpoints
 from wigeonarch_entry.engines import Engines, Generation
 from wigeonarch_entry.grants import Grants
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/granting.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/granting.py
@@ -11,9 +11,9 @@
 from wigeonarch_core.outcomes import Reason
 from wigeonarch_core.ownership import confirmed
 from wigeonarch_core.quarantine import Stage
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.owned import Owned, OwnerContext
 
 DECLARE_INTERVAL: Final = 0.5
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/grants.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/grants.py
@@ -18,8 +18,7 @@
 from wigeonarch_core.messages import Ask, DeclarePins, Granted, Message, Moved, Refused, Release
 from wigeonarch_core.options import Timing
 from wigeonarch_core.outcomes import Reason
-
-from wigeonarch_entry.clock import monotonic
+from wigeonarch_runtime.clock import monotonic
 
 REPEAT: Final = 0.5
 
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/handover.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/handover.py
@@ -18,10 +18,10 @@
 from wigeonarch_core.messages import Accepted, Ask, HeldPin, Moved, Offer, OfferedPin, Release
 from wigeonarch_core.ownership import HandOver, Holding, confirmed
 from wigeonarch_core.records import OWNERS, VACANT, OwnerRecord
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.granting import Granting
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.owned import Owned, OwnerContext
 from wigeonarch_entry.platform import Unavailable, Written
 
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/httperrors.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/httperrors.py
@@ -8,8 +8,8 @@
 
 from aiohttp import web
 from wigeonarch_core.outcomes import Answered, Failed, NotRun, Outcome, Reason
+from wigeonarch_runtime.logs import log
 
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.statuses import OUTCOME_NAMES, RETRIABLE, status_of
 from wigeonarch_entry.texts import BROKEN, METHOD_UNKNOWN, NOT_RUN, PATH_UNKNOWN, tell
 
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/intake.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/intake.py
@@ -21,8 +21,8 @@
 from wigeonarch_core.outcomes import NotRun, Reason
 from wigeonarch_core.refs import is_operation, parse_model
 from wigeonarch_core.routing import Unresolved, resolve
+from wigeonarch_runtime.clock import monotonic, unix_time
 
-from wigeonarch_entry.clock import monotonic, unix_time
 from wigeonarch_entry.requests import Call, Generate, Request
 from wigeonarch_entry.texts import (
     BAD_CALLER,
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/journal.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/journal.py
@@ -6,8 +6,7 @@
 from dataclasses import dataclass, field
 
 from wigeonarch_core.outcomes import Outcome
-
-from wigeonarch_entry.clock import monotonic
+from wigeonarch_runtime.clock import monotonic
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/keys.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/keys.py
@@ -30,9 +30,9 @@
 from wigeonarch_core.key_stamps import expiry, is_purgeable, is_usable
 from wigeonarch_core.outcomes import NotRun, Outcome, Reason, Unknown
 from wigeonarch_core.records import KEYS, KeyRecord
+from wigeonarch_runtime.clock import monotonic, unix_time
+from wigeonarch_runtime.logs import log
 
-from wigeonarch_entry.clock import monotonic, unix_time
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.metrics import Metrics
 from wigeonarch_entry.platform import Found, Missing, Platform, Unavailable, Written
 from wigeonarch_entry.requests import Generate, Request
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/membership.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/membership.py
@@ -22,10 +22,10 @@
 from wigeonarch_core.promises import PromisesGiven
 from wigeonarch_core.records import LEASES, OWNERS, LeaseRecord, OwnerRecord
 from wigeonarch_core.serving_right import LeasePeriod, Reach
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.following import Follower
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.peers import Peers
 from wigeonarch_entry.platform import Found, Platform, Unavailable, Written
 
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/node.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/node.py
@@ -30,6 +30,7 @@
 from wigeonarch_core.options import Options
 from wigeonarch_core.outcomes import Reason
 from wigeonarch_core.serving_right import Reach
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_entry.configuration import Configuration
 from wigeonarch_entry.dispatch import Dispatcher
@@ -38,7 +39,6 @@
 from wigeonarch_entry.httpdoor import HttpDoor
 from wigeonarch_entry.journal import Journal
 from wigeonarch_entry.keys import Keys
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.membership import Membership
 from wigeonarch_entry.metrics import Metrics
 from wigeonarch_entry.owners import Owners
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/orders.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/orders.py
@@ -15,10 +15,10 @@
 from wigeonarch_core.messages import LoadBid, LoadEnded, LoadTurn
 from wigeonarch_core.ownership import confirmed
 from wigeonarch_core.refs import AdapterVersion
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.engines import OrderResult
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.owned import Owned, OwnerContext
 from wigeonarch_entry.sending import sent_only_if
 from wigeonarch_entry.turns import Turns
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/owners.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/owners.py
@@ -13,13 +13,13 @@
 from wigeonarch_core.ownership import HandOver, plan
 from wigeonarch_core.quarantine import Stage
 from wigeonarch_core.records import LEASES
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_entry.claims import Claims
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.engines import Engines
 from wigeonarch_entry.granting import Granting
 from wigeonarch_entry.handover import HandOvers
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.membership import Membership
 from wigeonarch_entry.metrics import Metrics
 from wigeonarch_entry.orders import Orders
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/peers.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/peers.py
@@ -13,8 +13,8 @@
 import zmq
 import zmq.asyncio
 from wigeonarch_core.messages import Message, decode, encode
+from wigeonarch_runtime.logs import log
 
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.metrics import Metrics
 
 QUEUE_BOUND: Final = 10_000
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/platform.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/platform.py
@@ -15,8 +15,8 @@
 import msgspec
 from wigeonarch_core.listing import Listed
 from wigeonarch_core.serving_right import Reach
+from wigeonarch_runtime.clock import monotonic
 
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.metrics import Metrics
 
 INSTANCE_HEADER: Final = "X-Instance"
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/reading.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/reading.py
@@ -18,9 +18,9 @@
 from wigeonarch_core.options import Timing
 from wigeonarch_core.outcomes import Answered, Outcome, Reason
 from wigeonarch_core.retry import full_jitter
+from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_entry.attempts import NO_ENDPOINT_RETRY, Mishap, Progress
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.engines import Broken, Chunk, Engines, Generation
 from wigeonarch_entry.journal import Journal
 from wigeonarch_entry.metrics import Metrics
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/refusals.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/refusals.py
@@ -6,10 +6,10 @@
 from typing import Final
 
 from wigeonarch_core.outcomes import NotRun
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.journal import Journal
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.metrics import Metrics
 
 STEP: Final = "intake"
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/rpcfleet.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/rpcfleet.py
@@ -5,10 +5,10 @@
 from typing import Any
 
 import grpc
+from wigeonarch_runtime.clock import monotonic
 from wigeonarch_schema import wigeonarch_pb2 as pb
 from wigeonarch_schema import wigeonarch_pb2_grpc as rpc
 
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.enginestatus import engine_statuses
 from wigeonarch_entry.rpcparts import Context, Parts, abort
 
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/snapshots.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/snapshots.py
@@ -28,9 +28,9 @@
     split,
     to_part,
 )
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.platform import Conflict, Found, Missing, Platform, Unavailable, Written
 
 CHECK_PAUSE: Final = 5.0
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/support.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/support.py
@@ -14,9 +14,9 @@
 from wigeonarch_core.options import Options
 from wigeonarch_core.promises import PromisesHeld
 from wigeonarch_core.records import LEASES, LeaseRecord
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
 from wigeonarch_entry.membership import Membership
 from wigeonarch_entry.owned import Send
 from wigeonarch_entry.platform import Conflict, Found, Platform, Written
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/turns.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/turns.py
@@ -8,8 +8,8 @@
 from wigeonarch_core.homes import ranked
 from wigeonarch_core.messages import LoadBid, LoadEnded, LoadTurn
 from wigeonarch_core.turn import LoadTurns
+from wigeonarch_runtime.clock import monotonic
 
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_entry.owned import OwnerContext
 
 TURN_KEY: Final = "load-turn"
--- a/packages/wigeonarch-fakes/src/wigeonarch_fakes/demo.py
+++ b/packages/wigeonarch-fakes/src/wigeonarch_fakes/demo.py
@@ -16,7 +16,7 @@
 import aiohttp
 import grpc
 import uvloop
-from wigeonarch_entry import logs
+from wigeonarch_runtime import logs
 
 from wigeonarch_fakes.demo_fleet import PLAIN_SERVICE, DemoFleet, Plan, demo_fleet
 from wigeonarch_fakes.demo_steps import MODEL, STEPS, Result, Step, Tour, make_tour
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/catalogue.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/catalogue.py
@@ -11,7 +11,7 @@
 from wigeonarch_core.engine_places import AdapterKey
 from wigeonarch_core.revisions import era_of, within_era
 from wigeonarch_core.routes import RoutingTable
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.ports import Change, StoredObject
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/counting.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/counting.py
@@ -11,8 +11,8 @@
 from typing import Any, TypeVar
 
 from wigeonarch_core.store_contact import StoreContact
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.ports import (
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/discovery.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/discovery.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
-from wigeonarch_entry.clock import monotonic
+from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_gateway.directory import (
     LARGE_ZONE,
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/door.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/door.py
@@ -17,8 +17,8 @@
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway import texts
 from wigeonarch_gateway.exchange import Answer, Incoming
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
@@ -23,8 +23,8 @@
 from typing import Final
 
 from msgspec.structs import replace
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.ports import EndpointRecord, EndpointState
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
@@ -14,7 +14,7 @@
 
 from wigeonarch_core.engine_places import AdapterKey, AdapterName, satisfies
 from wigeonarch_core.load_pace import COLD_LOAD
-from wigeonarch_entry.clock import monotonic
+from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_gateway.messages import Adapter, PlacesNews
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/evidence.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/evidence.py
@@ -9,7 +9,7 @@
 from wigeonarch_core.doubt import Doubts
 from wigeonarch_core.engine_pace import EnginePaces, Wait
 from wigeonarch_core.rests import Rests
-from wigeonarch_entry.clock import monotonic
+from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_gateway.jobs import Job
 from wigeonarch_gateway.limits import Limits
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/finding.py
@@ -15,8 +15,8 @@
 from wigeonarch_core.engine_places import AdapterKey
 from wigeonarch_core.service_choice import ServiceState, choose_plain
 from wigeonarch_core.service_load import ServiceTimes, sent_share
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.catalogue import Catalogue
 from wigeonarch_gateway.endpoints import Endpoints
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
@@ -13,8 +13,8 @@
 from wigeonarch_core.promises import PromisesGiven
 from wigeonarch_core.revisions import era_of
 from wigeonarch_core.routes import EngineSpec
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.engineviews import NEWS_VALID, EngineViews
 from wigeonarch_gateway.leasing import Leasing
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/intake.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/intake.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 
 from msgspec.structs import replace
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.catalogue import Catalogue
 from wigeonarch_gateway.endpoints import Endpoints
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
@@ -16,8 +16,8 @@
 import msgspec
 from wigeonarch_core.lease import HeldLease
 from wigeonarch_core.promises import PromisesHeld
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.messages import PromiseMade, RenewalDone, RenewalPlea
 from wigeonarch_gateway.options import HoldingOptions
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
@@ -20,8 +20,8 @@
 from typing import Final
 
 from wigeonarch_core.permits import HOLDS, PermitBucket
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.messages import LimitNamed, Message, PermitAnswer, PermitAsk
 from wigeonarch_gateway.metrics import Metrics
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/links.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/links.py
@@ -15,7 +15,7 @@
 from ipaddress import IPv4Address
 from typing import Final, cast
 
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.messages import Message, decode, encode
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -15,8 +15,8 @@
 from wigeonarch_core.engine_places import AdapterKey, AdapterName
 from wigeonarch_core.homes import ranked
 from wigeonarch_core.store_contact import Contact, StoreContact
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.directory import GONE, LARGE_ZONE
 from wigeonarch_gateway.discovery import FORGET_ADDRESS, START_TOGETHER, Discovery
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/model_turns.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/model_turns.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
-from wigeonarch_entry.clock import monotonic
+from wigeonarch_runtime.clock import monotonic
 
 WINDOW: Final = 5.0  # Seconds over which loads are counted.
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -17,8 +17,8 @@
 from wigeonarch_core.retry_window import RetryWindow
 from wigeonarch_core.routes import EngineSpec, RoutingTable
 from wigeonarch_core.store_contact import LapseTimes, StoreContact
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import dropped, log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import dropped, log
 
 from wigeonarch_gateway.admission import Admission
 from wigeonarch_gateway.catalogue import Catalogue
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/notices.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/notices.py
@@ -15,8 +15,8 @@
 from collections.abc import Callable
 
 from wigeonarch_core.rests import Rests
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.endpoints import Endpoints
 from wigeonarch_gateway.limits import Limits
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/orderer.py
@@ -18,8 +18,8 @@
 from wigeonarch_core.engine_places import AdapterKey, AdapterName, Places
 from wigeonarch_core.load_pace import LoadPace
 from wigeonarch_core.routes import EngineSpec, ModelSpec
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.calls import CallAnswer, call
 from wigeonarch_gateway.messages import PlacesNews
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/passing.py
@@ -13,8 +13,8 @@
 
 from wigeonarch_core.engine_choice import until_first_token
 from wigeonarch_core.retry_window import RetryWindow
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway import texts
 from wigeonarch_gateway.closing import Closing, for_caller
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/quotas.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/quotas.py
@@ -19,8 +19,8 @@
 from msgspec.structs import replace
 from wigeonarch_core.quota_bank import Part, QuotaBank, Verdict
 from wigeonarch_core.teams import Quota, Team, Teams
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.messages import (
     CreditAnswer,
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
@@ -12,8 +12,8 @@
 from wigeonarch_core.content_key import content_key
 from wigeonarch_core.retry_window import RetryWindow
 from wigeonarch_core.routes import Route, RoutingTable, pick_service
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway import texts
 from wigeonarch_gateway.admission import Admission, Admitted, Deferred, Denied
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -34,8 +34,8 @@
 
 from wigeonarch_core.revisions import era_of
 from wigeonarch_core.store_contact import StoreContact
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.feeding import Feed
 from wigeonarch_gateway.links import MESSAGE_BOUND
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/support.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/support.py
@@ -7,7 +7,7 @@
 
 import asyncio
 
-from wigeonarch_entry.clock import monotonic
+from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_gateway.holders import Holders
 from wigeonarch_gateway.members import Members
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspects.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspects.py
@@ -31,8 +31,8 @@
     FatalRequests,
     end_of,
 )
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.messages import EndsTold, Message
 from wigeonarch_gateway.metrics import Metrics
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/traffic.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/traffic.py
@@ -13,7 +13,7 @@
 
 from wigeonarch_core.engine_pace import Wait
 from wigeonarch_core.engine_places import AdapterKey
-from wigeonarch_entry.clock import monotonic
+from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_gateway.messages import LoadShare
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
@@ -19,8 +19,8 @@
 from typing import Final
 
 import msgspec
-from wigeonarch_entry.clock import monotonic
-from wigeonarch_entry.logs import log
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.options import StoreOptions
 from wigeonarch_gateway.ports import (
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/wishes.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/wishes.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from wigeonarch_core.engine_places import AdapterKey
-from wigeonarch_entry.clock import monotonic
+from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_gateway.engineviews import EngineViews, to_adapter
 from wigeonarch_gateway.holders import Holders
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/logs.py
+++ b/packages/wigeonarch-runtime/src/wigeonarch_runtime/logs.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from loguru import Record
 
-from wigeonarch_entry.logqueue import LogQueue
+from wigeonarch_runtime.logqueue import LogQueue
 
 _sink: Final = LogQueue(1)
 _NEEDS_QUOTES: Final = frozenset(' ="\\')
--- a/tests/test_doors_logs.py
+++ b/tests/test_doors_logs.py
@@ -6,7 +6,7 @@
 import shlex
 
 import pytest
-from wigeonarch_entry import logs
+from wigeonarch_runtime import logs
 
 
 @pytest.mark.parametrize(
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -10,7 +10,7 @@
 from standins.replica import Replica
 from standins.store import Trouble
 from wigeonarch_core.load_pace import COLD_LOAD
-from wigeonarch_entry.clock import monotonic
+from wigeonarch_runtime.clock import monotonic
 
 
 def holders_of_orders(replica: Replica) -> list[str]:
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -11,9 +11,9 @@
 from gateway_world import Answer, World, configuration, route, until, world
 from standins.replica import Replica
 from wigeonarch_core.permits import HOLDS
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_gateway.ports import AnswerHead
 from wigeonarch_platform.dialect import read_notice
+from wigeonarch_runtime.clock import monotonic
 
 WINDOW = 4.0  # Seconds over which arrivals count.
 OVER = 1.5  # Times the limit that may arrive in a window,
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -8,12 +8,12 @@
 from gateway_world import World, configuration, contact, cut_from_store, until_true, world
 from standins.store import Trouble
 from wigeonarch_core.store_contact import StoreContact
-from wigeonarch_entry.clock import monotonic
 from wigeonarch_gateway.messages import Follow, Told, Untold
 from wigeonarch_gateway.node import Node
 from wigeonarch_gateway.options import ObeyedOptions, StoreOptions
 from wigeonarch_gateway.ports import EndpointState, Kinds
 from wigeonarch_gateway.sharing import KINDS, Sharing
+from wigeonarch_runtime.clock import monotonic
 
 KIND = Kinds.ENDPOINTS
 LAPSE = StoreOptions().lapse
--- a/tests/test_logqueue.py
+++ b/tests/test_logqueue.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from wigeonarch_entry.logqueue import LogQueue
+from wigeonarch_runtime.logqueue import LogQueue
 
 LINE = "x" * 999 + "\n"
 
