members.py split: who does what stands in duties.py, one instance's state in member.py

Change: Duties has the last part, works on what Members hears and can be read alone; Member has a module of its own; quotas name two ports (who keeps credit, ways to the others) where they had one. Code moved as it was; `members.keepers()` and the like are `members.duties.keepers()`. Tests: the same assertions by the new names, the clock set in the new module too.

Ruled out: sending heartbeats as the part to move; it reads all that Members knows.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/holders.py
@@ -233,7 +233,7 @@
             return False
         if monotonic() - self._read.get(endpoint, float("-inf")) < READ_EVERY:
             return False
-        candidates = self._members.candidates(record.zone, not self.leaving)
+        candidates = self._members.duties.candidates(record.zone, not self.leaving)
         return wanted_holder(endpoint, candidates) == self._me
 
     def _needs_look(self, record: EndpointRecord, heard: set[str]) -> bool:
@@ -280,7 +280,7 @@
             self._me,
             held is not None and self._is_confirmed(held),
             self._members.holding() | set(self.promises.owners(monotonic())),
-            self._members.candidates(record.zone, not self.leaving),
+            self._members.duties.candidates(record.zone, not self.leaving),
             self.observed,
             self._opts.pause,
             held is not None and self._keeps(held),
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -6,22 +6,20 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import random
-from collections.abc import Callable, Collection, Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
 from wigeonarch_core.engine_places import AdapterKey, AdapterName
-from wigeonarch_core.homes import ranked
-from wigeonarch_core.store_contact import Contact, StoreContact
+from wigeonarch_core.store_contact import StoreContact
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.logs import log
 
-from wigeonarch_gateway.directory import GONE, LARGE_ZONE
-from wigeonarch_gateway.discovery import FORGET_ADDRESS, START_TOGETHER, Discovery
+from wigeonarch_gateway.discovery import FORGET_ADDRESS, Discovery
+from wigeonarch_gateway.duties import Duties
 from wigeonarch_gateway.engineviews import to_adapter
 from wigeonarch_gateway.links import Links
+from wigeonarch_gateway.member import Member, contact_of
 from wigeonarch_gateway.messages import (
     Beat,
     LoadShare,
@@ -47,43 +45,8 @@
 NEWS_MOST: Final = 2.5
 HEARD: Final = 1.3  # Seconds without a heartbeat until an instance is not heard, at least;
 HEARD_BEATS: Final = 3.2  # and so many times the pause between heartbeats.
-# Seconds for which an instance must have been heard to be preferred for an endpoint: one that just
-# started would have to watch the last holder's lease anew.
-SETTLED: Final = 5.0
-# Seconds without a sign of life of any instance of an availability zone, before others order its
-# endpoints.
-ZONE_EMPTY: Final = 15.0
-KEEPERS_LEAST: Final = 3  # Keepers of a large zone, at least, so that two may be lost at once.
-ZONE_PER_KEEPER: Final = 16  # Instances of a zone per keeper of it.
-# Seconds without an answer of the store, by what its heartbeats say, after which a keeper comes
-# last among those that may watch for the others. One that follows another keeper stays below it.
-OUT_OF_CONTACT: Final = 5.0
 # Seconds after its start in which an instance makes itself known to all.
 KNOWN_AFTER: Final = 4.0
-KEEPERS_KEY: Final = "keepers"
-BANKER_KEY: Final = "banker/"
-LIMITER_KEY: Final = "limiter/"
-
-
-@dataclass(slots=True)
-class Member:
-    """Another instance, as its last heartbeat described it; `since` is its first one's time.
-
-    The contact is its contact with the store, by this instance's clock: later than it was by the
-    time that the heartbeat took. So is its start, which all know alike.
-    """
-
-    name: str
-    incarnation: str
-    address: str
-    zone: str
-    leaving: bool
-    holds: bool
-    since: float
-    heard: float
-    uses: dict[str, list[AdapterName]]
-    contact: Contact | None
-    started: float
 
 
 class Members:
@@ -91,13 +54,11 @@
 
     Attributes:
         discovery: Where they are.
-        leaving: Whether this instance is shutting down.
+        duties: What each of them is there for.
     """
 
     __slots__ = (
         "_address",
-        "_bankers",
-        "_bankers_of",
         "_contact",
         "_directory",
         "_held_by",
@@ -114,7 +75,7 @@
         "_started",
         "_traffic",
         "discovery",
-        "leaving",
+        "duties",
     )
 
     def __init__(
@@ -162,10 +123,16 @@
         self._on_silent = on_silent
         self._metrics = metrics
         self._members: dict[str, Member] = {}
-        self._bankers_of: tuple[str, ...] = ()
-        self._bankers: dict[str, list[str]] = {}
         self._pause = BEAT_LEAST
-        self.leaving = False
+        self.duties = Duties(
+            opts.instance,
+            opts.zone,
+            self._members,
+            self.heard,
+            self._directory,
+            contact,
+            self._started,
+        )
 
     def heard(self) -> list[str]:
         """Returns the instances heard lately, without this one."""
@@ -176,133 +143,6 @@
         """Returns those of them whose lease holds."""
         return {name for name in self.heard() if self._members[name].holds}
 
-    def rivals(self, zones: Collection[str], within: float = GONE) -> set[str]:
-        """Returns the instances that could take over an endpoint of one of these zones.
-
-        Args:
-            zones: Availability zones.
-            within: Seconds since the last sign of life of those that count.
-        """
-        now = monotonic()
-        signs = {name: (member.zone, member.heard) for name, member in self._members.items()}
-        for name, entry in self._directory.entries.items():
-            heard = signs.get(name, (entry.zone, entry.sign))[1]
-            signs[name] = (entry.zone, max(entry.sign, heard))
-        alive = {name for name, (zone, at) in signs.items() if zone in zones and now - at < within}
-        return alive - {self._opts.instance}
-
-    def candidates(self, zone: str, me: bool) -> list[str]:
-        """Returns the instances that may take an endpoint of an availability zone.
-
-        Only those of the zone may: it then goes on by itself when it is cut off. Others may where
-        the zone has had no instance for long.
-        """
-        found = [self._members[name] for name in self.heard()]
-        usable = [member for member in found if member.holds and not member.leaving]
-        nearby = {member.name for member in usable if member.zone == zone}
-        mine = {self._opts.instance} if me else set()
-        if zone == self._opts.zone:
-            nearby = (nearby | mine) & set(self.keepers()) or nearby | mine
-            return sorted(self._settled(nearby) or nearby)
-        if self.rivals({zone}, ZONE_EMPTY):
-            return []
-        return sorted({*(member.name for member in usable), *mine})
-
-    def _settled(self, names: Collection[str], together: float = 0.0) -> set[str]:
-        """Returns those heard for long; with `together`, also from this one's first seconds."""
-        latest = monotonic() - SETTLED
-        if together:
-            latest = max(latest, self._started + together)
-        since = {member.name: member.since for member in self._members.values()}
-        since[self._opts.instance] = self._started
-        return {name for name in names if since[name] <= latest}
-
-    def keepers(self) -> list[str]:
-        """Returns those of the zone that watch the store for the others, and order its endpoints.
-
-        All instances of a small zone are; of a larger one a few, so that calls to the store don't
-        grow with its size. A rendezvous hash changes at most one as an instance comes or goes.
-        """
-        present = self._present()
-        if len(present) <= LARGE_ZONE:
-            return sorted(present)
-        names = self._settled(present, START_TOGETHER) or present
-        most = max(KEEPERS_LEAST, math.ceil(len(present) / ZONE_PER_KEEPER))
-        return ranked(KEEPERS_KEY, sorted(names))[:most]
-
-    def watchers(self) -> list[str]:
-        """Returns who may watch the store for the zone, best first; nobody in a small zone.
-
-        These are the keepers, those last that are said to be without the store.
-        """
-        if len(self._present()) <= LARGE_ZONE:
-            return []
-        return sorted(self.keepers(), key=self._is_out_of_contact)
-
-    def _is_out_of_contact(self, name: str) -> bool:
-        mine = name == self._opts.instance
-        contact = self._contact.contact() if mine else self._members[name].contact
-        return contact is None or monotonic() - contact.until > OUT_OF_CONTACT
-
-    def is_keeper(self) -> bool:
-        """Tells whether this instance is one of them."""
-        return self._opts.instance in self.keepers()
-
-    def _present(self) -> set[str]:
-        """Returns the instances of the zone that stay."""
-        nearby = {n for n in self.heard() if self._serves_zone(self._members[n])}
-        return nearby if self.leaving else nearby | {self._opts.instance}
-
-    def _serves_zone(self, member: Member) -> bool:
-        return member.zone == self._opts.zone and not member.leaving
-
-    def bankers(self, team: str) -> list[str]:
-        """Returns the instances of the zone that may keep a team's credit, best first.
-
-        They are ranked by what all know alike: those that started just now come last in the eyes of
-        all, their own included, as they don't know what others gave.
-        """
-        present = sorted(self._present())
-        latest = monotonic() - SETTLED
-        settled = tuple(n for n in present if self._start_of(n) <= latest) or tuple(present)
-        if settled != self._bankers_of:
-            self._bankers_of, self._bankers = settled, {}
-        if team not in self._bankers:
-            self._bankers[team] = ranked(BANKER_KEY + team, settled)
-        return self._bankers[team]
-
-    def limiter(self, endpoint: str, zone: str) -> str:
-        """Returns the instance that gives permits for an endpoint in an availability zone.
-
-        It is one of that zone, where there is one, and one of those that the other zones hear.
-        """
-        stay = {name for name in self.heard() if not self._members[name].leaving}
-        found = {name for name in stay if self._members[name].zone == zone}
-        if zone == self._opts.zone:
-            found = set(self.keepers())
-        names = found or stay | {self._opts.instance}
-        return ranked(LIMITER_KEY + endpoint, sorted(names))[0]
-
-    def _start_of(self, name: str) -> float:
-        member = self._members.get(name)
-        return self._started if member is None else member.started
-
-    def heard_share(self) -> float:
-        """Returns which part of the zone's known instances is heard, this one included."""
-        zone, entries = self._opts.zone, self._directory.entries
-        known = {n for n in self._directory.present(monotonic()) if entries[n].zone == zone}
-        heard = {n for n in self.heard() if self._members[n].zone == zone}
-        heard.add(self._opts.instance)
-        return len(heard) / len(heard | known)
-
-    def other_zones(self) -> set[str]:
-        """Returns the other availability zones that have instances."""
-        now = monotonic()
-        entries = self._directory.entries
-        found = {entries[name].zone for name in self._directory.present(now)}
-        found |= {self._members[name].zone for name in self.heard()}
-        return found - {self._opts.zone}
-
     def send_to_zone(self, zone: str, message: Message) -> bool:
         """Sends a message to any one instance of another zone; False when it was dropped."""
         addresses = self._relays().get(zone) or [
@@ -310,23 +150,6 @@
         ]
         return bool(addresses) and self._links.send(random.choice(addresses), message)
 
-    def count(self) -> int:
-        """Returns the number of instances, this one included, with those that only rest."""
-        present = self._directory.present(monotonic())
-        return len({self._opts.instance, *present, *self.heard()})
-
-    def contacts(self, zone: str) -> list[Contact]:
-        """Returns the contacts with the store of those who would share an outage of a zone.
-
-        Those are the zone's other instances, also ones that are not heard any more: what they said
-        of the past holds. Where a zone has no instance, all others speak for it.
-        """
-        told = [(m.zone, m.contact) for m in self._members.values() if m.contact is not None]
-        nearby = [contact for where, contact in told if where == zone]
-        if nearby or zone == self._opts.zone:
-            return nearby
-        return [contact for _, contact in told]
-
     def uses(self, endpoint: str) -> set[AdapterName]:
         """Returns the adapters that other instances use at an endpoint held here."""
         found: set[AdapterName] = set()
@@ -420,7 +243,7 @@
             now if started or before is None else before.since,
             now,
             uses,
-            _contact_of(beat, now),
+            contact_of(beat, now),
             now - beat.up_ms / 1000,
         )
         self.discovery.know(beat.address, beat.zone)
@@ -501,7 +324,7 @@
 
     def _beat_far(self) -> None:
         """Tells the other zones that a keeper lives; the first one adds the zone's loads."""
-        keepers = self.keepers()
+        keepers = self.duties.keepers()
         if self._opts.instance not in keepers:
             return
         loads: list[LoadShare] = []
@@ -517,7 +340,7 @@
             self._incarnation,
             self._address,
             self._opts.zone,
-            self.leaving,
+            self.duties.leaving,
             *self._lease(),
             loads,
             uses,
@@ -543,10 +366,3 @@
             if now - member.heard >= FORGET_ADDRESS:
                 del self._members[name]
         self.discovery.forget_silent()
-
-
-def _contact_of(beat: Beat, now: float) -> Contact | None:
-    """Returns the sender's contact with the store by this instance's clock."""
-    if beat.contact_ms is None:
-        return None
-    return Contact(now - beat.contact_ms / 1000, now - beat.answered_ms / 1000)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -135,8 +135,8 @@
             opts.holding,
             Identity(opts.instance, self._incarnation, address, opts.zone),
             lambda plea: self._members.plead(plea),
-            lambda: self._members.rivals({opts.zone, *self._holders.zones()}),
-            lambda: self._members.is_keeper() or bool(self._holders.held()),
+            lambda: self._members.duties.rivals({opts.zone, *self._holders.zones()}),
+            lambda: self._members.duties.is_keeper() or bool(self._holders.held()),
             lambda: self._members.discovery.own_lease(),
             Memory(lambda: self._suspects.notable(), lambda kept: self._suspects.read(kept)),
         )
@@ -177,7 +177,7 @@
         self._sharing = Sharing(
             opts.instance,
             opts.store,
-            self._members.watchers,
+            self._members.duties.watchers,
             self._members.send_frame,
             self._contact,
             self._members.discovery.is_alone,
@@ -185,7 +185,8 @@
         )
         self._intake.share(self._sharing)
         self._model_turns = ModelTurns(
-            lambda: (spec.loads_per_second for _, spec in self._engines()), self._members.count
+            lambda: (spec.loads_per_second for _, spec in self._engines()),
+            self._members.duties.count,
         )
         self._holders = Holders(
             opts.instance,
@@ -216,6 +217,7 @@
             address,
             opts.zones,
             self._bank,
+            self._members.duties,
             self._members,
             lambda: self._catalogue.table.teams if self._catalogue.table else None,
             self._links.send,
@@ -294,7 +296,7 @@
         began = monotonic()
         log("stopping", in_progress=self._door.in_progress, grace=self._opts.grace)
         self._door.closing = True
-        self._members.leaving = True
+        self._members.duties.leaving = True
         self._holders.leaving = True
         end = began + self._opts.grace - END_MARGIN
         while monotonic() < end:
@@ -343,7 +345,7 @@
         duties["sharing"] = self._sharing.keep()
         duties["beats"] = self._members.keep_beating()
         duties["discovery"] = self._members.discovery.keep_looking(
-            self._store, self._members.is_keeper
+            self._store, self._members.duties.is_keeper
         )
         duties["lease"] = self._leasing.keep()
         duties["clock"] = self._leasing.watch_clock()
@@ -374,7 +376,7 @@
             self._suspects.tick()
             self._limits.tick(lambda endpoint: self._endpoints.get(endpoint) is not None)
             self._metrics.log_lines_dropped.set(dropped())
-            self._retries.heard_of(self._members.count())
+            self._retries.heard_of(self._members.duties.count())
             self._quotas.look()
             table = self._catalogue.table
             if table is not None and table is not shown:
@@ -412,7 +414,7 @@
 
     def _may_lapse_until(self, zone: str) -> float:
         """Returns the time until which a missing entry of a zone may be one that lapsed."""
-        return self._contact.may_lapse_until(self._members.contacts(zone))
+        return self._contact.may_lapse_until(self._members.duties.contacts(zone))
 
     def _came_back_older(self, kind: Kinds) -> None:
         """Notes that what follows of a kind is of an older copy of the store."""
@@ -424,7 +426,7 @@
     def _limiter(self, endpoint: str) -> str:
         """Returns the instance that gives permits for an endpoint."""
         record = self._endpoints.get(endpoint)
-        return self._members.limiter(endpoint, record.zone if record is not None else "")
+        return self._members.duties.limiter(endpoint, record.zone if record is not None else "")
 
     def _gone(self, endpoint: str) -> None:
         self._limits.gone(endpoint)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/quotas.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/quotas.py
@@ -44,8 +44,8 @@
 NUMBERS: Final = 1 << 40  # Numbers of questions and pleas begin at random below this.
 
 
-class Peers(Protocol):
-    """The other instances, as far as quotas need them."""
+class Zone(Protocol):
+    """Who keeps the credit of teams, as far as quotas need it."""
 
     def bankers(self, team: str) -> list[str]:
         """Returns the instances of the zone that may keep a team's credit, best first."""
@@ -56,6 +56,10 @@
     def other_zones(self) -> set[str]:
         """Returns the other availability zones that have instances."""
 
+
+class Peers(Protocol):
+    """Ways to the other instances."""
+
     def send(self, name: str, message: Message) -> bool:
         """Sends a message to an instance."""
 
@@ -115,6 +119,7 @@
         "_silent",
         "_teams",
         "_waiting",
+        "_zone",
         "_zones",
     )
 
@@ -124,6 +129,7 @@
         address: str,
         zones: int,
         bank: QuotaBank,
+        zone: Zone,
         peers: Peers,
         teams: Callable[[], Teams | None],
         send_to: Callable[[str, Message], bool],
@@ -135,7 +141,8 @@
             address: Its address for messages.
             zones: Availability zones of the deployment.
             bank: Its buckets.
-            peers: The other instances.
+            zone: Who keeps the credit.
+            peers: Ways to the other instances.
             teams: Returns the teams in force.
             send_to: Sends a message to an address.
         """
@@ -143,6 +150,7 @@
         self._address = address
         self._zones = max(1, zones)
         self._bank = bank
+        self._zone = zone
         self._peers = peers
         self._teams = teams
         self._send_to = send_to
@@ -180,7 +188,7 @@
 
     def _to_ask(self, team: str, now: float) -> Sequence[str]:
         """Returns the bankers to ask, in order; those that are silent are passed over."""
-        first = self._peers.bankers(team)[:ASKED_MOST]
+        first = self._zone.bankers(team)[:ASKED_MOST]
         answering = [name for name in first if not self._passed_over(name, now)]
         return answering or first
 
@@ -265,8 +273,8 @@
         self._bank.give_back(back.sender, back.number)
 
     def _part(self, team: str) -> Part:
-        bankers = self._peers.bankers(team)
-        share = self._peers.heard_share() / self._zones
+        bankers = self._zone.bankers(team)
+        share = self._zone.heard_share() / self._zones
         return Part(share, bool(bankers) and bankers[0] == self._me)
 
     def _quota(self, team: str) -> Quota | None:
@@ -292,7 +300,7 @@
         if self._zones == 1:
             return False
         plea = self._bank.plea(team, quota, part, now)
-        zones = self._peers.other_zones() if plea is not None else set()
+        zones = self._zone.other_zones() if plea is not None else set()
         if plea is None or not zones:
             return False
         each = math.ceil(plea.wanted / len(zones))
@@ -315,7 +323,7 @@
             self._send_to(plea.address, CreditLoan(self._me, plea.team, plea.number, units))
 
     def _hand_on(self, plea: CreditPlea) -> None:
-        bankers = self._peers.bankers(plea.team)
+        bankers = self._zone.bankers(plea.team)
         if bankers and not plea.handed_on:
             plea.handed_on = True
             self._peers.send(bankers[0], plea)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -1,6 +1,6 @@
 """Who watches the store for whom: one instance of each large availability zone tells the others.
 
-In a large zone one instance watches the store (the first of `Members.watchers`) and the rest
+In a large zone one instance watches the store (the first of `Duties.watchers`) and the rest
 follow it: a follower says about each second what state it has, and is answered with what it lacks;
 news are sent on at once. So what watching costs does not grow with the zone. The next ones stand
 by. They need no agreement: whoever is followed watches, and a follower whose keeper fell silent or
--- a/tests/test_gateway_members.py
+++ b/tests/test_gateway_members.py
@@ -7,8 +7,9 @@
 from ports import free_port
 from wigeonarch_gateway import members as module
 from wigeonarch_gateway.directory import GONE, LIST_EVERY
+from wigeonarch_gateway.duties import SETTLED, ZONE_EMPTY
 from wigeonarch_gateway.links import Links
-from wigeonarch_gateway.members import SETTLED, ZONE_EMPTY, Members
+from wigeonarch_gateway.members import Members
 from wigeonarch_gateway.messages import Beat
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.options import Options
@@ -30,6 +31,7 @@
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     found = Clock()
     monkeypatch.setattr(module, "monotonic", found)
+    monkeypatch.setattr("wigeonarch_gateway.duties.monotonic", found)
     monkeypatch.setattr("wigeonarch_gateway.discovery.monotonic", found)
     return found
 
@@ -78,7 +80,8 @@
         members.beat(said)
     members.beat(beat("started", zone=zone))  # It has had no answer yet.
     clock.now += 60.0  # What they said of the past holds.
-    assert [contact.since for contact in members.contacts(zone)] == [since[n] for n in witnesses]
+    told = members.duties.contacts(zone)
+    assert [contact.since for contact in told] == [since[n] for n in witnesses]
 
 
 def lease(name: str, revision: int, zone: str = "a") -> StoredObject:
@@ -87,11 +90,11 @@
 
 def test_a_lease_found_at_the_first_look_must_change_soon(members: Members, clock: Clock) -> None:
     members.discovery.leases_listed([lease("dead", 5), lease("alive", 6)])
-    assert members.rivals({"a"}) == {"dead", "alive"}
+    assert members.duties.rivals({"a"}) == {"dead", "alive"}
     clock.now += LIST_EVERY
     members.discovery.leases_listed([lease("dead", 5), lease("alive", 7)])
     clock.now += 0.1
-    assert members.rivals({"a"}) == {"alive"}
+    assert members.duties.rivals({"a"}) == {"alive"}
 
 
 def test_who_was_alive_stays_so_while_the_store_is_away(members: Members, clock: Clock) -> None:
@@ -100,10 +103,10 @@
     for _ in range(5):
         clock.now += LIST_EVERY
         members.discovery.directory.nothing_listed(clock.now)
-    assert members.rivals({"a"}) == {"first"}
+    assert members.duties.rivals({"a"}) == {"first"}
     clock.now += GONE + 0.1
     members.discovery.leases_listed([lease("first", 2)])
-    assert not members.rivals({"a"})
+    assert not members.duties.rivals({"a"})
 
 
 def test_only_instances_of_the_zone_are_rivals_and_candidates(
@@ -111,18 +114,18 @@
 ) -> None:
     members.beat(beat("near"))
     members.beat(beat("far", zone="b"))
-    assert members.rivals({"a"}) == {"near"}
-    assert members.candidates("a", me=True) == ["me", "near"]
-    assert members.candidates("b", me=True) == []
-    assert members.candidates("c", me=True) == ["far", "me", "near"]  # Nobody lives there.
+    assert members.duties.rivals({"a"}) == {"near"}
+    assert members.duties.candidates("a", me=True) == ["me", "near"]
+    assert members.duties.candidates("b", me=True) == []
+    assert members.duties.candidates("c", me=True) == ["far", "me", "near"]  # Nobody lives there.
 
 
 def test_a_zone_that_fell_silent_is_left_alone_for_a_while(members: Members, clock: Clock) -> None:
     members.beat(beat("far", zone="b"))
     clock.now += ZONE_EMPTY - 0.1
-    assert members.candidates("b", me=True) == []
+    assert members.duties.candidates("b", me=True) == []
     clock.now += 0.2
-    assert members.candidates("b", me=True) == ["me"]
+    assert members.duties.candidates("b", me=True) == ["me"]
 
 
 @pytest.mark.parametrize(
@@ -135,15 +138,15 @@
 )
 def test_candidates(members: Members, told: Beat, expected: list[str]) -> None:
     members.beat(told)
-    assert members.candidates("a", me=True) == expected
-    assert members.candidates("a", me=False) == [name for name in expected if name != "me"]
+    assert members.duties.candidates("a", me=True) == expected
+    assert members.duties.candidates("a", me=False) == [name for name in expected if name != "me"]
 
 
 def test_an_instance_that_just_started_is_not_preferred(members: Members, clock: Clock) -> None:
     clock.now += SETTLED
     members.beat(beat("young"))
-    assert members.candidates("a", me=True) == ["me"]
+    assert members.duties.candidates("a", me=True) == ["me"]
     for _ in range(6):
         clock.now += 1.0
         members.beat(beat("young"))
-    assert members.candidates("a", me=True) == ["me", "young"]
+    assert members.duties.candidates("a", me=True) == ["me", "young"]
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -29,7 +29,7 @@
 
 
 def keepers(found: World) -> list[Node]:
-    names = found.nodes[0]._members.keepers()
+    names = found.nodes[0]._members.duties.keepers()
     return [node for node in found.nodes if node._opts.instance in names]
 
 
--- a/tests/test_gateway_zones.py
+++ b/tests/test_gateway_zones.py
@@ -10,14 +10,9 @@
 from wigeonarch_gateway import members as module
 from wigeonarch_gateway.directory import LARGE_ZONE, PRESENT, RELAY_SEEN
 from wigeonarch_gateway.discovery import INTRODUCED
+from wigeonarch_gateway.duties import KEEPERS_LEAST, OUT_OF_CONTACT, SETTLED
 from wigeonarch_gateway.links import Links
-from wigeonarch_gateway.members import (
-    KEEPERS_LEAST,
-    KNOWN_AFTER,
-    OUT_OF_CONTACT,
-    SETTLED,
-    Members,
-)
+from wigeonarch_gateway.members import KNOWN_AFTER, Members
 from wigeonarch_gateway.messages import (
     Beat,
     Introduction,
@@ -124,6 +119,7 @@
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     found = Clock()
     monkeypatch.setattr(module, "monotonic", found)
+    monkeypatch.setattr("wigeonarch_gateway.duties.monotonic", found)
     monkeypatch.setattr("wigeonarch_gateway.discovery.monotonic", found)
     monkeypatch.setattr("wigeonarch_gateway.traffic.monotonic", found)
     return found
@@ -131,7 +127,7 @@
 
 def grown(clock: Clock, keeper: bool, size: int = ZONE_SIZE, holder: str = "") -> Deployment:
     """Returns the view of an instance that is a keeper, or is not, some time after the start."""
-    names = Deployment(clock, f"{HERE}-0", size).members.keepers()
+    names = Deployment(clock, f"{HERE}-0", size).members.duties.keepers()
     other = [name for name in (f"{HERE}-{n}" for n in range(size)) if name not in names]
     found = Deployment(clock, names[0] if keeper else other[0], size, holder)
     clock.now += SETTLED + KNOWN_AFTER
@@ -141,7 +137,7 @@
 
 def test_all_instances_of_a_zone_agree_on_its_keepers(clock: Clock) -> None:
     views = {
-        tuple(Deployment(clock, f"{HERE}-{n}", ZONE_SIZE).members.keepers())
+        tuple(Deployment(clock, f"{HERE}-{n}", ZONE_SIZE).members.duties.keepers())
         for n in range(ZONE_SIZE)
     }
     assert len(views) == 1
@@ -150,26 +146,26 @@
 
 def test_all_of_a_small_zone_are_keepers_and_tell_everybody(clock: Clock) -> None:
     found = grown(clock, True, size=LARGE_ZONE)
-    assert len(found.members.keepers()) == LARGE_ZONE
+    assert len(found.members.duties.keepers()) == LARGE_ZONE
     assert found.told() == {HERE: LARGE_ZONE - 1, THERE: LARGE_ZONE}
 
 
 def test_a_keeper_that_leaves_is_replaced(clock: Clock) -> None:
     found = grown(clock, True)
-    gone = found.members.keepers()[1]
+    gone = found.members.duties.keepers()[1]
     found.hear(gone, leaving=True)
-    assert gone not in found.members.keepers()
-    assert len(found.members.keepers()) == KEEPERS_LEAST
+    assert gone not in found.members.duties.keepers()
+    assert len(found.members.duties.keepers()) == KEEPERS_LEAST
 
 
 def test_a_newcomer_is_no_keeper_before_it_has_stayed_for_a_while(clock: Clock) -> None:
     found = grown(clock, True)
-    before = found.members.keepers()
+    before = found.members.duties.keepers()
     newcomers = [f"{HERE}-{n}" for n in range(100, 100 + ZONE_SIZE)]
     for name in newcomers:
         found.hear(name)
-    assert not set(newcomers) & set(found.members.keepers())
-    assert set(before) <= set(found.members.keepers())
+    assert not set(newcomers) & set(found.members.duties.keepers())
+    assert set(before) <= set(found.members.duties.keepers())
 
 
 def test_one_that_just_started_makes_itself_known_to_all(clock: Clock) -> None:
@@ -239,7 +235,7 @@
         [StoredObject(name, 2, {"address": address(name), "zone": name[0]}) for name in found.names]
     )
     clock.now += 2 * SETTLED  # Nobody is heard.
-    assert found.members.count() == len(found.names)
+    assert found.members.duties.count() == len(found.names)
 
 
 def test_a_zone_whose_instances_are_gone_is_not_large_although_their_leases_stay(
@@ -258,23 +254,24 @@
         ]
     )
     assert found.members._relays() == {}
-    assert found.members.count() == len(left)
+    assert found.members.duties.count() == len(left)
 
 
 def test_nobody_watches_for_the_instances_of_a_small_zone(clock: Clock) -> None:
-    assert grown(clock, True, size=LARGE_ZONE).members.watchers() == []
+    assert grown(clock, True, size=LARGE_ZONE).members.duties.watchers() == []
 
 
 def test_a_keeper_without_the_store_is_the_last_to_watch_for_others(clock: Clock) -> None:
     found = grown(clock, False)
-    first, second, third = found.members.watchers()
-    assert {first, second, third} == set(found.members.keepers())
+    first, second, third = found.members.duties.watchers()
+    assert {first, second, third} == set(found.members.duties.keepers())
     found.hear(first, silent=OUT_OF_CONTACT + 0.1)
     found.hear(second, silent=OUT_OF_CONTACT - 0.1)
-    assert found.members.watchers() == [second, third, first]
+    assert found.members.duties.watchers() == [second, third, first]
     found.hear(second, silent=OUT_OF_CONTACT + 0.1)
     found.hear(third, silent=OUT_OF_CONTACT + 0.1)
-    assert found.members.watchers() == [first, second, third]  # Nobody has it: no reason to move.
+    # Nobody has it: no reason to move.
+    assert found.members.duties.watchers() == [first, second, third]
 
 
 def test_one_that_just_started_is_told_of_its_zone(clock: Clock) -> None:
--- a/tests/test_missing_endpoints.py
+++ b/tests/test_missing_endpoints.py
@@ -38,7 +38,7 @@
         await until_true(lambda: all(node._endpoints.get("i-desk") for node in found.nodes))
         # One watches for all; who could follow another in its place would miss nothing.
         await until_true(lambda: sum(n._sharing.following != "" for n in found.nodes) == 7)
-        names = found.nodes[0]._members.keepers()
+        names = found.nodes[0]._members.duties.keepers()
         cut = [node for node in found.nodes if node._opts.instance in names]
         others = [node for node in found.nodes if node not in cut]
         cut.append(others.pop())
