--- a/deploy/verification.py
+++ b/deploy/verification.py
@@ -98,11 +98,11 @@
     args = parser.parse_args()
     shown = table(entries(JOURNAL))
     heads = list(dict.fromkeys(commit for commit, _ in shown))
-    wanted = [commit[:8] for commit in args.commits] or heads[-COMMITS_SHOWN:]
+    wanted = tuple(commit[:8] for commit in args.commits or heads[-COMMITS_SHOWN:])
     print(HEAD)
     print("|---" * HEAD.count(" | ") + "|---|")
     for (commit, site), one in shown.items():
-        if commit in wanted:
+        if commit.startswith(wanted):
             print(one.row(commit, site))
 
 
--- a/tests/test_verification.py
+++ b/tests/test_verification.py
@@ -59,3 +59,17 @@
     (tmp_path / "2.json").write_text("[]")
     (tmp_path / "3.json").write_text(json.dumps(entry("hunt", day(0.5))))
     assert [one["cmd"] for one in verification.entries(tmp_path)] == ["hunt"]
+
+
+def test_a_commit_may_be_named_by_its_first_letters(
+    verification: ModuleType,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    (tmp_path / "1.json").write_text(json.dumps(entry("hunt", day(0.5))))
+    monkeypatch.setattr(verification, "JOURNAL", tmp_path)
+    for named, rows in (("0123", 1), ("0123456789ab", 1), ("9", 0)):
+        monkeypatch.setattr(sys, "argv", ["verification.py", named])
+        verification.main()
+        assert capsys.readouterr().out.count("| s |") == rows
