--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -2,28 +2,17 @@
 
 from __future__ import annotations
 
-import importlib.util
 import itertools
-import sys
-from pathlib import Path
 from types import ModuleType
 from typing import Any
 
 import pytest
-
-FILE = Path(__file__).parent.parent / "deploy" / "losses.py"
+from deploy_scripts import load
 
 
 @pytest.fixture(name="losses")
-def loaded(monkeypatch: pytest.MonkeyPatch) -> ModuleType:
-    monkeypatch.syspath_prepend(str(FILE.parent))
-    spec = importlib.util.spec_from_file_location("losses", FILE)
-    assert spec is not None
-    assert spec.loader is not None
-    module = importlib.util.module_from_spec(spec)
-    monkeypatch.setitem(sys.modules, "losses", module)
-    spec.loader.exec_module(module)
-    return module
+def loaded() -> ModuleType:
+    return load("losses")
 
 
 def day(worth: float, *troubles: str, **more: Any) -> dict[str, Any]:
--- a/tests/test_pairs.py
+++ b/tests/test_pairs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import importlib.util
 import itertools
 import random
 import tomllib
@@ -10,19 +9,14 @@
 from types import ModuleType
 
 import pytest
+from deploy_scripts import load
 
-FILE = Path(__file__).parent.parent / "deploy" / "pairs.py"
 KINDS = ["burst", "hup", "lossy", "node_kill", "release", "zone_cut"]
 
 
 @pytest.fixture(scope="module")
 def pairs() -> ModuleType:
-    spec = importlib.util.spec_from_file_location("pairs", FILE)
-    assert spec is not None
-    assert spec.loader is not None
-    module = importlib.util.module_from_spec(spec)
-    spec.loader.exec_module(module)
-    return module
+    return load("pairs")
 
 
 @pytest.mark.parametrize("each", [2, 3, 5])
--- a/tests/test_verification.py
+++ b/tests/test_verification.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import importlib.util
 import json
 import sys
 from pathlib import Path
@@ -10,19 +9,12 @@
 from typing import Any
 
 import pytest
-
-FILE = Path(__file__).parent.parent / "deploy" / "verification.py"
+from deploy_scripts import load
 
 
 @pytest.fixture(scope="module")
 def verification() -> ModuleType:
-    spec = importlib.util.spec_from_file_location("verification", FILE)
-    assert spec is not None
-    assert spec.loader is not None
-    module = importlib.util.module_from_spec(spec)
-    sys.modules[spec.name] = module
-    spec.loader.exec_module(module)
-    return module
+    return load("verification")
 
 
 def entry(cmd: str, *days: dict[str, Any], score: float | None = None) -> dict[str, Any]:
