Sight: a denial names the age of the configuration and who confirmed it

An on-call engineer who reads `no_route` or `denied` could not tell a configuration that was known to be old from one that was believed to be young, nor find what was passed over.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/admission.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/admission.py
@@ -20,6 +20,7 @@
 
 from wigeonarch_gateway import texts
 from wigeonarch_gateway.exchange import CallerRequest
+from wigeonarch_gateway.freshness import ConfigurationFreshness
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.ports import Headers, RequestTerms
 from wigeonarch_gateway.quotas import QuotaGrant, QuotaManager, QuotaRefusal
@@ -79,13 +80,13 @@
 class Admission:
     """Admits, denies or defers requests."""
 
-    __slots__ = ("_is_behind", "_metrics", "_quotas", "_read_key")
+    __slots__ = ("_freshness", "_metrics", "_quotas", "_read_key")
 
     def __init__(
         self,
         read_key: Callable[[Headers], str | None],
         quotas: QuotaManager,
-        is_behind: Callable[[], bool],
+        freshness: ConfigurationFreshness,
         metrics: Metrics,
     ) -> None:
         """Creates the admission control.
@@ -93,12 +94,12 @@
         Args:
             read_key: Returns the API key in a request's headers; None if there is none.
             quotas: Grants units of teams' quotas.
-            is_behind: Tells whether a newer configuration may have been in force for long.
+            freshness: How up to date the configuration is known to be.
             metrics: Counters.
         """
         self._read_key = read_key
         self._quotas = quotas
-        self._is_behind = is_behind
+        self._freshness = freshness
         self._metrics = metrics
 
     async def admit(
@@ -120,7 +121,7 @@
             self._quotas.refund(admitted.quota_grant)
 
     def _reject_key(self, problem: KeyProblem) -> Denied | Deferred:
-        if problem is KeyProblem.UNKNOWN and self._is_behind():
+        if problem is KeyProblem.UNKNOWN and self._freshness.is_behind():
             return Deferred("key_unsure", texts.KEY_UNSURE, RETRY_ELSEWHERE_AFTER, False, {})
         return Denied(problem.value, KEY_TEXTS[problem])
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
@@ -109,6 +109,12 @@
             buckets=AGE_BUCKETS,
             registry=reg,
         )
+        self.loop_lag = Histogram(
+            "wigeonarch_gateway_loop_lag_seconds",
+            "Time by which a timer was late, because the process stood still or was busy",
+            buckets=WAIT_BUCKETS,
+            registry=reg,
+        )
         self.load_wait = Histogram(
             "wigeonarch_gateway_load_wait_seconds",
             "Time that requests waited for an adapter",
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -36,6 +36,7 @@
 from wigeonarch_gateway.engine_ownership import EngineOwnership
 from wigeonarch_gateway.engineviews import EngineViews, from_adapter
 from wigeonarch_gateway.forwarding import Forwarder
+from wigeonarch_gateway.freshness import ConfigurationFreshness
 from wigeonarch_gateway.http_server import HttpServer
 from wigeonarch_gateway.instrumented_store import InstrumentedStore
 from wigeonarch_gateway.leasing import CrashMemory, Identity, OwnLease
@@ -262,7 +263,10 @@
             lambda: self._catalogue.table.teams if self._catalogue.table else None,
             self._links.send,
         )
-        admission = Admission(dialect.read_key, self._quotas, self._is_behind, self._metrics)
+        self._freshness = ConfigurationFreshness(
+            self._sharing, opts.store.propagation.configuration
+        )
+        admission = Admission(dialect.read_key, self._quotas, self._freshness, self._metrics)
         responder = Responder(self._metrics, selector.log_fields)
         forwarder = Forwarder(
             dialect,
@@ -280,6 +284,7 @@
         pipeline = RequestPipeline(
             dialect,
             self._catalogue,
+            self._freshness,
             admission,
             forwarder,
             responder,
@@ -411,7 +416,9 @@
         last_vitals = monotonic()
         table_in_metrics: RoutingTable | None = None
         while True:
+            slept_from = monotonic()
             await asyncio.sleep(TICK_INTERVAL)
+            self._metrics.loop_lag.observe(monotonic() - slept_from - TICK_INTERVAL)
             if monotonic() - last_vitals >= VITALS_INTERVAL:
                 last_vitals = monotonic()
                 self._log_vitals()
@@ -454,12 +461,6 @@
             log_lines_dropped=dropped_lines(),
         )
 
-    def _is_behind(self) -> bool:
-        """Tells whether a configuration unknown here may have been in force for too long."""
-        return (
-            self._sharing.age(ObjectKind.CONFIGURATION) > self._opts.store.propagation.configuration
-        )
-
     def _may_lapse_until(self, zone: str) -> float:
         """Returns the time until which a missing entry of a zone may merely have lapsed."""
         return self._store_contact.may_lapse_until(self._members.roles.store_contacts(zone))
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
@@ -21,6 +21,7 @@
 from wigeonarch_gateway.catalogue import Catalogue
 from wigeonarch_gateway.exchange import CallerRequest, ResponseWriter
 from wigeonarch_gateway.forwarding import Forwarder
+from wigeonarch_gateway.freshness import ConfigurationFreshness
 from wigeonarch_gateway.jobs import Job
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.ports import Dialect, RequestTerms
@@ -39,6 +40,7 @@
         "_catalogue",
         "_dialect",
         "_forwarder",
+        "_freshness",
         "_metrics",
         "_responder",
         "_retries",
@@ -48,6 +50,7 @@
         self,
         dialect: Dialect,
         catalogue: Catalogue,
+        freshness: ConfigurationFreshness,
         admission: Admission,
         forwarder: Forwarder,
         responder: Responder,
@@ -56,6 +59,7 @@
     ) -> None:
         self._dialect = dialect
         self._catalogue = catalogue
+        self._freshness = freshness
         self._admission = admission
         self._forwarder = forwarder
         self._responder = responder
@@ -73,18 +77,36 @@
             return
         route = table.find(request.host, request.path)
         if route is None:
-            log("no_route", request=terms.request_id, host=request.host, version=table.version)
-            self._metrics.refusals.labels("no_route").inc()
-            await response.send(404, [], texts.NO_ROUTE.encode())
+            await self._respond_no_route(request, terms, response, table)
             return
         decision = await self._admission.admit(request, terms, route, table)
         if not isinstance(decision, Admitted):
             log_fields: LogFields = {"route": route.name, "version": table.version}
+            log_fields |= self._freshness.log_fields()
             await self._respond_not_admitted(response, terms, decision, log_fields)
             return
         job = self._make_job(request, terms, response, route, table, decision)
         await self._serve_admitted(job, decision)
 
+    async def _respond_no_route(
+        self,
+        request: CallerRequest,
+        terms: RequestTerms,
+        response: ResponseWriter,
+        table: RoutingTable,
+    ) -> None:
+        """Responds to a request for which the configuration has no route."""
+        log(
+            "no_route",
+            "INFO",
+            request=terms.request_id,
+            host=request.host,
+            version=table.version,
+            **self._freshness.log_fields(),
+        )
+        self._metrics.refusals.labels("no_route").inc()
+        await response.send(404, [], texts.NO_ROUTE.encode())
+
     async def _respond_not_admitted(
         self,
         response: ResponseWriter,
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -36,7 +36,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from wigeonarch_core.revisions import era_of
+import msgspec
+from wigeonarch_core.revisions import era_of, store_revision
 from wigeonarch_core.store_contact import StoreContact
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.logs import log
@@ -66,6 +67,21 @@
 WATCHER_SEARCH_TIME: Final = 2.8
 KINDS: Final = tuple(ObjectKind)
 NEVER: Final = float("-inf")  # Before all times.
+STORE: Final = "store"  # Confirmed the state itself, without a watcher in between.
+
+
+class Confirmation(msgspec.Struct, frozen=True):
+    """How up to date the state of a kind is known to be.
+
+    Attributes:
+        age: Seconds since the state was last known to be that of the store.
+        confirmed_by: The watcher that told so; `STORE` for an own call, empty before the first.
+        as_of: Revision of the state; None before the first list.
+    """
+
+    age: float
+    confirmed_by: str
+    as_of: int | None
 
 
 @dataclass(slots=True)
@@ -81,6 +97,7 @@
             has confirmed the state since.
         last_reply: Time of the watcher's last reply.
         confirmed_at: Time as of which a watcher last confirmed the state.
+        confirming_watcher: The watcher that did so; empty before the first.
     """
 
     feed: ChangeFeed
@@ -90,6 +107,7 @@
     store_away: bool = False
     last_reply: float = NEVER
     confirmed_at: float = NEVER
+    confirming_watcher: str = ""
 
 
 class WatchSharing:
@@ -231,6 +249,14 @@
         shared = self._kinds[kind]
         return monotonic() - max(shared.watched_at, shared.confirmed_at)
 
+    def confirmation(self, kind: ObjectKind) -> Confirmation:
+        """Returns how up to date the state of a kind is known to be, and by whom."""
+        shared = self._kinds[kind]
+        confirmed_by = STORE if shared.watched_at > NEVER else ""
+        if shared.confirmed_at > shared.watched_at:
+            confirmed_by = shared.confirming_watcher
+        return Confirmation(self.age(kind), confirmed_by, shared.feed.as_of)
+
     def watch_not_needed_for(self, kind: ObjectKind) -> float:
         """Returns the seconds for which this instance need not call the store itself."""
         if self._kinds[kind].feed.as_of is None or self.has_followers:
@@ -254,6 +280,7 @@
             return False
         shared.watched_at = requested_at
         self._report_next_era(kind, before, as_of)
+        _log_passed_over(kind, changes, before)
         self._apply_and_publish(kind, changes, published_up_to)
         return True
 
@@ -408,7 +435,9 @@
         if age >= shared.bound:
             return
         shared.store_away = False
-        shared.confirmed_at = max(shared.confirmed_at, requested_at - age)
+        if requested_at - age > shared.confirmed_at:
+            shared.confirmed_at = requested_at - age
+            shared.confirming_watcher = self.following
         self._contact.record_answer(shared.confirmed_at)
 
     def receive_unavailable(self, message: UpdateUnavailable) -> None:
@@ -476,3 +505,19 @@
             frame = encode(UpdateUnavailable(self._me, index))
         for name in names:
             self._send(name, frame)
+
+
+def _log_passed_over(kind: ObjectKind, changes: Sequence[Change], before: int | None) -> None:
+    """Logs the changes that a state as of a revision should have contained but did not."""
+    if before is None:
+        return
+    for change in changes:
+        if not change.deleted and change.stored.revision <= before:
+            log(
+                "change_passed_over",
+                "WARNING",
+                kind=kind.value,
+                name=change.stored.name,
+                revision=store_revision(change.stored.revision),
+                as_of=store_revision(before),
+            )
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
@@ -38,6 +38,8 @@
 FOLLOWING_CHECK_INTERVAL: Final = 0.3  # Seconds between checks whether the watcher still replies.
 # Seconds between checks whether there is a watcher, before the first reply of one.
 WATCHER_SEARCH_INTERVAL: Final = 0.1
+# Seconds from the end of a watch call's wait after which its answer counts as late.
+LATE_ANSWER: Final = 0.3
 
 
 class WatchedKind(msgspec.Struct, frozen=True):
@@ -140,6 +142,7 @@
             failures = failures + 1 if needs_list else 0
             continue
         pause, wait = sharing.watch_times(kind, watched.batch_pause, watched.wait)
+        began = monotonic()
         result = await _watch(store, state, kind, since, wait)
         if result is None:
             needs_list = True
@@ -159,6 +162,7 @@
             log("store_history_gone", "WARNING", kind=kind.value, since=since)
             needs_list = True
             continue
+        _log_late_answer(kind, result, monotonic() - began - wait)
         sharing.take_changes(kind, result.changes, result.as_of)
         if result.changes and pause:
             await asyncio.sleep(pause)
@@ -178,6 +182,12 @@
         silenced.cancel()
 
 
+def _log_late_answer(kind: ObjectKind, result: Changes, late: float) -> None:
+    """Logs an answer that was handled long after the store gave it, which ends a full wait."""
+    if not result.changes and late >= LATE_ANSWER:
+        log("store_answer_late", "WARNING", kind=kind.value, late=late, as_of=result.as_of)
+
+
 def _retry_pause(opts: StoreOptions, sharing: WatchSharing, failures: int) -> float:
     """Returns the seconds until a failed call is repeated.
 
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -12,7 +12,7 @@
 from wigeonarch_gateway.node import Node
 from wigeonarch_gateway.options import PropagationBounds, StoreOptions
 from wigeonarch_gateway.ports import EndpointState, ObjectKind
-from wigeonarch_gateway.sharing import KINDS, WatchSharing
+from wigeonarch_gateway.sharing import KINDS, STORE, WatchSharing
 from wigeonarch_runtime.clock import monotonic
 
 KIND = ObjectKind.ENDPOINTS
@@ -269,3 +269,14 @@
     sharing.receive_update(message(10, 12, age))
     assert sharing.is_kept_current(KIND) is is_confirmed
     assert (store_contact.contact() is not None) is is_confirmed
+
+
+def test_the_confirmation_of_a_state_names_who_gave_it() -> None:
+    sharing, _ = follower()
+    assert sharing.confirmation(KIND).confirmed_by == ""
+    sharing.receive_update(message(10, 12, 0.5))
+    told = sharing.confirmation(KIND)
+    assert (told.confirmed_by, told.as_of) == ("k", 12)
+    assert told.age >= 0.5
+    sharing.take_changes(KIND, [], 14)
+    assert sharing.confirmation(KIND).confirmed_by == STORE
--- a/tests/test_gateway_teams.py
+++ b/tests/test_gateway_teams.py
@@ -36,7 +36,7 @@
         return all(table is not None and table.version == version for table in tables)
 
     await until_true(in_force)
-    await until_true(lambda: not any(node._is_behind() for node in deployment.nodes))
+    await until_true(lambda: not any(node._freshness.is_behind() for node in deployment.nodes))
 
 
 async def wait_until_served(deployment: World, key: str, node: int = 0) -> CallerResponse:
