Tests that fail: a state that looks younger than it is, a repair that followers drop, a denial that asks no age

The simulation of a zone now keeps apart when the store answers a watch and when the instance handles the answer (frozen and slow processes), which it took for one moment before. The test of the unknown key became one row of a table of four denials.

--- a/tests/test_feeding.py
+++ b/tests/test_feeding.py
@@ -86,6 +86,16 @@
     assert peer.apply_list(found, 14) == []
 
 
+def test_a_change_that_a_watch_passed_over_reaches_peers_by_the_next_list() -> None:
+    sender, peer = feed(as_of=10, a=9), feed(as_of=10, a=9)
+    for each in (sender, peer):
+        each.apply_changes([], 10, 14)  # The answer lacks the change of revision 12.
+    sender.retain(sender.apply_list(listed(a=12), 15) or [])
+    retained = sender.changes_after(14)
+    assert retained is not None
+    assert peer.apply_changes(retained, 14, 15) == [put("a", 12)]
+
+
 def test_the_first_list_yields_no_changes() -> None:
     assert ChangeFeed().apply_list(listed(a=9), 10) == []
 
--- a/tests/test_gateway_teams.py
+++ b/tests/test_gateway_teams.py
@@ -218,16 +218,26 @@
         assert {answer.status for answer in answers} == {503}
 
 
-async def test_unknown_key_is_deferred_and_not_denied_by_an_instance_behind_the_store(
-    monkeypatch: pytest.MonkeyPatch,
+@pytest.mark.parametrize(
+    ("path", "headers"),
+    [
+        ("/ask/x", bearer("unknown")),
+        ("/ask/x", {}),  # The route may need no key any more.
+        ("/new/x", bearer(KEY)),
+        ("/new/x", {}),
+    ],
+)
+async def test_request_is_not_denied_by_a_configuration_that_may_be_outdated(
+    monkeypatch: pytest.MonkeyPatch, path: str, headers: dict[str, Any]
 ) -> None:
     async with world() as deployment:
         await put_teams(deployment, 2, team("one", KEY))
         sharing = deployment.nodes[0]._sharing
         monkeypatch.setattr(type(sharing), "age", lambda self, kind: 60.0)
-        answer = await deployment.send_request("/ask/x", **bearer("unknown"))
+        answer = await deployment.send_request(path, **headers)
         assert answer.status == 503
         assert float(answer.headers["retry-after"]) > 0.0
+        assert not deployment.replicas[1].received
         assert (await deployment.send_request("/ask/x", **bearer(KEY))).status == 200
 
 
--- a/tests/test_gateway_watching.py
+++ b/tests/test_gateway_watching.py
@@ -7,6 +7,8 @@
 
 import pytest
 from gateway_world import new_store_contact
+from wigeonarch_gateway import sharing as sharing_module
+from wigeonarch_gateway import watching as watching_module
 from wigeonarch_gateway.options import StoreOptions
 from wigeonarch_gateway.ports import (
     Change,
@@ -249,5 +251,60 @@
     assert store.stale == [True, False]
 
 
+class LateStore:
+    """A store whose first watch call takes some time until its answer is handled.
+
+    Attributes:
+        now: Time, in seconds.
+        answer: The answer of the first watch call; later ones never return.
+        took: Seconds until it is handled.
+    """
+
+    def __init__(self, answer: Changes, took: float) -> None:
+        self.now = 100.0
+        self.answer: Changes | None = answer
+        self.took = took
+
+    async def list(self, kind: ObjectKind, stale: bool = False) -> Any:
+        return listing(10)
+
+    async def watch(self, kind: ObjectKind, since: int, wait: float) -> Any:
+        answer, self.answer = self.answer, None
+        if answer is None:
+            return await asyncio.get_running_loop().create_future()
+        self.now += self.took
+        return answer
+
+
+@pytest.mark.parametrize(
+    ("answer", "took", "age"),
+    [
+        (NO_CHANGES, OPTS.watch_configuration, 0.0),
+        (NO_CHANGES, OPTS.watch_configuration + 0.9, 0.9),
+        (NO_CHANGES, 0.5, 0.5),  # The store did not wait as long as it should have.
+        (ONE_CHANGE, 0.5, 0.5),  # The change may be from the first moment of the wait.
+    ],
+)
+async def test_time_that_an_answer_spent_on_its_way_counts_for_the_age(
+    monkeypatch: pytest.MonkeyPatch, answer: Changes, took: float, age: float
+) -> None:
+    store, state = LateStore(answer, took), StoreReachability()
+    for module in (sharing_module, watching_module):
+        monkeypatch.setattr(module, "monotonic", lambda: store.now)
+    sharing = WatchSharing(
+        "me", OPTS, lambda: ["me"], lambda name, frame: True, new_store_contact()
+    )
+    sharing.add_kind(KIND, lambda change: True)
+    watched = WatchedKind(KIND, lambda objects: None, OPTS.watch_configuration)
+    task = asyncio.create_task(
+        keep_watching(store, state, OPTS, sharing, watched)  # type: ignore[arg-type]
+    )
+    async with asyncio.timeout(10.0):
+        while sharing.feed(KIND).as_of != answer.as_of:  # noqa: ASYNC110 - polled.
+            await asyncio.sleep(0)
+    task.cancel()
+    assert sharing.age(KIND) == pytest.approx(age)
+
+
 def test_the_watch_of_the_configuration_is_shorter_than_its_bound() -> None:
     assert OPTS.watch_configuration < 2.0
--- a/tests/test_zone_watch.py
+++ b/tests/test_zone_watch.py
@@ -1,9 +1,11 @@
 """The watcher of a zone is replaced, and nobody relies on an old state, whatever fails.
 
-A simulation of whole zones with its own clock. Instances are frozen, killed, cut off from the store
-or from each other, and restarted; messages are lost, duplicated and delayed. At every step an
-instance that does not watch the store itself must know what the store accepted a bound earlier, or
-still be within the time that an instance has after its start.
+A simulation of whole zones with its own clock. Instances are frozen, slowed down, killed, cut off
+from the store or from each other, and restarted; messages are lost, duplicated and delayed. An
+answer of the store is as of the time at which the store gave it, whenever the instance handles it.
+At every step an instance that does not watch the store itself must know what the store accepted a
+bound earlier, or still be within the time that an instance has after its start; and every instance
+must know what the store had accepted at the time as of which it takes its state for confirmed.
 """
 
 from __future__ import annotations
@@ -36,6 +38,25 @@
 MAX_LIST_LAG = 4.0  # Seconds by which a list may lag behind.
 
 
+@dataclass
+class WatchCall:
+    """A watch call in progress.
+
+    Attributes:
+        began: Time at which it was made.
+        wait: Seconds that the store waits for a change.
+        since: Revision after which changes are asked for.
+        answer: The store's revision in the answer; None before the answer.
+        handled_at: Time from which the instance can handle the answer.
+    """
+
+    began: float
+    wait: float
+    since: int
+    answer: int | None = None
+    handled_at: float = 0.0
+
+
 @dataclass
 class Store:
     """The revisions of the store, with the times of their acceptance."""
@@ -54,6 +75,8 @@
         self.name = name
         self.down_until = 0.0  # Frozen or not restarted yet.
         self.cut_until = 0.0  # Cut off from the store.
+        self.slow_until = 0.0  # Handles answers of the store late.
+        self.lag = 0.0  # Seconds by which it does so.
         self.calls = 0
         self.start()
 
@@ -77,7 +100,7 @@
         self.started = self.zone.now
         self.next_request = self.zone.now
         self.next_check = self.zone.now
-        self.watch: tuple[float, float, int] | None = None
+        self.watch: WatchCall | None = None
 
     def learn(self, change: Change) -> bool:
         self.known.add(change.stored.revision)
@@ -94,6 +117,7 @@
 
     def step(self) -> None:
         now = self.zone.now
+        self.answer_watch()
         if now < self.down_until:
             return
         if now >= self.next_request:
@@ -114,25 +138,36 @@
         since = self.sharing.feed(KIND).as_of
         assert since is not None
         self.calls += 1
-        self.watch = (now, wait, since)
+        self.watch = WatchCall(now, wait, since)
+
+    def answer_watch(self) -> None:
+        """Lets the store answer the watch call, which it does whatever the instance does."""
+        call, now = self.watch, self.zone.now
+        if call is None or call.answer is not None:
+            return
+        if now < self.cut_until or call.began < self.cut_until:
+            return
+        received = call.began + RTT / 2
+        latest = self.zone.store.revision(now)
+        if now >= received and (latest > call.since or now >= received + call.wait):
+            lag = self.lag if now < self.slow_until else 0.0
+            call.answer, call.handled_at = latest, now + RTT / 2 + lag
 
     def check_watch(self) -> None:
         assert self.watch is not None
-        now = self.zone.now
-        began, wait, since = self.watch
-        if now < self.cut_until or began < self.cut_until:
-            if now - began > wait + LOST_AFTER:
-                self.sharing.note_store_failure(KIND)
-                self.watch, self.next_check = None, now + 0.25
+        call, now = self.watch, self.zone.now
+        if now - call.began > call.wait + LOST_AFTER:
+            self.sharing.note_store_failure(KIND)
+            self.watch, self.next_check = None, now + 0.25
             return
-        latest = self.zone.store.revision(now - RTT)
-        if latest <= since and now - began < wait:
+        if call.answer is None or now < call.handled_at:
             return
         changes = [
-            Change(StoredObject(f"i-{n}", n, n), False) for n in range(since + 1, latest + 1)
+            Change(StoredObject(f"i-{n}", n, n), False)
+            for n in range(call.since + 1, call.answer + 1)
         ]
         self.sharing.note_store_answer(KIND)
-        self.sharing.take_changes(KIND, changes, max(latest, since))
+        self.sharing.take_changes(KIND, changes, max(call.answer, call.since))
         pause, _ = self.sharing.watch_times(KIND, 0.9, 3.5)
         self.watch, self.next_check = None, now + (pause if changes else 0.0)
 
@@ -147,6 +182,15 @@
         lacks = set(range(10, must + 1)) - self.known
         assert not lacks, f"at {zone.now:.2f} s {self.name} relies on a gap: {sorted(lacks)}"
 
+    def check_age(self) -> None:
+        """Fails if the instance takes its state for younger than it is."""
+        zone = self.zone
+        confirmed_at = zone.now - self.sharing.age(KIND)
+        if zone.now < self.down_until or confirmed_at < 0.0:
+            return
+        lacks = set(range(10, zone.store.revision(confirmed_at - STEP) + 1)) - self.known
+        assert not lacks, f"at {zone.now:.2f} s {self.name} takes an old state for new: {lacks}"
+
 
 class Zone:
     """The instances of a zone, the messages between them, and the faults injected."""
@@ -182,9 +226,12 @@
         name = rng.choice([*self.ranking, rng.choice(list(self.instances))])
         victim = self.instances[name]
         seconds = rng.uniform(0.3, 6.0)
-        match rng.choice(("freeze", "kill", "cut", "replace")):
+        match rng.choice(("freeze", "slow", "kill", "cut", "replace")):
             case "freeze":
                 victim.down_until = self.now + seconds
+            case "slow":
+                victim.slow_until = self.now + seconds
+                victim.lag = rng.uniform(0.2, 2.0)
             case "kill":
                 victim.down_until = self.now + seconds
                 victim.start()
@@ -223,6 +270,7 @@
         fault_rate: float = 0.4,
         corrupt: Callable[[StoreUpdate], StoreUpdate] | None = None,
         reliable: bool = False,
+        check: Callable[[Instance], None] = Instance.check,
     ) -> Zone:
         current: list[Zone] = []
         monkeypatch.setattr(
@@ -238,7 +286,7 @@
             if zone.rng.random() < STEP * fault_rate:
                 zone.inject_fault()
             for instance in zone.instances.values():
-                instance.check()
+                check(instance)
         return zone
 
     yield simulated
@@ -255,6 +303,24 @@
     simulate(seed, bound=bound)
 
 
+@pytest.mark.parametrize(
+    ("seed", "bound"),
+    [(8, 2.0), (10, 2.0), (27, 2.0), (19, 3.0), (78, 3.0), (84, 3.0), (44, 4.0)],
+)
+def test_no_follower_relies_too_long_on_a_watcher_that_handled_its_answers_late(
+    simulate: Callable[..., Zone], seed: int, bound: float
+) -> None:
+    simulate(seed, bound=bound)
+
+
+@pytest.mark.parametrize("bound", BOUNDS)
+@pytest.mark.parametrize("seed", range(8))
+def test_no_instance_takes_a_state_for_new_because_its_answer_was_handled_late(
+    simulate: Callable[..., Zone], seed: int, bound: float
+) -> None:
+    simulate(seed, bound=bound, check=Instance.check_age)
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_no_instance_of_a_zone_of_forty_does_so_either(
     simulate: Callable[..., Zone], seed: int
