An answer of the store counts from when the store may have given it, not from when it is handled

What the answer spent in the socket of a slow or suspended watcher was missing, and its followers, themselves undisturbed, relied on the state for that much longer. Change: answer_time.earliest_answer_time: with changes the time of the call, without changes the end of the wait that the store was asked for. The sum under which followers are kept current now holds with the age itself in place of pause and wait (wait_of_watch, pause_after_changes), through a short call after changes.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -9,16 +9,16 @@
 
 This is safe because a follower dispatches to an endpoint only while it is confirmed, within a
 bounded age, that the endpoint had not begun to leave: by the follower's own watch, or by its
-watcher's. The age counts from the last answer of the store that brought the watcher up to date,
-across all messages in between. As messages may be delayed, a reply of the watcher is taken to be as
-old as the request that it answers. So a watcher that lost the store confirms nothing, however
-promptly it replies. A follower calls the store itself early enough that its call ends before the
-age reaches the time within which a change must be in force:
+watcher's. The age counts from the earliest time at which the store may have given the last answer
+that brought the watcher up to date (see `answer_time`), across all messages in between. As messages
+may be delayed, a reply of the watcher is taken to be as old as the request that it answers. So a
+watcher that lost the store, or handles its answers late, confirms nothing beyond what it knows,
+however promptly it replies. A follower calls the store itself early enough that its call ends
+before the age reaches the time within which a change must be in force:
 
-    watcher's pause + watcher's wait + FOLLOW_INTERVAL + MAX_TRANSIT_TIME
-        <= age relied on = bound - OWN_CALL_TIME
+    watcher's age + FOLLOW_INTERVAL + MAX_TRANSIT_TIME <= age relied on = bound - OWN_CALL_TIME
 
-The left side is the age that a working watcher keeps to (`watch_times` limits its pause and wait);
+The left side is the age that a working watcher keeps to (`wait_of_watch`, `pause_after_changes`);
 the right side is the age up to which a follower relies on it (`WatchSharing.kept_current_for`). An
 instance without a watcher watches the store itself, from the revision that it has. A lost message
 leaves a gap, which the next reply fills.
@@ -186,21 +186,30 @@
         }
         return bounds[kind]
 
-    def watch_times(self, kind: ObjectKind, pause: float, wait: float) -> tuple[float, float]:
-        """Returns the pause after changes and the wait of one watch call, in seconds.
+    def wait_of_watch(self, kind: ObjectKind, wait: float) -> float:
+        """Returns the seconds that the next watch call may wait for changes.
 
-        Without followers these are `pause` and `wait` as given. With followers both are limited so
-        that updates are not too old for them, and the wait is shortest until the first call has
-        brought this instance up to date.
+        Without followers this is `wait` as given. With followers it is limited so that the age of
+        the state remains within what they may rely on: until this call is answered, and through
+        another short call if this one returns changes, which may be from its first moment. Before
+        this instance is up to date it is shortest.
         """
         if not self.has_followers:
-            return pause, wait
-        shared = self._kinds[kind]
-        most = shared.bound - OWN_CALL_TIME - FOLLOW_INTERVAL - MAX_TRANSIT_TIME
-        wait = min(wait, max(MIN_WATCH_WAIT, most - pause))
-        if shared.watched_at == NEVER:
-            wait = min(wait, MIN_WATCH_WAIT)
-        return max(0.0, min(pause, most - wait)), wait
+            return wait
+        most = self._max_watcher_age(kind) - MIN_WATCH_WAIT - self.age(kind)
+        return min(wait, max(MIN_WATCH_WAIT, most))
+
+    def pause_after_changes(self, kind: ObjectKind, pause: float) -> float:
+        """Returns the seconds to pause after changes; `pause` as given if it has no followers."""
+        if not self.has_followers:
+            return pause
+        most = self._max_watcher_age(kind) - MIN_WATCH_WAIT - self.age(kind)
+        return max(0.0, min(pause, most))
+
+    def _max_watcher_age(self, kind: ObjectKind) -> float:
+        """Returns the age that the state of an instance with followers may reach, in seconds."""
+        bound = self._kinds[kind].bound
+        return bound - OWN_CALL_TIME - FOLLOW_INTERVAL - MAX_TRANSIT_TIME
 
     def is_watcher(self) -> bool:
         """Tells whether this instance is the zone's first watcher, or the zone needs none."""
@@ -284,10 +293,19 @@
         self._apply_and_publish(kind, changes, published_up_to)
         return True
 
-    def take_changes(self, kind: ObjectKind, changes: Sequence[Change], as_of: int) -> None:
-        """Applies the changes that a watch call returned, and sends them to the followers."""
+    def take_changes(
+        self, kind: ObjectKind, changes: Sequence[Change], as_of: int, answered_at: float
+    ) -> None:
+        """Applies the changes that a watch call returned, and sends them to the followers.
+
+        Args:
+            kind: The kind that is watched.
+            changes: Its changes since the state that this instance has.
+            as_of: Revision of the store up to which these are all.
+            answered_at: Earliest time at which the store may have given this answer.
+        """
         shared = self._kinds[kind]
-        shared.watched_at = monotonic()
+        shared.watched_at = max(shared.watched_at, answered_at)
         since = shared.feed.as_of
         assert since is not None
         # Followers need nothing between the last change sent to them and the present state, so a
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
@@ -23,6 +23,7 @@
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.logs import log
 
+from wigeonarch_gateway.answer_time import earliest_answer_time
 from wigeonarch_gateway.options import StoreOptions
 from wigeonarch_gateway.ports import (
     Changes,
@@ -141,8 +142,8 @@
                 await state.wait_before_retry(kind, _retry_pause(opts, sharing, failures))
             failures = failures + 1 if needs_list else 0
             continue
-        pause, wait = sharing.watch_times(kind, watched.batch_pause, watched.wait)
-        began = monotonic()
+        wait = sharing.wait_of_watch(kind, watched.wait)
+        called_at = monotonic()
         result = await _watch(store, state, kind, since, wait)
         if result is None:
             needs_list = True
@@ -162,8 +163,11 @@
             log("store_history_gone", "WARNING", kind=kind.value, since=since)
             needs_list = True
             continue
-        _log_late_answer(kind, result, monotonic() - began - wait)
-        sharing.take_changes(kind, result.changes, result.as_of)
+        handled_at = monotonic()
+        _log_late_answer(kind, result, handled_at - called_at - wait)
+        answered_at = earliest_answer_time(called_at, handled_at, wait, bool(result.changes))
+        sharing.take_changes(kind, result.changes, result.as_of, answered_at)
+        pause = sharing.pause_after_changes(kind, watched.batch_pause)
         if result.changes and pause:
             await asyncio.sleep(pause)
 
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -278,5 +278,5 @@
     told = sharing.confirmation(KIND)
     assert (told.confirmed_by, told.as_of) == ("k", 12)
     assert told.age >= 0.5
-    sharing.take_changes(KIND, [], 14)
+    sharing.take_changes(KIND, [], 14, monotonic())
     assert sharing.confirmation(KIND).confirmed_by == STORE
--- a/tests/test_update_age.py
+++ b/tests/test_update_age.py
@@ -15,6 +15,7 @@
 from corrupted_updates import DEFECTS
 from gateway_world import new_store_contact
 from wigeonarch_gateway import sharing as sharing_module
+from wigeonarch_gateway.answer_time import earliest_answer_time
 from wigeonarch_gateway.messages import FollowRequest, StoreUpdate, UpdateUnavailable, decode
 from wigeonarch_gateway.options import PropagationBounds, StoreOptions
 from wigeonarch_gateway.ports import Change, ObjectKind, StoredObject
@@ -104,7 +105,7 @@
 
     def watch() -> None:
         """Runs a watch call; a silent cut swallows its answer, and the call times out."""
-        pause, wait = watcher.watch_times(KIND, opts.batch_pause, opts.watch)
+        wait = watcher.wait_of_watch(KIND, opts.watch)
         began, since = world.now, watcher.feed(KIND).as_of
         assert since is not None
 
@@ -120,8 +121,10 @@
                 fresh = range(since + 1, latest + 1)
                 changes = [Change(StoredObject(f"i-{n}", n, n), False) for n in fresh]
                 watcher.note_store_answer(KIND)
-                watcher.take_changes(KIND, changes, latest)
-                world.schedule(pause if latest > since else 0.0, watch)
+                answered_at = earliest_answer_time(began, world.now, wait, bool(changes))
+                watcher.take_changes(KIND, changes, latest, answered_at)
+                pause = watcher.pause_after_changes(KIND, opts.batch_pause)
+                world.schedule(pause if changes else 0.0, watch)
             else:
                 world.schedule(STEP, check)
 
@@ -169,12 +172,29 @@
 def test_a_working_watcher_can_always_be_relied_on(
     bound: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Its pause and wait keep the age at a follower's next request below the bound."""
+    """Its pauses and waits keep the age at a follower's next request below the bound."""
+    clock = [100.0]
+    monkeypatch.setattr(sharing_module, "monotonic", lambda: clock[0])
     opts = StoreOptions(propagation=PropagationBounds(endpoints=bound))
     sharing = WatchSharing("k", opts, lambda: ["k"], lambda name, frame: True, new_store_contact())
     sharing.add_kind(KIND, lambda change: True)
-    assert sharing.watch_times(KIND, 0.9, 3.5) == (0.9, 3.5)
-    sharing.answer_follower(FollowRequest("f", [(KINDS.index(KIND), 10)]))
-    pause, wait = sharing.watch_times(KIND, 0.9, 3.5)
-    assert pause + wait + FOLLOW_INTERVAL < bound - OWN_CALL_TIME
-    assert wait > 0.1
+    sharing.feed(KIND).apply_list([], 10)
+    assert sharing.wait_of_watch(KIND, 3.5) == 3.5
+    assert sharing.pause_after_changes(KIND, 0.9) == 0.9
+    rng = random.Random(1)
+    waits, ages = [], []
+    for number in range(11, 400):
+        sharing.answer_follower(FollowRequest("f", [(KINDS.index(KIND), 10)]))
+        wait = sharing.wait_of_watch(KIND, 3.5)
+        called_at = clock[0]
+        changed = rng.random() < 0.5
+        clock[0] += rng.choice((RTT, wait)) if changed else wait + RTT
+        waits.append(wait)
+        ages.append(sharing.age(KIND))
+        changes = [Change(StoredObject("i", number, number), False)] if changed else []
+        answered_at = earliest_answer_time(called_at, clock[0], wait, changed)
+        sharing.take_changes(KIND, changes, number, answered_at)
+        sharing.answer_follower(FollowRequest("f", [(KINDS.index(KIND), number)]))
+        clock[0] += sharing.pause_after_changes(KIND, 0.9) if changed else 0.0
+    assert max(ages[1:]) + FOLLOW_INTERVAL < bound - OWN_CALL_TIME
+    assert min(waits) > 0.1
--- a/tests/test_zone_watch.py
+++ b/tests/test_zone_watch.py
@@ -18,6 +18,7 @@
 from corrupted_updates import DEFECTS
 from gateway_world import new_store_contact
 from wigeonarch_gateway import sharing as sharing_module
+from wigeonarch_gateway.answer_time import earliest_answer_time
 from wigeonarch_gateway.messages import FollowRequest, StoreUpdate, UpdateUnavailable, decode
 from wigeonarch_gateway.options import PropagationBounds, StoreOptions
 from wigeonarch_gateway.ports import Change, ObjectKind, StoredObject
@@ -134,7 +135,7 @@
         if idle_for > 0.0:
             self.next_check = now + min(CHECK_INTERVAL, idle_for)
             return
-        _, wait = self.sharing.watch_times(KIND, 0.9, 3.5)
+        wait = self.sharing.wait_of_watch(KIND, 3.5)
         since = self.sharing.feed(KIND).as_of
         assert since is not None
         self.calls += 1
@@ -167,8 +168,9 @@
             for n in range(call.since + 1, call.answer + 1)
         ]
         self.sharing.note_store_answer(KIND)
-        self.sharing.take_changes(KIND, changes, max(call.answer, call.since))
-        pause, _ = self.sharing.watch_times(KIND, 0.9, 3.5)
+        answered_at = earliest_answer_time(call.began, now, call.wait, bool(changes))
+        self.sharing.take_changes(KIND, changes, max(call.answer, call.since), answered_at)
+        pause = self.sharing.pause_after_changes(KIND, 0.9)
         self.watch, self.next_check = None, now + (pause if changes else 0.0)
 
     def check(self) -> None:
