A change is compared with its own object's revision, so that followers take what a watch had passed over

If an answer of a watch ever named a revision without the change that led to it, the watcher's next list repaired the watcher; followers dropped the repair, as its revision was not above that of their whole state, and were confirmed on the old configuration from then on. The line now counts only changes that followers need, once for each list. An object that the state lacks is still compared with the state's revision: it may have been removed since.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/feeding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/feeding.py
@@ -2,7 +2,7 @@
 
 Changes come from the instance's own watch and from peers that watch the store for it, in any order,
 late or more than once. This is safe because each object carries the store's revision of its last
-change: a change that is not newer than the state is dropped, and so is the removal of an object
+change: a change that is not newer than the object is dropped, and so is the removal of an object
 that has been created again since. Recent changes are retained in order, so a peer whose state is
 that of an earlier revision can be brought up to date; one that lacks older changes must read the
 store.
@@ -111,7 +111,9 @@
                 return False
             del self._revisions[name]
             return True
-        if revision <= max(known or 0, self.as_of):
+        # An object that the state lacks may have been removed since. One that it has is compared by
+        # its own revision, so that a change that an earlier answer lacked still counts.
+        if revision <= (self.as_of if known is None else known):
             return False
         self._revisions[name] = revision
         return True
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -289,8 +289,8 @@
             return False
         shared.watched_at = requested_at
         self._report_next_era(kind, before, as_of)
-        _log_passed_over(kind, changes, before)
-        self._apply_and_publish(kind, changes, published_up_to)
+        needed = self._apply_and_publish(kind, changes, published_up_to)
+        _log_passed_over(kind, needed, before)
         return True
 
     def take_changes(
@@ -322,11 +322,12 @@
 
     def _apply_and_publish(
         self, kind: ObjectKind, fresh: Sequence[Change], published_up_to: int
-    ) -> None:
-        """Applies new changes, and sends those that followers need to them."""
+    ) -> list[Change]:
+        """Applies new changes; returns those that followers need, and sends these to them."""
         needed = self._apply(self._kinds[kind], fresh)
         if needed:
             self._send_update(kind, published_up_to, needed, self._live_followers())
+        return needed
 
     def _apply(self, shared: SharedKind, fresh: Sequence[Change]) -> list[Change]:
         """Applies new changes; returns and retains those that followers need."""
@@ -525,17 +526,18 @@
             self._send(name, frame)
 
 
-def _log_passed_over(kind: ObjectKind, changes: Sequence[Change], before: int | None) -> None:
-    """Logs the changes that a state as of a revision should have contained but did not."""
+def _log_passed_over(kind: ObjectKind, needed: Sequence[Change], before: int | None) -> None:
+    """Logs that a state as of a revision lacked changes up to that revision."""
     if before is None:
         return
-    for change in changes:
-        if not change.deleted and change.stored.revision <= before:
-            log(
-                "change_passed_over",
-                "WARNING",
-                kind=kind.value,
-                name=change.stored.name,
-                revision=store_revision(change.stored.revision),
-                as_of=store_revision(before),
-            )
+    found = [c for c in needed if not c.deleted and c.stored.revision <= before]
+    if found:
+        log(
+            "change_passed_over",
+            "WARNING",
+            kind=kind.value,
+            count=len(found),
+            name=found[0].stored.name,
+            revision=store_revision(found[0].stored.revision),
+            as_of=store_revision(before),
+        )
