Nothing is denied by a configuration that may be outdated: neither a path without a route nor a missing key

Only the unknown key asked for the age; the other two denials did not. Evidence: three rows of tests/test_gateway_teams.py failed (404, 404, 401 for 503) with a configuration confirmed 60 s ago. Change: admission and routing ask the same ConfigurationFreshness; 503 with a short Retry-After, reason route_unsure or key_unsure. An honest age suffices, no margin is needed: a denial is given while the age is within the bound, so all that was accepted a bound before the request was handled is known, and it was sent before that. The test of a path without a route asked before the first list was confirmed; it waits for that now and expects the same 404.

--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
@@ -43,8 +43,12 @@
     ),
     ("refused", "quota_unsure"): "not run: no instance that keeps team {team}'s quota replied",
     ("refused", "key_unsure"): (
-        "not run: its API key is not in configuration version {version}, and a newer version "
-        "may be in force"
+        "not run: configuration version {version} does not allow it without its API key, and a "
+        "newer version may be in force"
+    ),
+    ("refused", "route_unsure"): (
+        "not run: configuration version {version} has no route for host {host}, and a newer "
+        "version may be in force"
     ),
     ("denied", "key_missing"): "not allowed: it had no API key, or a malformed one",
     ("denied", "key_unknown"): (
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/admission.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/admission.py
@@ -3,9 +3,10 @@
 Requests are admitted after they are routed and before an endpoint is chosen, so that a request that
 is not allowed uses up no place, adapter load or retry of others.
 
-An API key that is unknown while this instance's configuration is out of date may be a new one. Such
-a request is told to retry, which may take it to another instance, and is not denied. A request
-beyond its team's quota waits only if the quota will cover it soon enough to meet the objective.
+While this instance's configuration may be out of date, an API key that is unknown may be a new one,
+and a route that needs a key may need none any more. Such a request is told to retry, which may take
+it to another instance, and is not denied. A request beyond its team's quota waits only if the quota
+will cover it soon enough to meet the objective.
 """
 
 from __future__ import annotations
@@ -24,12 +25,10 @@
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.ports import Headers, RequestTerms
 from wigeonarch_gateway.quotas import QuotaGrant, QuotaManager, QuotaRefusal
-from wigeonarch_gateway.selection import LogFields
+from wigeonarch_gateway.selection import RETRY_ELSEWHERE_AFTER, LogFields
 
 # Share of the latency objective for which a request waits until its team's quota covers it.
 QUOTA_WAIT_SHARE: Final = 0.2
-# Seconds after which to retry a request that another instance could have admitted.
-RETRY_ELSEWHERE_AFTER: Final = 0.05
 
 KEY_TEXTS: Final = {
     KeyProblem.MISSING: texts.KEY_MISSING,
@@ -121,7 +120,7 @@
             self._quotas.refund(admitted.quota_grant)
 
     def _reject_key(self, problem: KeyProblem) -> Denied | Deferred:
-        if problem is KeyProblem.UNKNOWN and self._freshness.is_behind():
+        if self._freshness.is_behind():
             return Deferred("key_unsure", texts.KEY_UNSURE, RETRY_ELSEWHERE_AFTER, False, {})
         return Denied(problem.value, KEY_TEXTS[problem])
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
@@ -59,6 +59,8 @@
 
 # Seconds after which a refused request may be retried: loads and queues change within that.
 DEFAULT_RETRY_AFTER: Final = 0.3
+# Seconds after which to retry a request that another instance may be able to answer.
+RETRY_ELSEWHERE_AFTER: Final = 0.05
 
 # Fields of a log line that explain a decision.
 LogFields = dict[str, object]
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
@@ -26,7 +26,7 @@
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.ports import Dialect, RequestTerms
 from wigeonarch_gateway.responder import Responder
-from wigeonarch_gateway.selection import LogFields
+from wigeonarch_gateway.selection import RETRY_ELSEWHERE_AFTER, LogFields
 
 TOO_MANY_REQUESTS: Final = 429
 UNAVAILABLE: Final = 503
@@ -95,15 +95,20 @@
         response: ResponseWriter,
         table: RoutingTable,
     ) -> None:
-        """Responds to a request for which the configuration has no route."""
-        log(
-            "no_route",
-            "INFO",
-            request=terms.request_id,
-            host=request.host,
-            version=table.version,
-            **self._freshness.log_fields(),
-        )
+        """Responds to a request for which the configuration has no route; a newer one may have."""
+        log_fields: LogFields = {"host": request.host, "version": table.version}
+        log_fields |= self._freshness.log_fields()
+        if self._freshness.is_behind():
+            await self._responder.refuse(
+                response,
+                terms,
+                "route_unsure",
+                texts.ROUTE_UNSURE,
+                log_fields,
+                RETRY_ELSEWHERE_AFTER,
+            )
+            return
+        log("no_route", "INFO", request=terms.request_id, **log_fields)
         self._metrics.refusals.labels("no_route").inc()
         await response.send(404, [], texts.NO_ROUTE.encode())
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/texts.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/texts.py
@@ -6,6 +6,7 @@
 
 NO_CONFIGURATION: Final = "not run: this instance has no configuration yet"
 NO_ROUTE: Final = "no route for this host and path"
+ROUTE_UNSURE: Final = "not run: this instance can't tell whether there is a route"
 BODY_TOO_LARGE: Final = "the body is larger than the configuration allows"
 BAD_BODY: Final = "the body could not be read"
 BAD_DEADLINE: Final = "the deadline is not a number of milliseconds"
--- a/tests/test_gateway_passing.py
+++ b/tests/test_gateway_passing.py
@@ -58,6 +58,8 @@
 async def test_status_by_route(path: str, status: int) -> None:
     async with world() as deployment:
         await deployment.wait_until_served("/ask/x")
+        # It denies nothing before the store has confirmed its first list.
+        await until_true(lambda: not deployment.nodes[0]._freshness.is_behind())
         assert (await deployment.send_request(path)).status == status
 
 
