--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -25,7 +25,8 @@
 
 An instance that just started has read lists that may be some seconds old. It may use the time until
 it must be up to date (`StoreOptions.contact`) to find a watcher, and does not watch the store
-meanwhile, so that many instances that start at once don't all watch it.
+meanwhile, so that many instances that start at once don't all watch it. If its watcher lacks what
+happened since those lists, as one that started later does, one short call closes the gap.
 """
 
 from __future__ import annotations
@@ -98,6 +99,8 @@
         last_reply: Time of the watcher's last reply.
         confirmed_at: Time as of which a watcher last confirmed the state.
         confirming_watcher: The watcher that did so; empty before the first.
+        unavailable: Whether the watcher said that it lacks needed changes, and the state has not
+            been confirmed since.
     """
 
     feed: ChangeFeed
@@ -108,6 +111,7 @@
     last_reply: float = NEVER
     confirmed_at: float = NEVER
     confirming_watcher: str = ""
+    unavailable: bool = False
 
 
 class WatchSharing:
@@ -191,9 +195,12 @@
 
         Without followers this is `wait` as given. With followers it is limited so that the age of
         the state remains within what they may rely on: until this call is answered, and through
-        another short call if this one returns changes, which may be from its first moment. Before
-        this instance is up to date it is shortest.
+        another short call if this one returns changes, which may be from its first moment. It is
+        shortest before this instance is up to date, and where its watcher lacks only what happened
+        before that one's own first list: after one call it can follow.
         """
+        if self._kinds[kind].unavailable:
+            return MIN_WATCH_WAIT
         if not self.has_followers:
             return wait
         most = self._max_watcher_age(kind) - MIN_WATCH_WAIT - self.age(kind)
@@ -268,7 +275,8 @@
 
     def watch_not_needed_for(self, kind: ObjectKind) -> float:
         """Returns the seconds for which this instance need not call the store itself."""
-        if self._kinds[kind].feed.as_of is None or self.has_followers:
+        shared = self._kinds[kind]
+        if shared.feed.as_of is None or shared.unavailable or self.has_followers:
             return 0.0
         search_left = (
             0.0 if self._is_zone_small() else self._started + WATCHER_SEARCH_TIME - monotonic()
@@ -288,6 +296,7 @@
         if changes is None:
             return False
         shared.watched_at = requested_at
+        shared.unavailable = False
         self._report_next_era(kind, before, as_of)
         needed = self._apply_and_publish(kind, changes, published_up_to)
         _log_passed_over(kind, needed, before)
@@ -306,6 +315,7 @@
         """
         shared = self._kinds[kind]
         shared.watched_at = max(shared.watched_at, answered_at)
+        shared.unavailable = False
         since = shared.feed.as_of
         assert since is not None
         # Followers need nothing between the last change sent to them and the present state, so a
@@ -453,7 +463,7 @@
         """Notes the time as of which a watcher confirms the state, unless that is too long ago."""
         if age >= shared.bound:
             return
-        shared.store_away = False
+        shared.store_away = shared.unavailable = False
         if requested_at - age > shared.confirmed_at:
             shared.confirmed_at = requested_at - age
             shared.confirming_watcher = self.following
@@ -464,6 +474,7 @@
         shared = self._kinds.get(KINDS[message.kind]) if message.kind < len(KINDS) else None
         if shared is not None and message.sender == self.following:
             shared.last_reply, shared.confirmed_at = monotonic(), NEVER
+            shared.unavailable = True
 
     # The watcher's side.
 
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -12,7 +12,7 @@
 from wigeonarch_gateway.node import Node
 from wigeonarch_gateway.options import PropagationBounds, StoreOptions
 from wigeonarch_gateway.ports import EndpointState, ObjectKind
-from wigeonarch_gateway.sharing import KINDS, STORE, WatchSharing
+from wigeonarch_gateway.sharing import KINDS, MIN_WATCH_WAIT, STORE, WatchSharing
 from wigeonarch_runtime.clock import monotonic
 
 KIND = ObjectKind.ENDPOINTS
@@ -221,6 +221,17 @@
     assert not sharing.is_kept_current(KIND)
 
 
+def test_a_follower_whose_watcher_lacks_its_changes_watches_the_store_at_once() -> None:
+    sharing, _ = follower()
+    sharing._is_zone_small = lambda: False
+    assert sharing.watch_not_needed_for(KIND) > 0.0
+    sharing.receive_unavailable(UpdateUnavailable("k", KINDS.index(KIND)))
+    assert sharing.watch_not_needed_for(KIND) == 0.0
+    assert sharing.wait_of_watch(KIND, 3.5) == MIN_WATCH_WAIT
+    sharing.take_changes(KIND, [], 12, monotonic())
+    assert sharing.watch_not_needed_for(KIND) > 0.0
+
+
 def test_a_watcher_reports_the_stores_return_only_after_reading_what_it_missed() -> None:
     sharing, sent = follower()
     sharing.answer_follower(FollowRequest("f", []))
--- a/tests/test_zone_watch.py
+++ b/tests/test_zone_watch.py
@@ -203,12 +203,17 @@
         size: int,
         bound: float,
         corrupt: Callable[[StoreUpdate], StoreUpdate] | None = None,
+        changes_before: int = 0,
     ) -> None:
+        """Starts all instances, the last of `changes_before` changes a moment before them."""
         self.rng = random.Random(seed)
         self.bound = bound
         self.corrupt = corrupt or (lambda update: update)
         self.now = 100.0
         self.store = Store()
+        for number in range(changes_before):
+            at = self.now - RTT - 0.2 * (changes_before - number)
+            self.store.accepted.append((at, 11 + number))
         self.loss = self.rng.choice((0.0, 0.05, 0.3))
         self.slowest = self.rng.choice((0.01, 0.1, 0.5))
         self.due: list[tuple[float, str, bytes]] = []
@@ -273,12 +278,13 @@
         corrupt: Callable[[StoreUpdate], StoreUpdate] | None = None,
         reliable: bool = False,
         check: Callable[[Instance], None] = Instance.check,
+        changes_before: int = 0,
     ) -> Zone:
         current: list[Zone] = []
         monkeypatch.setattr(
             sharing_module, "monotonic", lambda: current[0].now if current else 100.0
         )
-        zone = Zone(seed, size, bound, corrupt)
+        zone = Zone(seed, size, bound, corrupt, changes_before)
         current.append(zone)
         if reliable:
             zone.loss, zone.slowest = 0.0, RTT
@@ -357,6 +363,22 @@
     assert len(asking) == 1
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_instances_that_just_started_are_up_to_date_before_their_search_for_a_watcher_ends(
+    simulate: Callable[..., Zone], seed: int
+) -> None:
+    zone = simulate(
+        seed,
+        size=40,
+        seconds=WATCHER_SEARCH_TIME,
+        fault_rate=0.0,
+        reliable=True,
+        changes_before=20,
+    )
+    late = [name for name, one in zone.instances.items() if one.sharing.age(KIND) >= zone.bound]
+    assert not late
+
+
 def test_the_next_watcher_takes_over_from_a_lost_one(simulate: Callable[..., Zone]) -> None:
     zone = simulate(5, size=12, seconds=10.0, fault_rate=0.0, reliable=True)
     first, second = zone.instances["n0"], zone.instances["n1"]
