--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import enum
 import json
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
@@ -12,6 +13,10 @@
 SHUTDOWN_TIMEOUT = 0.1  # Seconds that `stop` waits for calls in progress.
 
 
+async def _do_nothing() -> None:
+    pass
+
+
 class StoreFault(enum.Enum):
     """How the store fails calls."""
 
@@ -32,6 +37,8 @@
         oldest_watch_revision: Oldest revision from which a watch may continue.
         calls: Method, kind and status of each call.
         body_replacements: Byte strings replaced in each response's body, with their replacements.
+        page_size: Objects in one page of a list.
+        after_page: Called after a page that others follow.
         era: Number of times that an older copy was restored; None if responses name no era.
         revision: Revision of the last change.
         objects: Stored documents by kind and name.
@@ -43,6 +50,8 @@
         self.oldest_watch_revision = 0
         self.calls: list[tuple[str, str, int]] = []
         self.body_replacements: dict[bytes, bytes] = {}
+        self.page_size = 500
+        self.after_page: Callable[[], Awaitable[None]] = _do_nothing
         self.era: int | None = 0
         self.revision = 1
         self._saved_copy: tuple[int, dict[tuple[str, str], dict[str, Any]]] = (1, {})
@@ -151,8 +160,7 @@
         if request.method == "GET" and "watch" in request.query:
             return await self._watch(kind, request)
         if request.method == "GET" and not name:
-            items = [stored for (k, _), stored in sorted(self.objects.items()) if k == kind]
-            return 200, {"items": items, "truncated": False, "as_of": self.revision}
+            return 200, await self._list(kind, request.query.get("after", ""))
         if request.method == "GET":
             stored = self.objects.get((kind, name))
             return (200, stored) if stored else (404, {})
@@ -161,6 +169,18 @@
             return 200, {}
         return await self._handle_write(request, kind, name)
 
+    async def _list(self, kind: str, after: str) -> Any:
+        names = sorted(n for k, n in self.objects if k == kind and n > after)
+        items = [self.objects[kind, name] for name in names[: self.page_size]]
+        page = {
+            "items": items,
+            "truncated": len(items) < len(names),
+            "as_of": self.revision,
+        }
+        if page["truncated"]:
+            await self.after_page()
+        return page
+
     async def _handle_write(
         self, request: web.BaseRequest, kind: str, name: str
     ) -> tuple[int, Any]:
