Contact with the store counts from when the store may have answered, not from when it is handled

The same cause elsewhere: what tells lapsed entries from removed ones took the time at which an answer is handled for that of the store. A gap without the store then looks shorter than it was, and endpoints that had only lapsed are dropped. Shown: three rows of tests/test_gateway_watching.py fail without it.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/instrumented_store.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/instrumented_store.py
@@ -1,8 +1,8 @@
 """A wrapper around any object store that counts calls by kind and result and records contact.
 
-The time of the last contact with the store is that at which a response was received: the store
-gave the response after the call began. A list that may be some seconds old (`stale`) proves no
-contact, as it says nothing of the store's present state.
+The time of the last contact with the store is the earliest at which it may have given a response
+(see `answer_time`), as a response may be handled long after. A list that may be some seconds old
+(`stale`) proves no contact, as it says nothing of the store's present state.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.logs import log
 
+from wigeonarch_gateway.answer_time import earliest_answer_time
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.ports import (
     Absent,
@@ -62,7 +63,7 @@
         self, kind: ObjectKind, since: int, wait: float
     ) -> Changes | HistoryGone | Unavailable:
         """Returns what changed after a revision."""
-        return await self._instrument("watch", self._store.watch(kind, since, wait))
+        return await self._instrument("watch", self._store.watch(kind, since, wait), wait=wait)
 
     async def get(self, kind: ObjectKind, name: str) -> StoredObject | Absent | Unavailable:
         """Returns one object."""
@@ -91,7 +92,11 @@
         await self._store.close()
 
     async def _instrument(
-        self, call: str, result_of: Awaitable[Result], proves_contact: bool = True
+        self,
+        call: str,
+        result_of: Awaitable[Result],
+        proves_contact: bool = True,
+        wait: float = 0.0,
     ) -> Result:
         """Awaits a call and records its result.
 
@@ -99,6 +104,7 @@
             call: Kind of the call.
             result_of: The call.
             proves_contact: Whether a response shows that the store can be reached now.
+            wait: Seconds that the store waits for changes before it responds without any.
         """
         self.calls[call] += 1
         began = monotonic()
@@ -107,7 +113,8 @@
         if isinstance(result, Unavailable):
             self._contact.record_failure(began)
         elif proves_contact:
-            self._contact.record_answer(monotonic())
+            waited = wait if isinstance(result, Changes) and not result.changes else 0.0
+            self._contact.record_answer(earliest_answer_time(began, monotonic(), waited))
         self._metrics.store_calls.labels(call, type(result).__name__.lower()).inc()
         return result
 
--- a/tests/test_gateway_watching.py
+++ b/tests/test_gateway_watching.py
@@ -7,8 +7,11 @@
 
 import pytest
 from gateway_world import new_store_contact
+from wigeonarch_gateway import instrumented_store as instrumented_store_module
 from wigeonarch_gateway import sharing as sharing_module
 from wigeonarch_gateway import watching as watching_module
+from wigeonarch_gateway.instrumented_store import InstrumentedStore
+from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.options import StoreOptions
 from wigeonarch_gateway.ports import (
     Change,
@@ -262,6 +265,7 @@
 
     def __init__(self, answer: Changes, took: float) -> None:
         self.now = 100.0
+        self.era: int | None = None
         self.answer: Changes | None = answer
         self.took = took
 
@@ -306,5 +310,26 @@
     assert sharing.age(KIND) == pytest.approx(age)
 
 
+@pytest.mark.parametrize(
+    ("answer", "took", "age"),
+    [
+        (NO_CHANGES, 1.0, 0.0),
+        (NO_CHANGES, 3.0, 2.0),
+        (ONE_CHANGE, 3.0, 3.0),
+        (HistoryGone(), 3.0, 3.0),
+    ],
+)
+async def test_an_answer_that_is_handled_late_is_no_recent_contact_with_the_store(
+    monkeypatch: pytest.MonkeyPatch, answer: Any, took: float, age: float
+) -> None:
+    store, contact = LateStore(answer, took), new_store_contact()
+    monkeypatch.setattr(instrumented_store_module, "monotonic", lambda: store.now)
+    instrumented = InstrumentedStore(store, Metrics(), contact)  # type: ignore[arg-type]
+    assert await instrumented.watch(KIND, 10, 1.0) == answer
+    found = contact.contact()
+    assert found is not None
+    assert store.now - found.until == pytest.approx(age)
+
+
 def test_the_watch_of_the_configuration_is_shorter_than_its_bound() -> None:
     assert OPTS.watch_configuration < 2.0
