--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -63,9 +63,11 @@
 # Seconds for which a failed watcher is not followed again, so that followers don't return to one
 # that replies only now and then each time that it does.
 FAILED_WATCHER_PAUSE: Final = 3.0
-# Seconds after its start in which an instance looks for a watcher instead of watching the store. It
-# must be up to date `StoreOptions.contact` plus the kind's bound after its start.
+# Seconds after its start in which an instance looks for a watcher instead of watching the store.
 WATCHER_SEARCH_TIME: Final = 2.8
+# Seconds of the time until an instance must be up to date (`StoreOptions.contact`) that the start
+# of its process and its own call to the store take. The search is over before them.
+START_RESERVE: Final = 1.2
 KINDS: Final = tuple(ObjectKind)
 NEVER: Final = float("-inf")  # Before all times.
 STORE: Final = "store"  # Confirmed the state itself, without a watcher in between.
@@ -278,9 +280,8 @@
         shared = self._kinds[kind]
         if shared.feed.as_of is None or shared.unavailable or self.has_followers:
             return 0.0
-        search_left = (
-            0.0 if self._is_zone_small() else self._started + WATCHER_SEARCH_TIME - monotonic()
-        )
+        search_time = min(WATCHER_SEARCH_TIME, self._opts.contact - START_RESERVE)
+        search_left = 0.0 if self._is_zone_small() else self._started + search_time - monotonic()
         return max(self.kept_current_for(kind), search_left)
 
     # Results of this instance's own calls to the store.
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -12,7 +12,13 @@
 from wigeonarch_gateway.node import Node
 from wigeonarch_gateway.options import PropagationBounds, StoreOptions
 from wigeonarch_gateway.ports import EndpointState, ObjectKind
-from wigeonarch_gateway.sharing import KINDS, MIN_WATCH_WAIT, STORE, WatchSharing
+from wigeonarch_gateway.sharing import (
+    KINDS,
+    MIN_WATCH_WAIT,
+    OWN_CALL_TIME,
+    STORE,
+    WatchSharing,
+)
 from wigeonarch_runtime.clock import monotonic
 
 KIND = ObjectKind.ENDPOINTS
@@ -232,6 +238,17 @@
     assert sharing.watch_not_needed_for(KIND) > 0.0
 
 
+@pytest.mark.parametrize("contact", [3.0, 4.0, 5.0])
+def test_an_instance_without_a_watcher_is_up_to_date_when_it_counts_as_in_touch(
+    contact: float,
+) -> None:
+    sharing, _ = follower(StoreOptions(contact=contact))
+    sharing._is_zone_small = lambda: False
+    process_start = 0.7
+    search_ends = process_start + sharing.watch_not_needed_for(KIND)
+    assert search_ends + OWN_CALL_TIME < contact
+
+
 def test_a_watcher_reports_the_stores_return_only_after_reading_what_it_missed() -> None:
     sharing, sent = follower()
     sharing.answer_follower(FollowRequest("f", []))
