--- a/packages/wigeonarch-core/src/wigeonarch_core/serving_right.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/serving_right.py
@@ -84,11 +84,16 @@
         self._last_answer: float | None = None
         self._since = 0.0
 
-    def record_answer(self, now: float) -> None:
-        """Records any answer of the platform, including a line of a watch."""
-        if not self.is_reachable(now):
-            self._since = now
-        self._last_answer = now
+    def record_answer(self, at: float) -> None:
+        """Records any answer of the platform, including a line of a watch.
+
+        Args:
+            at: Earliest time at which the platform may have given it. An answer may be handled long
+                after, while the platform is away.
+        """
+        if not self.is_reachable(at):
+            self._since = at
+        self._last_answer = at if self._last_answer is None else max(self._last_answer, at)
 
     def is_reachable(self, now: float) -> bool:
         """Returns whether the platform has answered recently."""
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/platform.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/platform.py
@@ -231,6 +231,7 @@
             The status and the document if the platform answered the call (200, 404, 412).
         """
         url = f"http://{self._address()}{path}"
+        called_at = monotonic()
         try:
             async with self._session.request(
                 method, url, data=body, headers=headers, timeout=self._timeout
@@ -247,7 +248,7 @@
         self._metrics.control_bytes.labels("platform", "out").inc(len(body or b""))
         self._metrics.control_bytes.labels("platform", "in").inc(len(text))
         if status in (_OK, _NOT_FOUND, _PRECONDITION_FAILED):
-            self.reachability.record_answer(monotonic())
+            self.reachability.record_answer(called_at)
             return status, json.loads(text)
         self._next_address()
         return Unavailable(status >= 500, f"status {status}")
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -120,6 +120,15 @@
     assert (reachability.is_reachable(6.1), reachability.is_settled(6.2)) == (True, False)
 
 
+def test_an_answer_that_is_handled_late_does_not_make_the_platform_reachable_again() -> None:
+    reachability = PlatformReachability(bound=2.0, settle=3.5)
+    reachability.record_answer(5.0)
+    reachability.record_answer(4.0)  # Its call began earlier and took longer.
+    assert reachability.is_reachable(7.0)
+    reachability.record_answer(4.5)
+    assert not reachability.is_reachable(7.1)
+
+
 def test_zone_view_remembers_the_newest_change() -> None:
     view = ZoneView(2.5)
     view.record(replace(CUT_OFF_PEER, as_of=1.0, applied=9))
