Entry instance: a cancellation at the moment of a call's timeout is no longer lost

Cause, now shown: the HTTP client's total timeout cancels the task itself, and a cancellation of ours that arrives before the task runs again is taken for that timeout. Change: every call of the entry instance that has a total time limit uses asyncio.timeout. Not changed: the gateway's client of the store, whose shutdown cancels again until its tasks have ended.

--- a/packages/wigeonarch-entry/src/wigeonarch_entry/engines.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/engines.py
@@ -24,7 +24,12 @@
 from wigeonarch_core.refs import AdapterVersion
 from wigeonarch_core.reorder_buffer import ReorderBuffer
 
-from wigeonarch_entry.sending import CheckedConnector, NoLongerUsableError, send_only_if
+from wigeonarch_entry.sending import (
+    NO_TIMEOUT,
+    CheckedConnector,
+    NoLongerUsableError,
+    send_only_if,
+)
 from wigeonarch_entry.streamlines import StreamLines
 
 _OK: Final = 200
@@ -184,9 +189,11 @@
     async def cancel(self, address: str, dispatch: str) -> bool:
         """Cancels a generation; returns whether the engine has confirmed it."""
         url = f"http://{address}/v1/generate/{dispatch}"
-        timeout = aiohttp.ClientTimeout(total=self._connect_timeout * 2)
         try:
-            async with self._unpooled.delete(url, timeout=timeout) as resp:
+            async with (
+                asyncio.timeout(self._connect_timeout * 2),
+                self._unpooled.delete(url, timeout=NO_TIMEOUT) as resp,
+            ):
                 return resp.status == _OK
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
@@ -205,9 +212,12 @@
 
     async def report(self, address: str, time_limit: float) -> EngineReport | None:
         """Reads an engine's report; returns None if that fails."""
-        timeout = aiohttp.ClientTimeout(total=time_limit)
+        url = f"http://{address}/v1/report"
         try:
-            async with self._pooled.get(f"http://{address}/v1/report", timeout=timeout) as resp:
+            async with (
+                asyncio.timeout(time_limit),
+                self._pooled.get(url, timeout=NO_TIMEOUT) as resp,
+            ):
                 if resp.status != _OK:
                     return None
                 return msgspec.json.decode(await resp.read(), type=EngineReport)
@@ -218,10 +228,13 @@
         self, address: str, order: str, fence: int, target: AdapterVersion, time_limit: float
     ) -> OrderResult:
         doc = {"fence": fence, "adapter": target.adapter, "version": target.version}
-        timeout = aiohttp.ClientTimeout(total=time_limit, connect=self._connect_timeout)
+        timeout = aiohttp.ClientTimeout(total=None, connect=self._connect_timeout)
         url = f"http://{address}/v1/adapters/{order}"
         try:
-            async with self._unpooled.post(url, json=doc, timeout=timeout) as resp:
+            async with (
+                asyncio.timeout(time_limit),
+                self._unpooled.post(url, json=doc, timeout=timeout) as resp,
+            ):
                 if resp.status == _OK:
                     return OrderResult(True)
                 return OrderResult(False, _error_reason(await resp.read()))
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/platform.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/platform.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -19,6 +20,7 @@
 from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_entry.metrics import Metrics
+from wigeonarch_entry.sending import NO_TIMEOUT
 
 INSTANCE_HEADER: Final = "X-Instance"
 ZONE_HEADER: Final = "X-Zone"
@@ -117,7 +119,7 @@
         self._address_index = 0
         self._metrics = metrics
         self.reachability = reachability
-        self._timeout = aiohttp.ClientTimeout(total=timeout)
+        self._timeout = timeout
         self._session = aiohttp.ClientSession(
             headers={INSTANCE_HEADER: instance, ZONE_HEADER: zone},
             connector=aiohttp.TCPConnector(
@@ -233,9 +235,12 @@
         url = f"http://{self._address()}{path}"
         called_at = monotonic()
         try:
-            async with self._session.request(
-                method, url, data=body, headers=headers, timeout=self._timeout
-            ) as resp:
+            async with (
+                asyncio.timeout(self._timeout),
+                self._session.request(
+                    method, url, data=body, headers=headers, timeout=NO_TIMEOUT
+                ) as resp,
+            ):
                 text = await resp.read()
                 status = resp.status
         except aiohttp.ClientConnectorError as exc:
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/sending.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/sending.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import aiohttp
 
@@ -21,6 +21,10 @@
     from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
 
+# For calls limited by `asyncio.timeout`. The client's own total timeout loses a cancellation of the
+# task that arrives at the same moment, and a task that goes on holds up the shutdown.
+NO_TIMEOUT: Final = aiohttp.ClientTimeout(total=None)
+
 _may_send: ContextVar[Callable[[], bool] | None] = ContextVar("usable", default=None)
 
 
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/services.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/services.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import Final
 
@@ -88,13 +89,16 @@
     async def call(self, address: str, call: ServiceCall) -> ServiceReply | CallBroken:
         """Makes a call; returns the response, or why there is none."""
         session = self._pooled if call.idempotent else self._unpooled
-        timeout = aiohttp.ClientTimeout(total=call.remaining, connect=self._connect_timeout)
+        timeout = aiohttp.ClientTimeout(total=None, connect=self._connect_timeout)
         headers = {DISPATCH_HEADER: call.dispatch, "Content-Type": "application/json"}
         if call.key:
             headers[KEY_HEADER] = call.key
         url = f"http://{address}/v1/call/{call.operation}"
         try:
-            async with session.post(url, data=call.body, headers=headers, timeout=timeout) as resp:
+            async with (
+                asyncio.timeout(call.remaining),
+                session.post(url, data=call.body, headers=headers, timeout=timeout) as resp,
+            ):
                 body = await resp.read()
                 return _reply(resp, body, call.dispatch)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
