--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/sharing.py
@@ -101,8 +101,8 @@
         last_reply: Time of the watcher's last reply.
         confirmed_at: Time as of which a watcher last confirmed the state.
         confirming_watcher: The watcher that did so; empty before the first.
-        unavailable: Whether the watcher said that it lacks needed changes, and the state has not
-            been confirmed since.
+        watcher_lacks_changes: Whether the watcher said that it lacks needed changes, and the state
+            has not been confirmed since.
     """
 
     feed: ChangeFeed
@@ -113,7 +113,7 @@
     last_reply: float = NEVER
     confirmed_at: float = NEVER
     confirming_watcher: str = ""
-    unavailable: bool = False
+    watcher_lacks_changes: bool = False
 
 
 class WatchSharing:
@@ -201,7 +201,7 @@
         shortest before this instance is up to date, and where its watcher lacks only what happened
         before that one's own first list: after one call it can follow.
         """
-        if self._kinds[kind].unavailable:
+        if self._kinds[kind].watcher_lacks_changes:
             return MIN_WATCH_WAIT
         if not self.has_followers:
             return wait
@@ -278,7 +278,7 @@
     def watch_not_needed_for(self, kind: ObjectKind) -> float:
         """Returns the seconds for which this instance need not call the store itself."""
         shared = self._kinds[kind]
-        if shared.feed.as_of is None or shared.unavailable or self.has_followers:
+        if shared.feed.as_of is None or shared.watcher_lacks_changes or self.has_followers:
             return 0.0
         search_time = min(WATCHER_SEARCH_TIME, self._opts.contact - START_RESERVE)
         search_left = 0.0 if self._is_zone_small() else self._started + search_time - monotonic()
@@ -297,7 +297,7 @@
         if changes is None:
             return False
         shared.watched_at = requested_at
-        shared.unavailable = False
+        shared.watcher_lacks_changes = False
         self._report_next_era(kind, before, as_of)
         needed = self._apply_and_publish(kind, changes, published_up_to)
         _log_passed_over(kind, needed, before)
@@ -316,7 +316,7 @@
         """
         shared = self._kinds[kind]
         shared.watched_at = max(shared.watched_at, answered_at)
-        shared.unavailable = False
+        shared.watcher_lacks_changes = False
         since = shared.feed.as_of
         assert since is not None
         # Followers need nothing between the last change sent to them and the present state, so a
@@ -464,7 +464,7 @@
         """Notes the time as of which a watcher confirms the state, unless that is too long ago."""
         if age >= shared.bound:
             return
-        shared.store_away = shared.unavailable = False
+        shared.store_away = shared.watcher_lacks_changes = False
         if requested_at - age > shared.confirmed_at:
             shared.confirmed_at = requested_at - age
             shared.confirming_watcher = self.following
@@ -475,7 +475,7 @@
         shared = self._kinds.get(KINDS[message.kind]) if message.kind < len(KINDS) else None
         if shared is not None and message.sender == self.following:
             shared.last_reply, shared.confirmed_at = monotonic(), NEVER
-            shared.unavailable = True
+            shared.watcher_lacks_changes = True
 
     # The watcher's side.
 
--- a/tests/test_zone_watch.py
+++ b/tests/test_zone_watch.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import random
+import sys
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -345,6 +346,21 @@
             simulate(seed, corrupt=defect)
 
 
+def test_an_age_that_begins_when_the_answer_is_handled_is_detected(
+    simulate: Callable[..., Zone], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def handled(called_at: float, handled_at: float, *rest: object) -> float:
+        return handled_at
+
+    monkeypatch.setattr(sys.modules[__name__], "earliest_answer_time", handled)
+    with pytest.raises(AssertionError, match="takes an old state for new"):
+        for seed in range(8):
+            simulate(seed, bound=2.0, check=Instance.check_age)
+    with pytest.raises(AssertionError, match="relies on a gap"):
+        for seed in (19, 48):
+            simulate(seed, bound=3.0)
+
+
 def calls_per_second(zone: Zone, seconds: float) -> float:
     return sum(instance.calls for instance in zone.instances.values()) / seconds
 
