--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -95,7 +95,12 @@
 ) -> None:
     gateway = soak.Gateway(0, "", tmp_path / "edge-0.conf")
     gateway.settings.write_text("")
-    await gateway.start()
+    # A process inherits that SIGHUP is ignored, as under nohup.
+    inherited = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    try:
+        await gateway.start()
+    finally:
+        signal.signal(signal.SIGHUP, inherited)
     first = gateway.process
     gateway.send_signal(signal.SIGHUP)
     try:
