Test: the gateway's client of the store keeps a cancellation at the moment of a timeout

The fault behind shutdownWhenThePlatformIsSilent, looked for elsewhere: on the row `store` of test_lost_cancellations failed (the task was still pending 50 turns after its cancellation), so a gateway that is stopped while the store is silent could hang in the same way.

--- a/tests/test_lost_cancellations.py
+++ b/tests/test_lost_cancellations.py
@@ -15,6 +15,8 @@
 from wigeonarch_entry.metrics import Metrics
 from wigeonarch_entry.platform import PlatformClient
 from wigeonarch_entry.services import ServiceCall, ServiceClient
+from wigeonarch_gateway.ports import ObjectKind
+from wigeonarch_platform.store import Store
 
 LIMIT = 0.2  # Seconds after which a call times out.
 TURNS = 50  # Of the event loop, in which the task must end.
@@ -42,6 +44,12 @@
     return client, lambda: client.call(address, call)
 
 
+def store(address: str) -> tuple[Any, Callable[[], Awaitable[object]]]:
+    client = Store(address)
+    path = client._path(ObjectKind.ENDPOINTS)
+    return client, lambda: client._call("GET", path, {}, timeout=LIMIT)
+
+
 ADAPTER = AdapterVersion("s", "a", "v")
 CALLS = {
     "platform": platform,
@@ -49,6 +57,7 @@
     "engine-report": engine(lambda client, address: client.report(address, LIMIT)),
     "engine-order": engine(lambda client, address: client.load(address, 1, ADAPTER, LIMIT)),
     "service": service,
+    "store": store,
 }
 
 
