A request is not refused for a rate limit while an endpoint without one is back sooner

While the endpoint without a limit is passed over for a moment, `_limit_wait` compared the hold with the wait for the limited one's permit alone, so the request was refused at once though the other endpoint is back within the hold.

Cause, by a test that failed before: an endpoint with a limit of 0.2 a second and one whose pause has 0.25 s left, where the route holds requests for 0.4 s: 503 at once, Retry-After 6; now the request waits and gets 200.

Change: the wait is that for the first endpoint that takes a request: a paused one when its pause ends. A pause that outlasts the hold is refused at once as before, with the shorter of both as Retry-After.

--- a/packages/wigeonarch-core/src/wigeonarch_core/endpoint_health.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/endpoint_health.py
@@ -42,6 +42,12 @@
             return False
         return now < found.paused_until or found.probing
 
+    def pause_left(self, endpoint: str, now: float) -> float:
+        """Returns the seconds until an endpoint's pause ends; 0 if it is not paused."""
+        if not self.is_paused(endpoint, now):
+            return 0.0
+        return max(0.0, self._evidence[endpoint].paused_until - now)
+
     def record_send(self, endpoint: str, now: float) -> None:
         """Notes that a request is sent; after a pause, it is the probe of the endpoint."""
         found = self._evidence.get(endpoint)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
@@ -50,6 +50,10 @@
         """Tells whether nothing should be sent to an endpoint now, as it could not be reached."""
         return self._health.is_paused(record.endpoint, now)
 
+    def pause_left(self, record: EndpointRecord, now: float) -> float:
+        """Returns the seconds until requests may be sent again to an endpoint that is paused."""
+        return self._health.pause_left(record.endpoint, now)
+
     def any_limited(self, now: float) -> bool:
         """Tells whether any endpoint has a rate limit or a cooldown."""
         return self._limits.any_limited or self._cooldowns.any_active(now)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
@@ -222,13 +222,18 @@
     def _limit_wait(self, job: Job, now: float) -> float:
         """Returns the seconds until the first endpoint takes a request within its rate limit.
 
-        It is 0 unless limits keep the request from all endpoints.
+        An endpoint that is paused takes one when its pause ends. The result is 0 unless limits keep
+        the request from an endpoint.
         """
         if not self._outcomes.any_limited(now):
             return 0.0
-        ready = self._endpoints.ready(job.service)
-        reachable = [record for record in ready if not self._outcomes.is_paused(record, now)]
-        return min((self._outcomes.limit_wait(record, now) for record in reachable), default=0.0)
+        waits = [
+            (self._outcomes.limit_wait(record, now), self._outcomes.pause_left(record, now))
+            for record in self._endpoints.ready(job.service)
+        ]
+        if not any(limit_wait for limit_wait, _ in waits):
+            return 0.0
+        return min(max(wait) for wait in waits)
 
     def retry_after(self, job: Job, reason: NoEndpointReason) -> float:
         """Returns the seconds after which a refused request should be retried."""
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -10,6 +10,7 @@
 import pytest
 from gateway_world import CallerResponse, World, configuration, route, until, world
 from standins.replica import Replica
+from wigeonarch_core.endpoint_health import MIN_PAUSE
 from wigeonarch_core.permits import PERMIT_LIFETIME
 from wigeonarch_gateway.ports import ResponseHead
 from wigeonarch_platform.dialect import read_notice
@@ -125,6 +126,23 @@
         assert (await deployment.send_request("/write/x", node=1, X_Model="m")).status == 200
 
 
+async def test_request_waits_for_an_endpoint_without_a_limit_whose_pause_ends_soon() -> None:
+    async with world(nodes=1) as deployment:
+        limited, node = deployment.replicas[1], deployment.nodes[0]
+        other = await deployment.add_replica(Replica("desk", name="i-desk2"))
+        limited.rate_limit = "0.2"
+
+        async def limit_known() -> bool:
+            await deployment.send_request("/ask/x")
+            return limited.name in node._limits._limited and bool(other.executed)
+
+        await until(limit_known)
+        # Half of its pause is over; the route's objective lets a request wait for the rest.
+        node._endpoint_health.record_unreachable(other.name, monotonic() - MIN_PAUSE / 2)
+        answer = await deployment.send_request("/ask/x")
+        assert answer.status == 200, answer
+
+
 @pytest.mark.parametrize("entry", ["missing", "unreadable"])
 async def test_limit_is_kept_while_the_entry_of_its_endpoint_is_missing_for_a_moment(
     entry: str,
