Entry instance: requests wait for the right to serve while it is regained, and what it needs starts at once

What callers saw: an entry instance refused every request (503 not_caught_up, Retry-After 1) for 0.5 to 1.5 s when its lease lapsed and again for 0.5 to 0.8 s when it was back, at all instances at once as the platform comes back; also after any pause of the process that outlasts its lease.

Cause: the right to serve asks for a read of the log that began after the lease period (or after its lapse). Nothing started that read at that moment: it was looked for each 0.1 s, delayed by up to 0.2 s at random, and after a failure by 0.5 s more; a lapsed lease was renewed when its timer came. Meanwhile each request was refused, also where the read takes milliseconds.

Ruled out: that the state was too old: in each log the first read after the refusals brings no change. A longer lease only hides it.

Ways weighed: (1) hold requests, and begin the read and the renewal with the loss or the new period; (2) a lease that counts only once the log was read: wrong, as peers would go on without a lease while this instance already covers the zone for the acceptance of changes; (3) serve on by the rule without a lease until the read is done: as safe as that rule, but all instances of a zone get their leases at about the same time, and then it refuses, too. (1) changes no rule: the right is judged at the moment of use, as before; the check now comes after the body was read, so a slow body can't outlive it.

Change: `AdmissionGate` holds requests for at most one lease term from the loss, within their deadline; refused at once as before are starts, drains, and what comes after that term. /readyz says no only for what is refused. A new lease period starts a read of the log, a loss starts a read and a renewal.

--- a/packages/wigeonarch-entry/src/wigeonarch_entry/changefeed.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/changefeed.py
@@ -39,6 +39,7 @@
     """Passes changes from the log in the platform to the replica of this instance."""
 
     __slots__ = (
+        "_hastened",
         "_is_read_due",
         "_metrics",
         "_platform",
@@ -71,6 +72,7 @@
         self._is_read_due = is_read_due
         self._metrics = metrics
         self._read_lock = asyncio.Lock()
+        self._hastened = asyncio.Event()
         self._snapshots = SnapshotReader(platform)
 
     async def run(self) -> None:
@@ -79,6 +81,10 @@
             tasks.create_task(self._run_watch())
             tasks.create_task(self._run_rereads())
 
+    def hasten(self) -> None:
+        """Looks at once whether the log must be read again, and then reads it without a delay."""
+        self._hastened.set()
+
     def add(self, number: int, change: Change) -> None:
         """Adds change `number` to the replica and logs the verdict on each change applied."""
         for result in self._replica.add(number, change):
@@ -179,17 +185,28 @@
         """Reads the log again whenever a read is due, with growing pauses while it stays due."""
         pause = MIN_RETRY_PAUSE
         while True:
-            await asyncio.sleep(CHECK_INTERVAL)
+            hastened = await self._wait(CHECK_INTERVAL)
             if not self._is_read_due():
                 pause = MIN_RETRY_PAUSE
                 continue
-            await asyncio.sleep(random.uniform(0, MAX_READ_DELAY))
+            if not hastened:
+                await self._wait(random.uniform(0, MAX_READ_DELAY))
             if self._is_read_due():
                 self._metrics.log_readings.inc()
                 await self.catch_up()
-                await asyncio.sleep(random.uniform(0, pause))
+                await self._wait(random.uniform(0, pause))
                 pause = min(pause * 2, MAX_RETRY_PAUSE)
 
+    async def _wait(self, seconds: float) -> bool:
+        """Waits for some seconds or until a read is hastened; returns whether it was."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._hastened.wait()
+        except TimeoutError:
+            return False
+        self._hastened.clear()
+        return True
+
 
 def _changes_of(page: Page) -> list[tuple[int, Change]]:
     return [(int(item.name), _decode_change(item.value)) for item in page.items]
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/configuration.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/configuration.py
@@ -156,6 +156,10 @@
         """Returns why no request may be served now, by the local clock; None when one may."""
         return serving_right.refusal_reason(self._serving_state(monotonic()))
 
+    def hasten_read(self) -> None:
+        """Reads the log at once if the right to serve depends on it."""
+        self._feed.hasten()
+
     def handle_change_notice(self, notice: ChangeNotice) -> None:
         """Adds a change that a peer has written to the log."""
         self._feed.add(notice.number, notice.change)
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/httpserver.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/httpserver.py
@@ -17,11 +17,14 @@
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST
 from wigeonarch_core.catalogue import Catalogue
+from wigeonarch_core.engine_report import MS_PER_SECOND
 from wigeonarch_core.entries import Adapter, EntryKey, EntryKind
 from wigeonarch_core.options import Options
 from wigeonarch_core.outcomes import Answered, NotRun, Outcome, Reason
+from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.timeouts import timeout_after
 
+from wigeonarch_entry.admission_gate import AdmissionGate
 from wigeonarch_entry.completions import (
     CompletionRequest,
     ResponseBuilder,
@@ -40,7 +43,7 @@
     error_response,
 )
 from wigeonarch_entry.httpterms import KEY_HEADER, read_terms
-from wigeonarch_entry.intake import make_call_request, make_generate_request
+from wigeonarch_entry.intake import Terms, make_call_request, make_generate_request
 from wigeonarch_entry.metrics import Metrics
 from wigeonarch_entry.refusals import Refusals
 from wigeonarch_entry.requests import Request
@@ -74,9 +77,9 @@
         "_dispatcher",
         "_free_request_slots",
         "_free_stream_slots",
+        "_gate",
         "_metrics",
         "_opts",
-        "_refusal_reason",
         "_refusals",
         "_runner",
     )
@@ -88,15 +91,15 @@
         dispatcher: Dispatcher,
         metrics: Metrics,
         refusals: Refusals,
-        refusal_reason: Callable[[], Reason | None],
+        gate: AdmissionGate,
     ) -> None:
-        """Makes the server; `refusal_reason` returns why no request may be accepted now, if so."""
+        """Makes the server; `gate` lets requests in when the instance may serve."""
         self._opts = opts
         self._catalogue = catalogue
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._refusals = refusals
-        self._refusal_reason = refusal_reason
+        self._gate = gate
         self._free_request_slots = opts.limits.requests
         self._free_stream_slots = opts.limits.event_streams
         self._runner: web.AppRunner | None = None
@@ -149,6 +152,7 @@
         self, http: web.Request, decode: Callable[[bytes], CompletionRequest | NotRun]
     ) -> web.StreamResponse:
         """Handles both completion routes, which differ in how the body is decoded."""
+        received = monotonic()
         async with self._request_slot() as refusal:
             body = refusal or await self._read_body(http)
             if isinstance(body, NotRun):
@@ -156,17 +160,22 @@
             completion = decode(body)
             if isinstance(completion, NotRun):
                 return self._refuse(completion)
-            req = self._make_request(http, completion)
+            req = await self._make_request(http, completion, received)
             if isinstance(req, NotRun):
                 return self._refuse(req)
             if completion.stream:
                 return await self._respond_streamed(http, req, completion.response_builder)
             return await self._respond_whole(req, completion.response_builder)
 
-    def _make_request(self, http: web.Request, completion: CompletionRequest) -> Request | NotRun:
+    async def _make_request(
+        self, http: web.Request, completion: CompletionRequest, received: float
+    ) -> Request | NotRun:
         terms = read_terms(http)
         if isinstance(terms, NotRun):
             return terms
+        refusal = await self._hold_until_admitted(terms, received)
+        if refusal is not None:
+            return refusal
         return make_generate_request(
             self._opts,
             self._catalogue,
@@ -174,8 +183,15 @@
             completion.prompt,
             completion.max_tokens,
             terms,
+            received,
         )
 
+    async def _hold_until_admitted(self, terms: Terms, received: float) -> NotRun | None:
+        """Waits until the instance may serve a request; returns the refusal if that takes long."""
+        limit = terms.deadline_ms / MS_PER_SECOND or None
+        reason = await self._gate.admit(received, limit)
+        return None if reason is None else NotRun(reason, REFUSAL_RETRY_AFTER)
+
     async def _respond_whole(self, req: Request, builder: ResponseBuilder) -> web.StreamResponse:
         outcome = await self._dispatcher.run(req)
         if not isinstance(outcome, Answered):
@@ -201,6 +217,7 @@
             self._free_stream_slots += 1
 
     async def _handle_service_call(self, http: web.Request) -> web.StreamResponse:
+        received = monotonic()
         async with self._request_slot() as refusal:
             body = refusal or await self._read_body(http)
             if isinstance(body, NotRun):
@@ -208,9 +225,12 @@
             terms = read_terms(http)
             if isinstance(terms, NotRun):
                 return self._refuse(terms)
+            held_too_long = await self._hold_until_admitted(terms, received)
+            if held_too_long is not None:
+                return self._refuse(held_too_long)
             service, operation = http.match_info["service"], http.match_info["operation"]
             req = make_call_request(
-                self._opts, self._catalogue, service, operation, body or b"{}", terms
+                self._opts, self._catalogue, service, operation, body or b"{}", terms, received
             )
             if isinstance(req, NotRun):
                 return self._refuse(req)
@@ -223,7 +243,7 @@
     @asynccontextmanager
     async def _request_slot(self) -> AsyncIterator[NotRun | None]:
         """Holds a request slot; yields the refusal if no request may be accepted now."""
-        reason = self._refusal_reason() or (
+        reason = self._gate.lasting_refusal() or (
             None if self._free_request_slots else Reason.CONCURRENCY
         )
         if reason is not None:
@@ -275,7 +295,7 @@
         return web.Response(text="ok\n")
 
     async def _handle_readyz(self, _http: web.Request) -> web.Response:
-        reason = self._refusal_reason()
+        reason = self._gate.lasting_refusal()
         if reason is None:
             return web.Response(text="ready\n")
         return web.Response(status=503, text=f"{reason}: {REASON_TEXTS[reason]}\n")
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/intake.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/intake.py
@@ -21,7 +21,7 @@
 from wigeonarch_core.outcomes import NotRun, Reason
 from wigeonarch_core.refs import is_operation, parse_model
 from wigeonarch_core.routing import Unresolved, resolve
-from wigeonarch_runtime.clock import monotonic, unix_time
+from wigeonarch_runtime.clock import unix_time
 
 from wigeonarch_entry.requests import Call, Generate, Request
 from wigeonarch_entry.texts import (
@@ -61,9 +61,18 @@
 
 
 def make_generate_request(
-    opts: Options, catalogue: Catalogue, model: str, prompt: str, max_tokens: int, terms: Terms
+    opts: Options,
+    catalogue: Catalogue,
+    model: str,
+    prompt: str,
+    max_tokens: int,
+    terms: Terms,
+    received: float,
 ) -> Request | NotRun:
-    """Makes a request for text generation; returns the refusal if it is not valid."""
+    """Makes a request for text generation that was received at a monotonic time, in seconds.
+
+    Returns the refusal if it is not valid.
+    """
     limits = opts.limits
     tokens = max_tokens or min(DEFAULT_TOKENS, limits.max_tokens)
     if tokens < 0:
@@ -83,13 +92,22 @@
         return NotRun(target.reason)
     digest = request_digest(model, prompt, str(tokens))
     work = Generate(target, prompt, tokens)
-    return _make_request(opts, catalogue, work, name.service, terms, digest)
+    return _make_request(opts, catalogue, work, name.service, terms, digest, received)
 
 
 def make_call_request(
-    opts: Options, catalogue: Catalogue, service: str, operation: str, body: bytes, terms: Terms
+    opts: Options,
+    catalogue: Catalogue,
+    service: str,
+    operation: str,
+    body: bytes,
+    terms: Terms,
+    received: float,
 ) -> Request | NotRun:
-    """Makes a request that calls a plain service; returns the refusal if it is not valid."""
+    """Makes a call of a plain service that was received at a monotonic time, in seconds.
+
+    Returns the refusal if it is not valid.
+    """
     if len(body) > opts.limits.body_bytes:
         return NotRun(Reason.TOO_LARGE, detail=BODY_TOO_LARGE.format(most=opts.limits.body_bytes))
     error = _invalid_term(terms)
@@ -103,7 +121,8 @@
     if not _is_json(body):
         return _malformed(BAD_JSON)
     digest = request_digest(service, operation, body)
-    return _make_request(opts, catalogue, Call(service, operation, body), service, terms, digest)
+    work = Call(service, operation, body)
+    return _make_request(opts, catalogue, work, service, terms, digest, received)
 
 
 def _malformed(detail: str) -> NotRun:
@@ -131,8 +150,8 @@
     service: str,
     terms: Terms,
     digest: str,
+    received: float,
 ) -> Request:
-    now = monotonic()
     request_id = uuid.uuid4().hex
     key = terms.key or (make_key(unix_time(), request_id) if terms.non_idempotent else "")
     return Request(
@@ -143,8 +162,8 @@
         # An idempotency key means at most one run, even if `non_idempotent` is not set.
         idempotent=not key,
         key=key,
-        received=now,
-        deadline=now + _deadline_seconds(opts, catalogue, service, terms),
+        received=received,
+        deadline=received + _deadline_seconds(opts, catalogue, service, terms),
         digest=digest,
     )
 
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/membership.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/membership.py
@@ -46,6 +46,7 @@
         fleet: This instance's view of the deployment.
         lease: This instance's own lease.
         listed: Set once the platform's list has been read.
+        on_new_period: Called when the lease is valid again after a gap.
         lease_period: The time for which the platform has held the lease without a break.
         draining: Whether this instance is shutting down.
         promises: Promises given to other owners not to take over from them.
@@ -62,6 +63,7 @@
         "_owners",
         "_peers",
         "_platform",
+        "_renewal_hastened",
         "_sent_summaries",
         "_summaries",
         "draining",
@@ -69,6 +71,7 @@
         "lease",
         "lease_period",
         "listed",
+        "on_new_period",
         "promises",
         "reaches_platform",
     )
@@ -109,6 +112,8 @@
         self.lease_period = LeasePeriod(timing.lease_term, timing.lease_margin, monotonic())
         self.listed = asyncio.Event()
         self.draining = False
+        self.on_new_period: Callable[[], None] = lambda: None
+        self._renewal_hastened = asyncio.Event()
         watch_timeout = timing.watch_silence
         self._leases = Follower(
             platform, LEASES, watch_timeout, self._on_lease, self._on_lease_deleted
@@ -154,7 +159,7 @@
         if isinstance(result, Written):
             now = monotonic()
             self.lease.record_renewal(sent_at, result.version, now)
-            self.lease_period.record_renewal(sent_at, now)
+            self.record_confirmed_renewal(sent_at, now)
             self.reaches_platform = True
             self._live_zone_peers = tuple(
                 name
@@ -166,6 +171,18 @@
         await self._read_lease_back()
         return False
 
+    def record_confirmed_renewal(self, sent_at: float, now: float) -> None:
+        """Records a renewal that was sent at `sent_at` and that the platform has confirmed."""
+        had_lease = self.lease_period.is_valid(now)
+        self.lease_period.record_renewal(sent_at, now)
+        if not had_lease:
+            self.on_new_period()
+
+    def hasten_renewal(self) -> None:
+        """Renews the lease soon if it has lapsed."""
+        if not self.lease_period.is_valid(monotonic()):
+            self._renewal_hastened.set()
+
     async def announce_leaving(self) -> None:
         """Marks this instance as leaving in the platform's list, which load balancers follow."""
         state = Presence.LEAVING
@@ -240,7 +257,17 @@
             renewed = await self.renew_lease() and self.lease.is_valid(monotonic())
             # A failed renewal is repeated sooner, with jitter. So is one after which the lease has
             # already lapsed, as the process was paused.
-            await asyncio.sleep(pause if renewed else random.uniform(pause / 6, pause / 2))
+            await asyncio.sleep(pause / 6)
+            await self._wait_for_renewal(pause * 5 / 6 if renewed else random.uniform(0, pause / 3))
+
+    async def _wait_for_renewal(self, seconds: float) -> None:
+        """Waits for some seconds or until a renewal is hastened."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._renewal_hastened.wait()
+        except TimeoutError:
+            return
+        self._renewal_hastened.clear()
 
     async def _poll_list(self) -> None:
         timing = self._opts.timing
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/node.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/node.py
@@ -32,6 +32,7 @@
 from wigeonarch_core.serving_right import PlatformReachability
 from wigeonarch_runtime.logs import log
 
+from wigeonarch_entry.admission_gate import AdmissionGate
 from wigeonarch_entry.configuration import Configuration
 from wigeonarch_entry.dispatch import Dispatcher
 from wigeonarch_entry.engines import EngineClient
@@ -68,6 +69,7 @@
         "_dispatcher",
         "_drain_requested",
         "_engine_client",
+        "_gate",
         "_grant_requester",
         "_handlers",
         "_http_server",
@@ -115,6 +117,8 @@
         self._configuration = Configuration(
             opts, self._platform, self._membership, self._broadcast_change, metrics
         )
+        self._membership.on_new_period = self._configuration.hasten_read
+        self._gate = AdmissionGate(self.refusal_reason, self._regain_right, opts.timing.lease_term)
         self._owner_duties = OwnerDuties(
             opts,
             self._platform,
@@ -140,7 +144,7 @@
         catalogue = self._configuration.catalogue
         refusals = Refusals(journal, metrics)
         self._http_server = HttpServer(
-            opts, catalogue, self._dispatcher, metrics, refusals, self.refusal_reason
+            opts, catalogue, self._dispatcher, metrics, refusals, self._gate
         )
         deps = Dependencies(
             opts,
@@ -151,7 +155,7 @@
             journal,
             keys,
             refusals,
-            self.refusal_reason,
+            self._gate,
             self.drain,
         )
         self._rpc_server = RpcServer(deps)
@@ -184,6 +188,11 @@
             return Reason.NOT_READY
         return self._configuration.refusal_reason()
 
+    def _regain_right(self) -> None:
+        """Does at once what the right to serve may be missing for."""
+        self._configuration.hasten_read()
+        self._membership.hasten_renewal()
+
     def drain(self) -> None:
         """Starts the graceful shutdown; further calls have no effect."""
         if not self._membership.draining:
@@ -197,6 +206,7 @@
             self._peers.receive(),
             self._membership.run(),
             self._configuration.run(),
+            self._gate.run(),
             self._owner_duties.run(),
             self._keys.purge(),
         )
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/rpccommon.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/rpccommon.py
@@ -10,8 +10,8 @@
 from wigeonarch_core.catalogue import Catalogue
 from wigeonarch_core.fleet import Fleet
 from wigeonarch_core.options import Options
-from wigeonarch_core.outcomes import Reason
 
+from wigeonarch_entry.admission_gate import AdmissionGate
 from wigeonarch_entry.configuration import Configuration
 from wigeonarch_entry.dispatch import Dispatcher
 from wigeonarch_entry.engines import EngineClient
@@ -28,7 +28,7 @@
     """Components of the instance that the gRPC services use.
 
     Attributes:
-        refusal_reason: Returns why no request may be accepted now; None when one may.
+        gate: Lets requests in when the instance may serve.
         drain: Starts the graceful shutdown of the instance.
     """
 
@@ -40,7 +40,7 @@
     journal: Journal
     keys: IdempotencyKeys
     refusals: Refusals
-    refusal_reason: Callable[[], Reason | None]
+    gate: AdmissionGate
     drain: Callable[[], None]
 
     @property
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/rpcfleet.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/rpcfleet.py
@@ -51,7 +51,7 @@
         return pb.InstanceStatus(
             name=self._deps.opts.instance,
             zone=self._deps.opts.zone,
-            ready=self._deps.refusal_reason() is None,
+            ready=self._deps.gate.lasting_refusal() is None,
             draining=membership.draining,
             applied_change=self._deps.catalogue.applied,
             lease="held" if is_valid else "lapsed",
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/rpcrequests.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/rpcrequests.py
@@ -5,8 +5,10 @@
 from typing import Final
 
 import grpc
+from wigeonarch_core.engine_report import MS_PER_SECOND
 from wigeonarch_core.idempotency import KeyState
 from wigeonarch_core.outcomes import NotRun
+from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.timeouts import timeout_after
 from wigeonarch_schema import wigeonarch_pb2 as pb
 from wigeonarch_schema import wigeonarch_pb2_grpc as rpc
@@ -105,7 +107,9 @@
         work = msg.WhichOneof("work")
         if work is None or not msg.model:
             await abort_malformed(context, "model and work are needed")
-        reason = self._deps.refusal_reason()
+        received = monotonic()
+        limit = msg.deadline_ms / MS_PER_SECOND or None
+        reason = await self._deps.gate.admit(received, limit)
         if reason is not None:
             return NotRun(reason, 1.0)
         terms = Terms(
@@ -119,10 +123,11 @@
         if work == "generate":
             gen = msg.generate
             return make_generate_request(
-                opts, catalogue, msg.model, gen.prompt, gen.max_tokens, terms
+                opts, catalogue, msg.model, gen.prompt, gen.max_tokens, terms, received
             )
         body = (msg.call.body or "{}").encode()
-        return make_call_request(opts, catalogue, msg.model, msg.call.operation, body, terms)
+        operation = msg.call.operation
+        return make_call_request(opts, catalogue, msg.model, operation, body, terms, received)
 
     def _refuse(self, outcome: NotRun) -> pb.SubmitReply:
         request = self._deps.refusals.record("rpc", outcome)
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/support.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/support.py
@@ -104,7 +104,7 @@
             lease.record_stored_version(renewed.version, now)
         else:
             lease.record_renewal(sent_at, renewed.version, now)
-            self._membership.lease_period.record_renewal(sent_at, now)
+            self._membership.record_confirmed_renewal(sent_at, now)
         log("lease_renewed_by_peer", version=renewed.version)
 
     # The peer's side -------------------------------------------------------------------------
