A request waits for the next owner of its engine while a takeover can be expected

With the owner suspended for 1.2 s, 25 of 32: `request_ended outcome=notrun reason=no_owner` after 1 to 3,775 ms of a deadline of 15 s, from the moment at which the owner goes on and finds its lease lapsed (39.05) until another instance owns the engine (39.757); answered from there on. A second stretch, where the new owner itself stood still for 0.75 s: seven refused, and its lease was extended by promises in the same 2 ms.

Cause: an owner that loses its lease refuses all waiting requests, and an owner that isn't heard for `peer_timeout` is not asked. Both were ordinary failures to the requester: three retries with pauses of some ms, all before any takeover can come, then a refusal with Retry-After of one lease term, in which the takeover is long done.

Change: `core.owner_wait`: such a request waits until an engine has another ownership, or 0.5 s until the same owner is asked again, at most a lease term and a margin for each loss, and only while some instance that is heard reaches the platform; else nobody can own the engine, and it is refused as before. That nobody is heard counts after 0.5 s, since after a pause of the requester's own process the heartbeats are still unread. Nothing was sent to an endpoint, so it counts as no retry; the dispatch id has the number of the attempt.

--- a/packages/wigeonarch-entry/src/wigeonarch_entry/attempts.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/attempts.py
@@ -7,6 +7,7 @@
 
 from wigeonarch_core.lifecycle import Event, Phase, may_retry_same_endpoint
 from wigeonarch_core.outcomes import Outcome, Reason
+from wigeonarch_core.owner_wait import OwnerWait
 
 # Seconds after which a request that found no endpoint, or lost its endpoint, should be retried.
 NO_ENDPOINT_RETRY: Final = 1.0
@@ -36,14 +37,18 @@
     Attributes:
         avoided: Endpoints that get the request again only if there is no other.
         excluded: Endpoints that do not get the request again.
-        retries: Number of attempts after the first.
+        attempts: Number of attempts so far, for the dispatch id of the next one.
+        retries: Number of attempts after the first that count towards the limit of retries.
+        owner_wait: Wait for an owner of an engine; None before the first refusal for lack of one.
         streamed: Whether part of an answer has been sent to the caller.
         outcome: Outcome of the request if there is no further attempt; None before the first ends.
     """
 
     avoided: set[str] = field(default_factory=set)
     excluded: set[str] = field(default_factory=set)
+    attempts: int = 0
     retries: int = 0
+    owner_wait: OwnerWait | None = None
     streamed: bool = False
     outcome: Outcome | None = None
 
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/calling.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/calling.py
@@ -49,7 +49,7 @@
         name = endpoint.listed.name
         self._journal.note(req.id, "dispatch", detail=f"{work.operation} to {name}")
         call = ServiceCall(
-            dispatch=f"{req.id}.{progress.retries}",
+            dispatch=f"{req.id}.{progress.attempts}",
             operation=work.operation,
             body=work.body,
             key=req.key,
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/dispatch.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/dispatch.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from wigeonarch_core.admission import Admission
 from wigeonarch_core.engine_report import MS_PER_SECOND
@@ -59,6 +60,7 @@
         keys: IdempotencyKeys,
         journal: Journal,
         metrics: Metrics,
+        reaches_platform: Callable[[float], bool],
     ) -> None:
         self._opts = opts
         self._keys = keys
@@ -69,7 +71,15 @@
         self._rng = random.Random()
         endpoints = EndpointSelector(fleet, self._rng)
         self._generations = GenerationAttempts(
-            opts, fleet, endpoints, grants, engines, journal, metrics, self._rng
+            opts,
+            fleet,
+            endpoints,
+            grants,
+            engines,
+            journal,
+            metrics,
+            self._rng,
+            reaches_platform,
         )
         self._service_calls = ServiceCallAttempts(
             opts.zone, endpoints, services, journal, self._rng
@@ -158,9 +168,15 @@
                 result = await self._service_calls.run(req, req.work, progress)
             if not isinstance(result, FailedAttempt):
                 return result
+            progress.attempts += 1
             disposition = disposition_of(result.phase, result.event)
             outcome = outcome_of(disposition, result.reason, result.retry_after)
             progress.outcome = combine_outcomes(progress.outcome, outcome)
+            if result.reason is Reason.NO_OWNER and await self._generations.wait_for_owner(
+                req, progress
+            ):
+                self._journal.note(req.id, "retry", result.reason, "an owner can be asked again")
+                continue
             retry = may_retry(disposition, result.reason, req.idempotent, progress.streamed)
             if not retry or not self._spend_retry(req, progress):
                 return progress.outcome
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/generating.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/generating.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Final
 
 from wigeonarch_core.fleet import Endpoint, Fleet
@@ -14,6 +15,7 @@
 from wigeonarch_core.messages import Granted, GrantRequest
 from wigeonarch_core.options import Options
 from wigeonarch_core.outcomes import Outcome, Reason
+from wigeonarch_core.owner_wait import OwnerWait
 from wigeonarch_core.placement import EngineView, choose_engines
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.timeouts import timeout_after
@@ -28,7 +30,10 @@
 from wigeonarch_entry.requests import Generate, Request, SendText
 
 # Events after which the engine certainly does not run the dispatch.
-_NOT_RUNNING: Final = frozenset({Event.DECLINED, Event.CONNECT_FAILED, Event.ERROR})
+_NOT_RUNNING: Final = frozenset({Event.REFUSED, Event.DECLINED, Event.CONNECT_FAILED, Event.ERROR})
+
+# Seconds between two looks for an owner of an engine.
+OWNER_CHECK_INTERVAL: Final = 0.05
 
 
 class GenerationAttempts:
@@ -42,6 +47,7 @@
         "_journal",
         "_metrics",
         "_opts",
+        "_reaches_platform",
         "_rng",
     )
 
@@ -55,8 +61,10 @@
         journal: Journal,
         metrics: Metrics,
         rng: random.Random,
+        reaches_platform: Callable[[float], bool],
     ) -> None:
         self._opts = opts
+        self._reaches_platform = reaches_platform
         self._fleet = fleet
         self._endpoints = endpoints
         self._grants = grants
@@ -74,7 +82,7 @@
             return self._endpoints.no_endpoint(req.service)
         name = endpoint.listed.name
         grant_request = GrantRequest(
-            dispatch_id=f"{req.id}.{progress.retries}",
+            dispatch_id=f"{req.id}.{progress.attempts}",
             requester=self._opts.instance,
             engine=name,
             target=work.target,
@@ -89,6 +97,8 @@
             self._journal.note(req.id, "grant", reply.reason, detail)
             failure = FailedAttempt(Phase.QUEUED, Event.REFUSED, reply.reason, reply.retry_after)
             self._endpoints.work_refused(endpoint, reply.reason)
+            if reply.reason is Reason.NO_OWNER:
+                self._record_ownerless(name, progress)
             progress.record_failure(name, failure)
             return failure
         self._metrics.load_stall.observe(reply.stalled)
@@ -96,6 +106,42 @@
         self._journal.note(req.id, "grant", detail=detail)
         return await self._use_grant(req, work, progress, grant_request, endpoint, send_text)
 
+    async def wait_for_owner(self, req: Request, progress: Progress) -> bool:
+        """Waits until an owner can be asked again, after a refusal for lack of one.
+
+        Returns:
+            Whether one should be asked; False if a wait is in vain or has lasted too long.
+        """
+        wait = progress.owner_wait
+        while wait is not None and (now := monotonic()) < req.deadline:
+            if not wait.may_go_on(self._can_be_taken_over(now), now):
+                return False
+            for endpoint in self._endpoints.candidates(req.service, progress):
+                name = endpoint.listed.name
+                is_reachable = self._grants.is_owner_reachable(name, now)
+                if is_reachable and wait.is_due(name, self._fence(name), now):
+                    return True
+            await asyncio.sleep(OWNER_CHECK_INTERVAL)
+        return False
+
+    def _record_ownerless(self, engine: str, progress: Progress) -> None:
+        if progress.owner_wait is None:
+            timing = self._opts.timing
+            progress.owner_wait = OwnerWait(timing.lease_term + timing.lease_margin)
+        progress.owner_wait.record_refusal(engine, self._fence(engine), monotonic())
+
+    def _fence(self, engine: str) -> int:
+        ownership = self._fleet.owners.get(engine)
+        return 0 if ownership is None else ownership.fence
+
+    def _can_be_taken_over(self, now: float) -> bool:
+        """Returns whether any instance could take an engine over, which needs the platform."""
+        reachable = self._fleet.instances_heard_within(self._opts.timing.peer_timeout, now)
+        return self._reaches_platform(now) or any(
+            peer.heartbeat is not None and peer.heartbeat.reaches and name in reachable
+            for name, peer in self._fleet.peers.items()
+        )
+
     def _choose(self, req: Request, work: Generate, progress: Progress) -> Endpoint | None:
         candidates = {
             endpoint.listed.name: endpoint
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/node.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/node.py
@@ -140,6 +140,7 @@
             keys,
             journal,
             metrics,
+            self._platform.reachability.is_reachable,
         )
         catalogue = self._configuration.catalogue
         refusals = Refusals(journal, metrics)
