A grant that expired before its request was sent is no failure of the engine

What callers saw: with the instance suspended for 1.3 s, 2 of 20 generations refused as `unreachable` (leavingByIts- RefusalAlone, test-data/leaving.test:59) while their engine was well and had time for them.

Cause: the check on the open connection found the grant too old, rightly, and that was told as a failed connection: the engine was not tried again for that request, and its circuit breaker counted a failure.

Evidence: both requests end in the same 20 ms in which the instance logs `paused seconds=1.323`; the engine answers others in 10 ms before and after. Ruled out: a connect timeout; `TimedConnector` gave up none of 60 connections that opened in a standstill (18 and 25 of 30 with no grace).

Change: its own event (refused, nothing sent, `lease_lost`), after which the same engine may be asked again.

--- a/packages/wigeonarch-entry/src/wigeonarch_entry/engines.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/engines.py
@@ -116,6 +116,8 @@
     reason: str = ""
 
 
+# Nothing was sent, as the grant expired first, for example while this process stood still.
+_GRANT_EXPIRED: Final = StreamBroken(Event.REFUSED, Reason.LEASE_LOST, False)
 _CONNECT_FAILED: Final = StreamBroken(Event.CONNECT_FAILED, Reason.UNREACHABLE, False)
 _LOST: Final = StreamBroken(Event.LOST, Reason.CONNECTION_LOST, True)
 _SILENT: Final = StreamBroken(Event.SILENT, Reason.SILENT, True)
@@ -264,11 +266,9 @@
                     return
                 async for item in _chunks(resp, gen, seq, (first_timeout, next_timeout)):
                     yield item
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-            NoLongerUsableError,
-        ):
+        except NoLongerUsableError:
+            yield _GRANT_EXPIRED
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             yield _CONNECT_FAILED
         except TimeoutError:
             yield _SILENT
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/texts.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/texts.py
@@ -59,7 +59,7 @@
     Reason.NO_OWNER: "no instance owns a suitable engine now",
     Reason.PLATFORM_DOWN: "the platform cannot record the request",
     Reason.LOAD_FAILED: "the adapter could not be loaded",
-    Reason.LEASE_LOST: "the owner of the engine has lost its lease",
+    Reason.LEASE_LOST: "the permission to use the engine ended before the request was sent",
     Reason.ENDPOINT_LEAVING: "the endpoint is leaving",
     Reason.ENDPOINT_OVERLOADED: "the endpoint is overloaded",
     Reason.NOT_LOADED: "the adapter is not loaded",
