A lease that needs a peer for its renewals is left to lapse rather than begun anew

Its peers go on renewing its lease (41, 43, 45, 47 ...), so nobody takes the engine over. No instance grants for as long as the cut lasts.

Change: a peer's renewal extends a lease and does not begin one; after a pause it counts if it was asked for after the pause, and then leaves the generation as promises do, as the lease had no gap. A lapsed one is left to lapse: the owner asks for no more support, and another instance owns the engine a term later. Own renewals are as before. The lease period of the right to serve still counts each renewal, since all others see it.

Rows of test_ownership: "renewed by a peer after its end" and the two after a pause are new; the former behaviour (generation 2) stays for own renewals.

--- a/packages/wigeonarch-core/src/wigeonarch_core/lease.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/lease.py
@@ -75,6 +75,28 @@
         self.version = version
         self._first_attempt = None
 
+    def record_peer_renewal(self, sent_at: float, version: int, now: float) -> bool:
+        """Records a renewal that a peer made on this instance's behalf; returns whether it counts.
+
+        It extends the lease, and never begins a new period. An instance that needs a peer for its
+        renewals could not write its ownerships in a new period either, and while its lease goes on
+        nobody takes them over. Such a lease is better left to lapse.
+
+        Args:
+            sent_at: Time at which the peer was asked, in seconds.
+            version: Version of the stored lease object.
+            now: Present time, in seconds.
+        """
+        has_lapsed = self._end is None or now >= self._end
+        asked_before_pause = self._paused_at is not None and sent_at < self._paused_at
+        if has_lapsed or asked_before_pause or self._pause_length(now):
+            return False
+        self._extend(sent_at)
+        self._paused_at = None
+        self.version = version
+        self._first_attempt = None
+        return True
+
     def record_stored_version(self, version: int, now: float) -> None:
         """Records the version of a stored lease that names this process.
 
@@ -84,6 +106,16 @@
         if version > self.version and self._first_attempt is not None:
             self.record_renewal(self._first_attempt, version, now)
 
+    def record_peer_version(self, version: int, now: float) -> bool:
+        """Records that a peer found a version of this process's lease stored.
+
+        Returns:
+            Whether that extends the lease; see `record_stored_version` and `record_peer_renewal`.
+        """
+        if version <= self.version or self._first_attempt is None:
+            return False
+        return self.record_peer_renewal(self._first_attempt, version, now)
+
     def record_promises(self, asked_at: float, now: float) -> None:
         """Extends the lease by lease support promises that were requested at `asked_at`.
 
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/support.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/support.py
@@ -101,11 +101,11 @@
         if renewed.version <= lease.version:
             return
         if sent_at is None:
-            lease.record_stored_version(renewed.version, now)
+            counts = lease.record_peer_version(renewed.version, now)
         else:
-            lease.record_renewal(sent_at, renewed.version, now)
+            counts = lease.record_peer_renewal(sent_at, renewed.version, now)
             self._membership.record_confirmed_renewal(sent_at, now)
-        log("lease_renewed_by_peer", version=renewed.version)
+        log("lease_renewed_by_peer", version=renewed.version, counts=counts)
 
     # The peer's side -------------------------------------------------------------------------
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -53,6 +53,30 @@
         1,
     ),
     "paused, then renewed": (3.6, lambda lease: _after_pause(lease, renewed=3.6), 4.0, True, 2),
+    "renewed by a peer": (4.5, lambda lease: lease.record_peer_renewal(4.0, 2, 4.5), 8.9, True, 1),
+    "renewed by a peer after its end": (
+        5.5,
+        lambda lease: lease.record_peer_renewal(5.4, 2, 5.5),
+        6.0,
+        False,
+        1,
+    ),
+    "found renewed by a peer": (4.5, lambda lease: _read_peer_version(lease, 2), 6.0, True, 1),
+    "found unchanged by a peer": (4.5, lambda lease: _read_peer_version(lease, 1), 6.0, False, 1),
+    "paused, then renewed by a peer": (
+        3.6,
+        lambda lease: _after_pause(lease, peer_renewed=3.6),
+        4.0,
+        True,
+        1,
+    ),
+    "paused, a peer was asked before": (
+        3.6,
+        lambda lease: _after_pause(lease, peer_renewed=3.0),
+        4.0,
+        False,
+        1,
+    ),
     "lost": (1.0, lambda lease: lease.invalidate(), 1.5, False, 1),
 }
 LAST_RUNNING_BEFORE_PAUSE = 2.0
@@ -64,14 +88,25 @@
     lease.record_stored_version(version, 4.5)
 
 
+def _read_peer_version(lease: HeldLease, version: int) -> None:
+    lease.record_attempt(2.0)
+    lease.record_attempt(4.0)
+    lease.record_peer_version(version, 4.5)
+
+
 def _after_pause(
-    lease: HeldLease, promised: float | None = None, renewed: float | None = None
+    lease: HeldLease,
+    promised: float | None = None,
+    renewed: float | None = None,
+    peer_renewed: float | None = None,
 ) -> None:
     assert lease.record_running(3.6) > MARGIN
     if promised is not None:
         lease.record_promises(promised, 3.6)
     if renewed is not None:
         lease.record_renewal(renewed, 2, 3.6)
+    if peer_renewed is not None:
+        lease.record_peer_renewal(peer_renewed, 2, 3.6)
 
 
 def _keep_running(lease: HeldLease, now: float, end: float) -> None:
