Any call that the platform did not answer shows that it is away, not only a read of the log

Cause: without a lease an instance serves on only once it tried the platform after the lapse. Only reads of the log counted; on a silent platform each takes the call's timeout, the one that began before the lapse does not count, and the next waits for it. Renewals and list reads that began after the lapse had failed long before.

Change: `PlatformReachability` keeps when the last unanswered call began. What it must show is the same: that the process tried after the lapse and was not answered, so a suspended process still has to try first.

--- a/packages/wigeonarch-core/src/wigeonarch_core/serving_right.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/serving_right.py
@@ -68,9 +68,14 @@
 
 
 class PlatformReachability:
-    """Whether the platform has been answering without a gap."""
+    """Whether the platform has been answering without a gap.
 
-    __slots__ = ("_bound", "_last_answer", "_settle", "_since")
+    Attributes:
+        last_failure: Monotonic time at which the last call that got no usable answer began; None
+            before the first.
+    """
+
+    __slots__ = ("_bound", "_last_answer", "_settle", "_since", "last_failure")
 
     def __init__(self, bound: float, settle: float) -> None:
         """Starts without any answer.
@@ -83,6 +88,11 @@
         self._settle = settle
         self._last_answer: float | None = None
         self._since = 0.0
+        self.last_failure: float | None = None
+
+    def record_failure(self, began: float) -> None:
+        """Records a call that began at `began` and got no usable answer."""
+        self.last_failure = began if self.last_failure is None else max(self.last_failure, began)
 
     def record_answer(self, at: float) -> None:
         """Records any answer of the platform, including a line of a watch.
@@ -163,8 +173,8 @@
         leased_since: Monotonic time at which the current lease period began.
         lapsed_at: Monotonic time at which the last lease period ended.
         caught_up_at: Monotonic time at which the last complete read of the log began; None before.
-        last_attempt: Monotonic time at which the last finished attempt to read it began, successful
-            or not; None before.
+        last_attempt: Monotonic time at which the last finished attempt to read it began, or the
+            last call of any kind that the platform did not answer; None before.
         applied: Number of the last change applied here.
         newest: Highest number of a change that was heard of in the zone.
         others_known: Whether other instances of the zone are known.
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/configuration.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/configuration.py
@@ -363,7 +363,7 @@
             leased_since=period.since,
             lapsed_at=period.last_ended_at(now),
             caught_up_at=replica.caught_up_at,
-            last_attempt=replica.last_attempt,
+            last_attempt=_latest(replica.last_attempt, self._membership.reachability.last_failure),
             applied=replica.catalogue.applied,
             newest=self._zone_view.newest,
             others_known=any(peer.record.zone == fleet.zone for peer in fleet.peers.values()),
@@ -396,6 +396,10 @@
         return not in_grace or refusal is Reason.NOT_CAUGHT_UP
 
 
+def _latest(one: float | None, other: float | None) -> float | None:
+    return max((time for time in (one, other) if time is not None), default=None)
+
+
 def _maybe_written_reply(message: str = MAYBE_WRITTEN) -> ChangeReply:
     """Returns the reply for a change that may or may not be in the log."""
     log("change_unsettled", "WARNING", detail=message)
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/platform.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/platform.py
@@ -245,10 +245,10 @@
                 text = await resp.read()
                 status = resp.status
         except aiohttp.ClientConnectorError as exc:
-            self._record_failure(call, "unreachable")
+            self._record_failure(call, "unreachable", called_at)
             return Unavailable(False, repr(exc))
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
-            self._record_failure(call, "lost")
+            self._record_failure(call, "lost", called_at)
             return Unavailable(True, repr(exc))
         self._metrics.platform_calls.labels(call, str(status)).inc()
         self._metrics.control_bytes.labels("platform", "out").inc(len(body or b""))
@@ -256,10 +256,12 @@
         if status in (_OK, _NOT_FOUND, _PRECONDITION_FAILED):
             self.reachability.record_answer(called_at)
             return status, json.loads(text)
+        self.reachability.record_failure(called_at)
         self._next_address()
         return Unavailable(status >= 500, f"status {status}")
 
-    def _record_failure(self, call: str, result: str) -> None:
+    def _record_failure(self, call: str, result: str, called_at: float) -> None:
+        self.reachability.record_failure(called_at)
         self._metrics.platform_calls.labels(call, result).inc()
         self._next_address()
 
--- a/tests/machine_configuration.py
+++ b/tests/machine_configuration.py
@@ -167,6 +167,12 @@
             node.reach.record_answer(self.now)
             node.renewing = None
 
+    @rule(name=NAMES)
+    def renewal_fails(self, name: str) -> None:
+        node = self._unless_paused(name)
+        if node and node.is_cut:
+            node.reach.record_failure(self.now)
+
     @rule(name=NAMES)
     def read_begins(self, name: str) -> None:
         node = self._unless_paused(name)
@@ -355,7 +361,10 @@
             leased_since=node.period.since,
             lapsed_at=node.period.last_ended_at(self.now),
             caught_up_at=node.replica.caught_up_at,
-            last_attempt=node.replica.last_attempt,
+            last_attempt=max(
+                (t for t in (node.replica.last_attempt, node.reach.last_failure) if t is not None),
+                default=None,
+            ),
             applied=node.applied,
             newest=node.view.newest,
             others_known=any(ZONES[name] == ZONES[node.name] for name in node.seen),
