--- a/packages/wigeonarch-core/src/wigeonarch_core/lease.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/lease.py
@@ -87,9 +87,8 @@
             version: Version of the stored lease object.
             now: Present time, in seconds.
         """
-        has_lapsed = self._end is None or now >= self._end
         asked_before_pause = self._paused_at is not None and sent_at < self._paused_at
-        if has_lapsed or asked_before_pause or self._pause_length(now):
+        if self.has_lapsed(now) or asked_before_pause or self._pause_length(now):
             return False
         self._extend(sent_at)
         self._paused_at = None
@@ -165,6 +164,10 @@
             return False
         return self._paused_at is None and not self._pause_length(now)
 
+    def has_lapsed(self, now: float) -> bool:
+        """Returns whether its time is over, so that only an own renewal can begin a new period."""
+        return self._end is None or now >= self._end
+
     def remaining(self, now: float) -> float:
         """Returns the seconds for which the holder may still act; 0 once the lease has lapsed."""
         return 0.0 if self._end is None else max(0.0, self._end - now)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
@@ -192,8 +192,8 @@
         if requested_at is None or done.revision <= self._revision:
             return
         self._revision = done.revision
-        self.lease.record_renewal(requested_at, done.revision, monotonic())
-        log("lease_renewed_by_peer", peer=done.sender)
+        counts = self.lease.record_peer_renewal(requested_at, done.revision, monotonic())
+        log("lease_renewed_by_peer", peer=done.sender, counts=counts)
 
     def note_promise(self, promise: LeaseSupportPromise) -> None:
         """Applies a peer's promise, which counts once all possible successors have given one."""
@@ -216,6 +216,10 @@
 
     def _ask_peers_for_support(self) -> None:
         now = monotonic()
+        # A lease that peers keep alive, but under which nothing can be owned, would keep them from
+        # taking over.
+        if self.lease.has_lapsed(now):
+            return
         number = self._promises.start_request(now)
         if not self._possible_successors():
             self.lease.record_promises(now, now)
