An attempt to reach the platform from before a pause of the process no longer counts

What callers could see: answers of a version that a change had replaced.

Cause: without a lease an instance serves on if it tried to reach the platform since the lapse and was not answered. One such attempt counted for good. An instance that is alone in its zone and cut off, tries once, and is then suspended until the platform's list has dropped it no longer keeps changes pending; when it goes on, before its next call ends, it served.

Evidence: the property test of the configuration has the schedule `dropped_from_the_list_while_paused`; with the rule as it was (the planted defect) the invariant "serving instances have accepted changes" fails in it.

Change: the attempt must have begun after the lapse and after the last pause of the process, a pause that is not yet logged included.

--- a/packages/wigeonarch-core/src/wigeonarch_core/lease.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/lease.py
@@ -42,6 +42,7 @@
         "_margin",
         "_paused_at",
         "_term",
+        "_woke_at",
         "generation",
         "since",
         "version",
@@ -53,6 +54,7 @@
         self._end: float | None = None
         self._last_running: float | None = None
         self._paused_at: float | None = None
+        self._woke_at = float("-inf")
         self._first_attempt: float | None = None
         self.version = 0
         self.generation = 0
@@ -145,9 +147,14 @@
         paused = self._pause_length(now)
         if paused:
             self._paused_at = now
+            self._woke_at = now
         self._last_running = now
         return paused
 
+    def woke_at(self, now: float) -> float:
+        """Returns when the last pause of the process ended; minus infinity if there was none."""
+        return now if self._pause_length(now) else self._woke_at
+
     def invalidate(self) -> None:
         """Makes the lease invalid until the next renewal."""
         self._end = None
--- a/packages/wigeonarch-core/src/wigeonarch_core/serving_right.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/serving_right.py
@@ -13,8 +13,9 @@
   long as its instances are on the platform's list. An instance that hears no other one, although
   others are known, may be cut off alone, so it stops.
 
-A process that was suspended finds at its first request that its lease has lapsed by the clock. It
-must then try to reach the platform before it may conclude that its zone is cut off.
+A process that was suspended finds at its first request that its lease has lapsed by the clock, or
+has been without one since before. Either way it must try to reach the platform before it may
+conclude that its zone is cut off.
 
 Example: an instance is suspended for a minute, and a change is accepted without it. At its first
 request after that, its lease has lapsed and it has not tried to reach the platform since, so it
@@ -171,7 +172,7 @@
         leased: Whether the lease is valid.
         ever_leased: Whether it has ever been valid.
         leased_since: Monotonic time at which the current lease period began.
-        lapsed_at: Monotonic time at which the last lease period ended.
+        attempt_needed_since: See `attempt_needed_since`.
         caught_up_at: Monotonic time at which the last complete read of the log began; None before.
         last_attempt: Monotonic time at which the last finished attempt to read it began, or the
             last call of any kind that the platform did not answer; None before.
@@ -185,7 +186,7 @@
     leased: bool
     ever_leased: bool
     leased_since: float
-    lapsed_at: float
+    attempt_needed_since: float
     caught_up_at: float | None
     last_attempt: float | None
     applied: int
@@ -194,6 +195,18 @@
     recent_peers: tuple[ZonePeer, ...]
 
 
+def attempt_needed_since(lapsed_at: float, woke_at: float) -> float:
+    """Returns since when an instance without a lease must have tried to reach the platform.
+
+    What it found before a pause of its process says nothing of the time after it.
+
+    Args:
+        lapsed_at: Monotonic time at which its last lease period ended.
+        woke_at: Monotonic time at which the last pause of its process ended.
+    """
+    return max(lapsed_at, woke_at)
+
+
 def refusal_reason(state: ServingState) -> Reason | None:
     """Returns why an instance must not serve; None if it may."""
     if not state.has_configuration:
@@ -207,7 +220,7 @@
 def _reason_without_lease(state: ServingState) -> Reason | None:
     if (
         state.last_attempt is None
-        or state.last_attempt < state.lapsed_at
+        or state.last_attempt < state.attempt_needed_since
         or state.newest > state.applied
     ):
         return Reason.NOT_CAUGHT_UP
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/configuration.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/configuration.py
@@ -361,7 +361,9 @@
             leased=period.is_valid(now),
             ever_leased=period.ever_valid,
             leased_since=period.since,
-            lapsed_at=period.last_ended_at(now),
+            attempt_needed_since=serving_right.attempt_needed_since(
+                period.last_ended_at(now), self._membership.lease.woke_at(now)
+            ),
             caught_up_at=replica.caught_up_at,
             last_attempt=_latest(replica.last_attempt, self._membership.reachability.last_failure),
             applied=replica.catalogue.applied,
--- a/tests/machine_configuration.py
+++ b/tests/machine_configuration.py
@@ -64,6 +64,7 @@
         seen: Leases and heartbeats of the other instances.
         is_paused: Whether the process is paused.
         is_cut: Whether it is cut off from the platform and the other zone.
+        woke_at: When its last pause ended.
         reading: Start time and result of the read in progress; no result if it fails.
         renewing: Start time of the renewal in progress.
         acceptance_check: Number, start time and leases of the acceptance check in progress.
@@ -80,6 +81,7 @@
     seen: dict[str, Seen] = field(default_factory=dict)
     is_paused: bool = False
     is_cut: bool = False
+    woke_at: float = float("-inf")
     reading: tuple[float, list[Change] | None] | None = None
     renewing: float | None = None
     acceptance_check: tuple[int, float, dict[str, tuple[int, LeaseRecord]]] | None = None
@@ -103,6 +105,8 @@
         self.snapshots: list[Snapshot] = []
         self.accepted = 0
         self.highest: dict[str, int] = {}
+        # Instances that the platform's list has dropped.
+        self.unlisted: set[str] = set()
         self.nodes = {name: self._start(name) for name in ZONES}
         self.run_without_faults("")
 
@@ -123,6 +127,7 @@
     @rule(name=NAMES)
     def resume(self, name: str) -> None:
         self.nodes[name].is_paused = False
+        self.nodes[name].woke_at = self.now
 
     @rule(name=NAMES)
     def restart(self, name: str) -> None:
@@ -289,9 +294,13 @@
         self._observe_leases(node, leases)
         members = [
             acceptance.build_member(
-                s.record, s.beat, number, not s.lease.has_lapsed(asked_at), True
+                s.record,
+                s.beat,
+                number,
+                not s.lease.has_lapsed(asked_at),
+                other not in self.unlisted,
             )
-            for s in node.seen.values()
+            for other, s in node.seen.items()
         ]
         leased = node.period.is_valid(asked_at)
         settled = node.reach.is_settled(asked_at)
@@ -359,7 +368,9 @@
             leased=node.period.is_valid(self.now),
             ever_leased=node.period.ever_valid,
             leased_since=node.period.since,
-            lapsed_at=node.period.last_ended_at(self.now),
+            attempt_needed_since=serving_right.attempt_needed_since(
+                node.period.last_ended_at(self.now), node.woke_at
+            ),
             caught_up_at=node.replica.caught_up_at,
             last_attempt=max(
                 (t for t in (node.replica.last_attempt, node.reach.last_failure) if t is not None),
@@ -473,7 +484,30 @@
     m.deliver(0, False)
 
 
-SCHEDULES = (paused_across_a_change, paused_and_renewed, neighbour_comes_back, delayed_heartbeat)
+def dropped_from_the_list_while_paused(m: ConfigurationMachine) -> None:
+    """The only instance of a zone is cut off and goes on serving, as it found no platform.
+
+    It is paused until the platform's list has dropped it and a change was accepted without it.
+    """
+    m.cut_zone("a", True)
+    for _ in range(3):
+        m.run_without_faults("")
+    m.pause("a1")
+    m.now += 60.0
+    m.run_without_faults("")
+    m.unlisted.add("a1")
+    m.change_and_check_acceptance("b1")
+    assert m.accepted == 1
+    m.resume("a1")
+
+
+SCHEDULES = (
+    paused_across_a_change,
+    paused_and_renewed,
+    neighbour_comes_back,
+    delayed_heartbeat,
+    dropped_from_the_list_while_paused,
+)
 
 # Defects that random schedules find. Those in `SCHEDULED` need a certain schedule.
 DEFECTS["accepted before it is applied"] = (acceptance, "find_lagging", _no_instance_lags)
@@ -485,6 +519,10 @@
         paused_across_a_change,
         (serving_right, "refusal_reason", _serves_without_a_lease),
     ),
+    "an attempt from before a pause counts": (
+        dropped_from_the_list_while_paused,
+        (serving_right, "attempt_needed_since", lambda lapsed_at, woke_at: lapsed_at),
+    ),
     "the log is not read after a new lease": (
         paused_and_renewed,
         (serving_right, "refusal_reason", _serves_unread),
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -35,7 +35,7 @@
     leased=True,
     ever_leased=True,
     leased_since=10.0,
-    lapsed_at=5.0,
+    attempt_needed_since=5.0,
     caught_up_at=11.0,
     last_attempt=11.0,
     applied=7,
@@ -47,7 +47,7 @@
 # The lease lapsed at 15, an attempt to read the log began at 16, and a peer in the same state is
 # heard.
 CUT_OFF = replace(
-    LEASED, leased=False, lapsed_at=15.0, last_attempt=16.0, recent_peers=(CUT_OFF_PEER,)
+    LEASED, leased=False, attempt_needed_since=15.0, last_attempt=16.0, recent_peers=(CUT_OFF_PEER,)
 )
 
 
