--- a/packages/wigeonarch-entry/src/wigeonarch_entry/changefeed.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/changefeed.py
@@ -19,6 +19,7 @@
 from wigeonarch_core.replica import LogComparison, LogPosition, Replica, compare_log, position_of
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.logs import log
+from wigeonarch_runtime.timeouts import wait_for_event
 
 from wigeonarch_entry.metrics import Metrics
 from wigeonarch_entry.platform import Page, PlatformClient, Unavailable
@@ -185,28 +186,18 @@
         """Reads the log again whenever a read is due, with growing pauses while it stays due."""
         pause = MIN_RETRY_PAUSE
         while True:
-            hastened = await self._wait(CHECK_INTERVAL)
+            hastened = await wait_for_event(self._hastened, CHECK_INTERVAL)
             if not self._is_read_due():
                 pause = MIN_RETRY_PAUSE
                 continue
             if not hastened:
-                await self._wait(random.uniform(0, MAX_READ_DELAY))
+                await wait_for_event(self._hastened, random.uniform(0, MAX_READ_DELAY))
             if self._is_read_due():
                 self._metrics.log_readings.inc()
                 await self.catch_up()
-                await self._wait(random.uniform(0, pause))
+                await wait_for_event(self._hastened, random.uniform(0, pause))
                 pause = min(pause * 2, MAX_RETRY_PAUSE)
 
-    async def _wait(self, seconds: float) -> bool:
-        """Waits for some seconds or until a read is hastened; returns whether it was."""
-        try:
-            async with asyncio.timeout(seconds):
-                await self._hastened.wait()
-        except TimeoutError:
-            return False
-        self._hastened.clear()
-        return True
-
 
 def _changes_of(page: Page) -> list[tuple[int, Change]]:
     return [(int(item.name), _decode_change(item.value)) for item in page.items]
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/membership.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/membership.py
@@ -25,6 +25,7 @@
 from wigeonarch_core.serving_right import LeasePeriod, PlatformReachability
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.logs import log
+from wigeonarch_runtime.timeouts import wait_for_event
 
 from wigeonarch_entry.following import Follower
 from wigeonarch_entry.peers import Peers
@@ -258,16 +259,8 @@
             # A failed renewal is repeated sooner, with jitter. So is one after which the lease has
             # already lapsed, as the process was paused.
             await asyncio.sleep(pause / 6)
-            await self._wait_for_renewal(pause * 5 / 6 if renewed else random.uniform(0, pause / 3))
-
-    async def _wait_for_renewal(self, seconds: float) -> None:
-        """Waits for some seconds or until a renewal is hastened."""
-        try:
-            async with asyncio.timeout(seconds):
-                await self._renewal_hastened.wait()
-        except TimeoutError:
-            return
-        self._renewal_hastened.clear()
+            rest = pause * 5 / 6 if renewed else random.uniform(0, pause / 3)
+            await wait_for_event(self._renewal_hastened, rest)
 
     async def _poll_list(self) -> None:
         timing = self._opts.timing
--- a/packages/wigeonarch-runtime/src/wigeonarch_runtime/timeouts.py
+++ b/packages/wigeonarch-runtime/src/wigeonarch_runtime/timeouts.py
@@ -67,3 +67,14 @@
 def timeout_at(when: float) -> Timeout:
     """Returns a timeout at a time of the running loop's clock, in seconds, for the waits inside."""
     return Timeout(asyncio.get_running_loop(), when)
+
+
+async def wait_for_event(event: asyncio.Event, seconds: float) -> bool:
+    """Waits for some seconds or until an event is set; returns whether it was, and clears it."""
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return False
+    event.clear()
+    return True
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -126,17 +126,23 @@
         assert (await deployment.send_request("/write/x", node=1, X_Model="m")).status == 200
 
 
-async def test_request_waits_for_an_endpoint_without_a_limit_whose_pause_ends_soon() -> None:
-    async with world(nodes=1) as deployment:
-        limited, node = deployment.replicas[1], deployment.nodes[0]
-        other = await deployment.add_replica(Replica("desk", name="i-desk2"))
-        limited.rate_limit = "0.2"
+async def add_replica_beside_a_limited_one(deployment: World) -> Replica:
+    """Limits the only replica of the plain service and adds another one; waits until both count."""
+    limited, node = deployment.replicas[1], deployment.nodes[0]
+    other = await deployment.add_replica(Replica("desk", name="i-desk2"))
+    limited.rate_limit = "0.2"
 
-        async def limit_known() -> bool:
-            await deployment.send_request("/ask/x")
-            return limited.name in node._limits._limited and bool(other.executed)
+    async def limit_known() -> bool:
+        await deployment.send_request("/ask/x")
+        return limited.name in node._limits._limited and bool(other.executed)
 
-        await until(limit_known)
+    await until(limit_known)
+    return other
+
+
+async def test_request_waits_for_an_endpoint_without_a_limit_whose_pause_ends_soon() -> None:
+    async with world(nodes=1) as deployment:
+        other, node = await add_replica_beside_a_limited_one(deployment), deployment.nodes[0]
         # Half of its pause is over; the route's objective lets a request wait for the rest.
         node._endpoint_health.record_unreachable(other.name, monotonic() - MIN_PAUSE / 2)
         answer = await deployment.send_request("/ask/x")
--- a/tests/test_timeouts.py
+++ b/tests/test_timeouts.py
@@ -10,8 +10,8 @@
 
 import pytest
 import uvloop
-from gateway_world import until, world
-from standins.replica import Replica
+from gateway_world import world
+from test_gateway_limits import add_replica_beside_a_limited_one
 from wigeonarch_gateway.pools import CONNECT_TIMEOUT, ConnectionPools
 from wigeonarch_gateway.ports import EndpointRecord, EndpointState
 from wigeonarch_runtime.timeouts import timeout_after
@@ -144,15 +144,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async with world(nodes=1) as deployment:
-        limited, node = deployment.replicas[1], deployment.nodes[0]
-        other = await deployment.add_replica(Replica("desk", name="i-desk2"))
-        limited.rate_limit = "0.2"
-
-        async def limit_known() -> bool:
-            await deployment.send_request("/ask/x")
-            return limited.name in node._limits._limited and bool(other.executed)
-
-        await until(limit_known)
+        other, node = await add_replica_beside_a_limited_one(deployment), deployment.nodes[0]
         loop, open_connection = asyncio.get_running_loop(), ConnectionPools._open
 
         async def open_in_a_standstill(pools: ConnectionPools, record: EndpointRecord) -> object:
