Nothing is sent once a request's deadline has passed in a standstill

A timeout that expired in a standstill lets the event loop go on for some iterations, in which a connection that was being opened is ready, and the request was sent on it after its deadline; then the wait ended, as "unknown". Before such a request was given up unsent.

Change: the deadline is looked at once more when the connection is open, as the permission to use an engine is: the entry instance tells such a request "not run", the gateway ends it without an attempt that may have run.

--- a/packages/wigeonarch-core/src/wigeonarch_core/lifecycle.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/lifecycle.py
@@ -38,6 +38,10 @@
     CANCELLED = "cancelled"  # The caller disconnected.
 
 
+# Events of a dispatch of which nothing was sent.
+UNSENT_EVENTS: Final = frozenset({Event.REFUSED, Event.CONNECT_FAILED})
+
+
 class Retry(enum.Enum):
     """Which requests may be retried after an event."""
 
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/calling.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/calling.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from wigeonarch_core.fleet import Endpoint
-from wigeonarch_core.lifecycle import Event, Phase
+from wigeonarch_core.lifecycle import UNSENT_EVENTS, Event, Phase
 from wigeonarch_core.outcomes import Answered, Failed, Outcome, Reason
 from wigeonarch_runtime.clock import monotonic
 
@@ -59,8 +59,7 @@
         self._endpoints.call_started(endpoint)
         reply = await self._services.call(endpoint.listed.address, call)
         if isinstance(reply, CallBroken):
-            not_connected = reply.event is Event.CONNECT_FAILED
-            phase = Phase.QUEUED if not_connected else Phase.SENT
+            phase = Phase.QUEUED if reply.event in UNSENT_EVENTS else Phase.SENT
             failure = FailedAttempt(phase, reply.event, reply.reason, NO_ENDPOINT_RETRY)
             progress.record_failure(name, failure)
             self._endpoints.call_ended(endpoint, failure)
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/reading.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/reading.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from wigeonarch_core.lifecycle import Event, Phase
+from wigeonarch_core.lifecycle import UNSENT_EVENTS, Event, Phase
 from wigeonarch_core.options import Timing
 from wigeonarch_core.outcomes import Answered, Outcome, Reason
 from wigeonarch_core.retry import full_jitter
@@ -40,10 +40,6 @@
 _OTHER_FAILURE: Final = (Event.ERROR, Reason.ENDPOINT_ERROR)
 
 
-# Events of a stream before which nothing of the request was sent.
-_NOT_SENT: Final = frozenset({Event.CONNECT_FAILED, Event.REFUSED})
-
-
 @dataclass(slots=True)
 class _PartialAnswer:
     """The part of an answer that has arrived."""
@@ -106,7 +102,7 @@
             address, gen, timing.first_token_timeout, timing.token_timeout, may_send
         )
         last_break = await self._read_stream(stream)
-        if last_break is not None and last_break.event in _NOT_SENT:
+        if last_break is not None and last_break.event in UNSENT_EVENTS:
             return FailedAttempt(
                 Phase.QUEUED, last_break.event, last_break.reason, NO_ENDPOINT_RETRY
             )
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/services.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/services.py
@@ -13,9 +13,12 @@
 import msgspec
 from wigeonarch_core.lifecycle import Event
 from wigeonarch_core.outcomes import Reason
-from wigeonarch_runtime.http_client import NO_TIMEOUT, TimedConnector
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.http_client import NO_TIMEOUT
 from wigeonarch_runtime.timeouts import timeout_after
 
+from wigeonarch_entry.sending import CheckedConnector, NoLongerUsableError, send_only_if
+
 KEY_HEADER: Final = "Idempotency-Key"
 DISPATCH_HEADER: Final = "X-Dispatch"
 _DECLINE_REASONS: Final = {
@@ -75,10 +78,10 @@
         """
         local = (source, 0) if source else None
         self._pooled = aiohttp.ClientSession(
-            connector=TimedConnector(connect_timeout, keepalive_timeout=5.0, local_addr=local)
+            connector=CheckedConnector(connect_timeout, keepalive_timeout=5.0, local_addr=local)
         )
         self._unpooled = aiohttp.ClientSession(
-            connector=TimedConnector(connect_timeout, force_close=True, local_addr=local)
+            connector=CheckedConnector(connect_timeout, force_close=True, local_addr=local)
         )
 
     async def close(self) -> None:
@@ -93,13 +96,12 @@
         if call.key:
             headers[KEY_HEADER] = call.key
         url = f"http://{address}/v1/call/{call.operation}"
+        deadline = monotonic() + call.remaining
         try:
-            async with (
-                timeout_after(call.remaining),
-                session.post(url, data=call.body, headers=headers, timeout=NO_TIMEOUT) as resp,
-            ):
-                body = await resp.read()
-                return _reply(resp, body, call.dispatch)
+            with send_only_if(lambda: monotonic() < deadline):
+                return await self._send(session, url, call, headers)
+        except NoLongerUsableError:
+            return CallBroken(Event.REFUSED, Reason.DEADLINE)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return CallBroken(Event.CONNECT_FAILED, Reason.UNREACHABLE)
         except TimeoutError:
@@ -107,6 +109,17 @@
         except (aiohttp.ClientError, OSError):
             return CallBroken(Event.LOST, Reason.CONNECTION_LOST)
 
+    @staticmethod
+    async def _send(
+        session: aiohttp.ClientSession, url: str, call: ServiceCall, headers: dict[str, str]
+    ) -> ServiceReply | CallBroken:
+        """Sends a call and reads its response, within the time that is left for it."""
+        async with (
+            timeout_after(call.remaining),
+            session.post(url, data=call.body, headers=headers, timeout=NO_TIMEOUT) as resp,
+        ):
+            return _reply(resp, await resp.read(), call.dispatch)
+
 
 def _reply(resp: aiohttp.ClientResponse, body: bytes, dispatch: str) -> ServiceReply | CallBroken:
     declined = _decline_reason(resp.status, body)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -182,6 +182,10 @@
             self._outcomes.record_unreachable(record)
             log("endpoint_unreachable", "WARNING", endpoint=record.endpoint, request=job.request_id)
             return DispatchFailure.NOT_SENT
+        if monotonic() >= job.deadline:
+            # After a pause of this process; sending it now could only make the outcome unknown.
+            self._pools.release_unused(record.endpoint, conn)
+            raise TimeoutError
         still_registered = self._endpoints.get(record.endpoint) is record or self._still_ready(
             record
         )
--- a/tests/test_timeouts.py
+++ b/tests/test_timeouts.py
@@ -12,6 +12,9 @@
 import uvloop
 from gateway_world import world
 from test_gateway_limits import add_replica_beside_a_limited_one
+from wigeonarch_core.lifecycle import Event
+from wigeonarch_core.outcomes import Reason
+from wigeonarch_entry.services import CallBroken, ServiceCall, ServiceClient
 from wigeonarch_gateway.pools import CONNECT_TIMEOUT, ConnectionPools
 from wigeonarch_gateway.ports import EndpointRecord, EndpointState
 from wigeonarch_runtime.timeouts import timeout_after
@@ -157,3 +160,39 @@
             node._pools.forget(other.name)
             answers.append(await deployment.send_request("/ask/x"))
         assert [answer for answer in answers if answer.status != 200] == []
+
+
+async def test_gateway_sends_nothing_after_a_standstill_beyond_the_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with world(nodes=1) as deployment:
+        await deployment.wait_until_served("/ask/x")
+        desk, node = deployment.replicas[1], deployment.nodes[0]
+        loop, open_connection = asyncio.get_running_loop(), ConnectionPools._open
+
+        async def open_in_a_standstill(pools: ConnectionPools, record: EndpointRecord) -> object:
+            loop.call_soon(time.sleep, STANDSTILL)
+            return await open_connection(pools, record)
+
+        monkeypatch.setattr(ConnectionPools, "_open", open_in_a_standstill)
+        node._pools.forget(desk.name)
+        before = len(desk.received)
+        answer = await deployment.send_request("/ask/x", X_Deadline_Ms=str(int(TIMEOUT * 1000)))
+        assert answer.status != 200
+        assert len(desk.received) == before
+
+
+@LOOPS
+def test_entry_instance_calls_no_service_after_a_standstill_beyond_the_deadline(
+    server: socket.socket, loop_factory: Callable[[], asyncio.AbstractEventLoop]
+) -> None:
+    async def main() -> None:
+        client = ServiceClient(1.0)
+        host, port = server.getsockname()
+        asyncio.get_running_loop().call_soon(time.sleep, STANDSTILL)
+        call = ServiceCall("d", "op", b"{}", "", False, TIMEOUT)
+        reply = await client.call(f"{host}:{port}", call)
+        await client.close()
+        assert reply == CallBroken(Event.REFUSED, Reason.DEADLINE)
+
+    run(loop_factory, main)
