ORDER, sight: `answered` says how the end of a stream was recognised, and what was left over

Callers saw a short stream marked as complete. It has framing= (length, chunks, connection) and rest= now. Where a Transfer-Encoding and a Content-Length both come, the first counts, as the parser has it.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/connections.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/connections.py
@@ -15,6 +15,7 @@
 
 import asyncio
 import contextlib
+import enum
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -37,6 +38,14 @@
     """The connection closed before the response was complete, or the response is malformed."""
 
 
+class Framing(enum.Enum):
+    """How the end of a response is recognised."""
+
+    LENGTH = "length"  # The response states its length.
+    CHUNKS = "chunks"  # The response is chunked; the last chunk is empty.
+    CONNECTION = "connection"  # The response ends when its connection is closed in order.
+
+
 @dataclass(slots=True)
 class _ResponseState:
     """The response that is being parsed.
@@ -44,13 +53,13 @@
     Attributes:
         status: Its status code.
         headers: Its headers so far; None before its first byte.
-        framed: Whether it has a length or is chunked, so that its end can be recognised.
+        framing: How its end is recognised, as far as its headers have arrived.
         foreign: Whether it belongs to another request, and is skipped.
     """
 
     status: int = 0
     headers: list[tuple[bytes, bytes]] | None = None
-    framed: bool = False
+    framing: Framing = Framing.CONNECTION
     foreign: bool = False
 
 
@@ -134,8 +143,10 @@
             return
         name = name.lower()
         self._response.headers.append((name, value))
-        if name in (b"content-length", b"transfer-encoding"):
-            self._response.framed = True
+        if name == b"transfer-encoding":
+            self._response.framing = Framing.CHUNKS
+        elif name == b"content-length" and self._response.framing is Framing.CONNECTION:
+            self._response.framing = Framing.LENGTH
 
     def on_headers_complete(self) -> None:
         """Hands the response's head to the waiting request, unless it belongs to another one."""
@@ -167,8 +178,9 @@
         if self._complete or self._response.foreign or self._response.status < 200:
             self._response = _ResponseState()
             return
-        if not self._response.framed and self._response.status not in NO_BODY_STATUSES:
-            return  # Its end is that of the connection; see `eof_received`.
+        ends_with_connection = self._response.framing is Framing.CONNECTION
+        if ends_with_connection and self._response.status not in NO_BODY_STATUSES:
+            return  # See `eof_received`.
         self._complete = True
         if not self._parser.should_keep_alive():
             self._not_reusable = True
@@ -176,6 +188,11 @@
 
     # Used by callers of this class.
 
+    @property
+    def framing(self) -> Framing:
+        """Returns how the end of the response that is being read is recognised."""
+        return self._response.framing
+
     @property
     def usable(self) -> bool:
         """Tells whether another request may be sent on the connection."""
@@ -265,7 +282,8 @@
 
     def _connection_ended(self, exc: Exception | None) -> None:
         in_body = self._head_future is not None and self._head_future.done() and not self._complete
-        if in_body and not self._response.framed and exc is None and self._lost_reason is None:
+        ends_with_connection = self._response.framing is Framing.CONNECTION
+        if in_body and ends_with_connection and exc is None and self._lost_reason is None:
             self._complete = True
         self._not_reusable = True
         self._fail("reset" if exc is not None else "closed")
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -34,7 +34,7 @@
     Verdict,
 )
 from wigeonarch_gateway.responder import Responder, end_to_end_headers
-from wigeonarch_gateway.selection import EndpointSelector, NoEndpointReason
+from wigeonarch_gateway.selection import EndpointSelector, LogFields, NoEndpointReason
 from wigeonarch_gateway.traffic import InFlightRequest, InFlightTracker
 
 NO_ENDPOINT_TEXTS: Final = {
@@ -392,10 +392,12 @@
             if events:
                 job.record_events(monotonic())
                 await job.response.write(events)
-        if rest := job.splitter.take_partial():
+        rest = job.splitter.take_partial()
+        stream_end: LogFields = {"framing": conn.framing.value, "rest": len(rest)}
+        if rest:
             await job.response.write(rest)
         self._pools.release(record.endpoint, conn)
         self._outcomes.record_stream_end(job)
         await job.response.finish()
-        self._responder.record_responded(job, record.endpoint, head.status)
+        self._responder.record_responded(job, record.endpoint, head.status, stream_end)
         return None
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/responder.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/responder.py
@@ -129,14 +129,24 @@
         await job.response.send(head.status, end_to_end_headers(head), body)
         self.record_responded(job, record.endpoint if record else "", head.status)
 
-    def record_responded(self, job: Job, endpoint: str, status: int) -> None:
-        """Logs and counts a response that was sent to the end."""
+    def record_responded(
+        self, job: Job, endpoint: str, status: int, stream_end: LogFields | None = None
+    ) -> None:
+        """Logs and counts a response that was sent to the end.
+
+        Args:
+            job: The request.
+            endpoint: Endpoint whose response it is; empty for one of an earlier dispatch.
+            status: Status code.
+            stream_end: Log fields that tell how the end of a stream was recognised.
+        """
         took = monotonic() - job.request.received
         if job.team is not None:
             waited = job.first_event_at - job.request.received if job.first_event_at else took
             self._metrics.observe_team_answer(job.team.name, waited)
         log(
             "answered",
+            "INFO",
             request=job.request_id,
             endpoint=endpoint,
             status=status,
@@ -145,6 +155,7 @@
             took=took,
             first_event=job.first_event_at - job.request.received if job.first_event_at else 0.0,
             pause=job.longest_pause,
+            **(stream_end or {}),
         )
         self._metrics.requests.labels(job.route.name, "answered").inc()
         if job.terms.adapter:
