--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -11,6 +11,8 @@
 import contextlib
 import enum
 import json
+import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -36,6 +38,37 @@
     GARBAGE = "garbage"  # Sends bytes that are not HTTP.
 
 
+class Framing(enum.Enum):
+    """How a replica marks the end of a response."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"  # Only by closing the connection.
+
+
+class Ending(enum.Enum):
+    """How a response ends."""
+
+    MARKED = "marked"  # As its framing tells: with its last byte, or with the empty chunk.
+    CLOSED = "closed"  # The connection is closed in order.
+    RESET = "reset"
+
+
+@dataclass(frozen=True)
+class ResponseEnd:
+    """How and where a replica ends its responses.
+
+    Attributes:
+        framing: How the end is marked.
+        ending: How the response really ends.
+        size: Bytes of the body that are sent; None for all.
+    """
+
+    framing: Framing
+    ending: Ending
+    size: int | None = None
+
+
 @dataclass
 class ReceivedRequest:
     """A received request.
@@ -66,6 +99,7 @@
         load_time: Duration of an adapter load, in seconds.
         events: Number of events in a whole stream.
         fault: How responses are faulty.
+        response_end: How and where responses end; None to mark the end of whole ones.
         delays_orders: Whether orders get no response and are executed after `order_delay` seconds.
         executed: Requests that it started to run.
         received: Requests addressed to it, except orders and reports.
@@ -96,6 +130,7 @@
     load_time: float = 0.05
     events: int = 6
     fault: ReplicaFault = ReplicaFault.NONE
+    response_end: ResponseEnd | None = None
     delays_orders: bool = False
     order_delay: float = 0.6
     name: str = "i-1"
@@ -387,10 +422,46 @@
             return False
         if self.leaving and self.fault is ReplicaFault.NONE:
             self.leaving_announced.append(request)
+        if self.response_end is not None:
+            return await self._send_ended(request, writer, headers, self.response_end)
         if self.model:
             return await self._send_stream(request, reader, writer, headers)
         return await self._send_plain(request, writer, headers)
 
+    async def _send_ended(
+        self,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+        headers: dict[str, str],
+        end: ResponseEnd,
+    ) -> bool:
+        """Sends a response at once and ends it as told; returns whether to keep the connection."""
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        whole = b"answer of " + self.name.encode() + b" to " + request.body
+        if self.model:
+            headers = {**headers, "Content-Type": "text/event-stream"}
+            whole = b"".join(encode_event(n) for n in range(first, self.events + 1))
+        body = whole[: end.size]
+        marked = end.ending is Ending.MARKED
+        length = None
+        if end.framing is Framing.LENGTH:
+            length = len(body) if marked else len(whole)
+        is_chunked = end.framing is Framing.CHUNKS
+        writer.write(_encode_head(200, headers, length, chunked=is_chunked))
+        if is_chunked and body:
+            writer.write(b"%x\r\n%s\r\n" % (len(body), body))
+        elif body:
+            writer.write(body)
+        if marked and is_chunked:
+            writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        if end.ending is Ending.RESET:
+            await asyncio.sleep(0.05)  # So that the bytes sent arrive before the reset.
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        return marked
+
     async def _send_plain(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter, headers: dict[str, str]
     ) -> bool:
@@ -427,7 +498,7 @@
         writer.write(_encode_head(200, headers, None, chunked=True))
         first = int(request.headers.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = encode_event(number)
             if self.fault is ReplicaFault.CUT and number == 4:
                 writer.write(b"%x\r\n" % len(event) + event[:7])
                 await writer.drain()
@@ -443,6 +514,11 @@
         return True
 
 
+def encode_event(number: int) -> bytes:
+    """Returns the event of a stream that has a number."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
 async def _wait_for_token(reader: asyncio.StreamReader) -> bool:
     """Waits one token interval; returns whether the caller has closed the connection."""
     await asyncio.sleep(TOKEN_INTERVAL)
