ORDER: a stream that ends inside an event has broken off, however its end is marked

Callers took a short stream for a whole one when its engine crashed and its connection was closed in order. Cause: one place says "complete" (the forwarder, at the end of the data), and it believed a sign that this kind of answer doesn't give: an end in order, of a stream without length or chunks, is also what a crashed process leaves; what was left of an event was even written out and the answer ended properly.

Evidence: test_gateway_ends.py on: with a stream that only its connection ends, callers take "inside an event", "inside the blank line" and "before the first event" for complete; with a marked end the first two; a route that may resume does not. Ruled out: a reset that goes unseen (all its cells passed).

Change: find_broken_end, a decision of its own: inside an event, or nothing at all before the connection's end, is broken off, and goes the way of a lost connection (resumed where the route may, else the caller's connection is closed without its end mark). The price: a stream without any event that only its connection ends is failed.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/events.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/events.py
@@ -1,11 +1,18 @@
-"""Splits a stream of server-sent events into complete events, so that none is forwarded in part."""
+"""Splits a stream of server-sent events into complete events, so that none is forwarded in part.
+
+A line ends with LF, CRLF or CR, and an event with a blank line. What follows the last blank line of
+a stream belongs to an event whose end is missing.
+"""
 
 from __future__ import annotations
 
+import re
 from typing import Final
 
-END: Final = b"\n\n"
-ID_FIELD: Final = b"id:"
+LINE_END: Final = rb"(?:\r\n|\n|\r(?!\n))"
+EVENT_END: Final = re.compile(LINE_END * 2)
+EVENT_ID: Final = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
+LINE_END_BYTES: Final = b"\r\n"
 
 
 class EventSplitter:
@@ -23,16 +30,19 @@
         self.last_id = ""
         self.count = 0
 
+    @property
+    def inside_event(self) -> bool:
+        """Tells whether the stream has arrived up to a place inside an event."""
+        return bool(self._partial.strip(LINE_END_BYTES))
+
     def feed(self, data: bytes) -> bytes:
         """Adds bytes to the stream; returns the events that they complete."""
         data = self._partial + data if self._partial else data
-        end = data.rfind(END)
-        if end < 0:
-            self._partial = data
-            return b""
-        complete = data[: end + len(END)]
-        self._partial = data[end + len(END) :]
-        self.count += complete.count(END)
+        end = 0
+        for match in EVENT_END.finditer(data):
+            end = match.end()
+            self.count += 1
+        complete, self._partial = data[:end], data[end:]
         self._note_id(complete)
         return complete
 
@@ -46,12 +56,5 @@
         return data
 
     def _note_id(self, complete: bytes) -> None:
-        at = complete.rfind(b"\n" + ID_FIELD)
-        if at >= 0:
-            start = at + 1 + len(ID_FIELD)
-        elif complete.startswith(ID_FIELD):
-            start = len(ID_FIELD)
-        else:
-            return
-        end = complete.find(b"\n", start)
-        self.last_id = complete[start:end].strip().decode("latin-1")
+        for match in EVENT_ID.finditer(complete):
+            self.last_id = match[1].strip().decode("latin-1")
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -18,7 +18,7 @@
 from wigeonarch_runtime.timeouts import timeout_after
 
 from wigeonarch_gateway import texts
-from wigeonarch_gateway.connections import Connection, ConnectionLost
+from wigeonarch_gateway.connections import Connection, ConnectionLost, Framing
 from wigeonarch_gateway.dispatch_outcomes import DispatchOutcomes
 from wigeonarch_gateway.endpoints import EndpointRegistry
 from wigeonarch_gateway.engineviews import EngineViews
@@ -59,6 +59,23 @@
 EXPECTED_OUTPUT_SHARE: Final = 0.5
 
 
+def find_broken_end(framing: Framing, inside_event: bool, is_empty: bool) -> str:
+    """Returns why a stream that ended in order has broken off; empty if it is complete.
+
+    An endpoint that crashes may close its connections in order, as one does that has sent all.
+
+    Args:
+        framing: How the end of the stream was recognised.
+        inside_event: Whether the stream ended inside an event.
+        is_empty: Whether no event came.
+    """
+    if inside_event:
+        return "ended inside an event"
+    if is_empty and framing is Framing.CONNECTION:
+        return "closed before an event"
+    return ""
+
+
 class Forwarder:
     """Forwards requests to endpoints and their responses to callers."""
 
@@ -379,6 +396,7 @@
         head: ResponseHead,
     ) -> DispatchFailure | None:
         job.splitter.discard_partial()
+        events_before = job.splitter.count
         if not job.response.started:
             await job.response.start(head.status, end_to_end_headers(head))
         while True:
@@ -392,10 +410,12 @@
             if events:
                 job.record_events(monotonic())
                 await job.response.write(events)
-        rest = job.splitter.take_partial()
-        stream_end: LogFields = {"framing": conn.framing.value, "rest": len(rest)}
-        if rest:
-            await job.response.write(rest)
+        stream_end: LogFields = {"framing": conn.framing.value}
+        is_empty = job.splitter.count == events_before
+        if reason := find_broken_end(conn.framing, job.splitter.inside_event, is_empty):
+            raise ConnectionLost(reason)
+        if blank_lines := job.splitter.take_partial():
+            await job.response.write(blank_lines)
         self._pools.release(record.endpoint, conn)
         self._outcomes.record_stream_end(job)
         await job.response.finish()
