--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/http_server.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/http_server.py
@@ -2,19 +2,23 @@
 
 When a caller disconnects, its handler is cancelled, which also stops the endpoint's work on the
 request. If a response can't be completed, its connection is closed, so that the caller does not
-take it for complete. While the instance shuts down, each response closes its connection, so that
+take it for complete. A caller that does not know chunks recognises the end of a stream only by that
+of its connection: for it, the connection is reset unless the response was finished, also if this
+process ends first. While the instance shuts down, each response closes its connection, so that
 the caller opens the next one at another instance.
 """
 
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Final
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import RawRequestMessage
+from aiohttp.http import HttpVersion11, RawRequestMessage
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
@@ -30,6 +34,9 @@
 KEEP_ALIVE_TIMEOUT: Final = 75.0
 MAX_HEADER_BYTES: Final = 65_536
 LISTEN_BACKLOG: Final = 1_024
+# Values of SO_LINGER: what closing a connection does to its peer.
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+END_ON_CLOSE: Final = struct.pack("ii", 0, 0)
 
 RequestHandlerFunction = Callable[[CallerRequest, ResponseWriter], Awaitable[None]]
 
@@ -63,6 +70,8 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Sends the head of a response whose body follows in parts."""
         self._response = web.StreamResponse(status=status, headers=_header_multidict(headers))
+        if self._ends_with_connection:
+            self._set_linger(RESET_ON_CLOSE)
         await self._prepare()
 
     async def write(self, data: bytes) -> None:
@@ -74,11 +83,29 @@
         """Marks the response as complete."""
         assert self._response is not None
         await self._response.write_eof()
+        if self._ends_with_connection:
+            self._set_linger(END_ON_CLOSE)
 
     def abort(self) -> None:
         """Closes the connection, so that the caller does not take the response for complete."""
-        if self._request.transport is not None:
-            self._request.transport.close()
+        transport = self._request.transport
+        if transport is None:
+            return
+        if self._ends_with_connection:
+            transport.abort()
+        else:
+            transport.close()
+
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Tells whether the caller knows no chunks, by which a stream's end could be marked."""
+        return self._request.version < HttpVersion11
+
+    def _set_linger(self, value: bytes) -> None:
+        transport = self._request.transport
+        if transport is not None:
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
     async def _prepare(self) -> None:
         assert self._response is not None
--- a/tests/test_gateway_ends.py
+++ b/tests/test_gateway_ends.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from itertools import product
 
 import pytest
@@ -126,3 +127,15 @@
         while not first.executed:
             answer = await send(deployment, "/draft/x")
         assert (answer.complete, answer.body) == (True, STREAM)
+
+
+@pytest.mark.parametrize("http", ["HTTP/1.1", "HTTP/1.0"])
+async def test_stream_cut_by_a_stopping_instance_does_not_look_complete(http: str) -> None:
+    async with world() as deployment:
+        await deployment.wait_until_served("/write/x", adapter="a1")
+        deployment.replicas[0].events = 100_000
+        deployment.replicas[0].executed.clear()
+        answer = asyncio.create_task(send(deployment, "/write/x", http))
+        await until_true(lambda: deployment.replicas[0].executed)
+        await deployment.nodes[0]._http_server.close()
+        assert not (await answer).complete
