ORDER, elsewhere: a connection that this instance closes does not complete the answer on it

Evidence: test_unmarked_ends.py on. Ruled out by reading: that the pools close a connection that is read from; they only close idle ones. Change: close() names itself as the reason before the loop tells of it. Before and after: the last of the 17 tests leaves KNOWN-RED, unchanged; 77 of 77 in test_unmarked_ends, test_gateway_passing and test_gateway_ends.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/connections.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/connections.py
@@ -268,6 +268,8 @@
     def close(self) -> None:
         """Closes the connection, so that the endpoint stops working on its request."""
         self._not_reusable = True
+        if self._lost_reason is None and not self._complete:
+            self._lost_reason = "closed by this instance"
         if self._transport is not None:
             self._transport.abort()
 
