--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -30,6 +30,7 @@
     ERROR = "error"  # Runs the request and responds with 500.
     FALSE_503 = "false_503"  # Runs it and responds with 503, without "X-Not-Executed".
     SHED = "shed"  # Responds with 503 and "X-Not-Executed", and does not run it.
+    SHED_CUT = "shed_cut"  # The same, but the connection is reset in the midst of the response.
     CUT = "cut"  # Closes or resets the connection in the middle of the response.
     DOUBLE = "double"  # Sends the response twice.
     FOREIGN_FIRST = "foreign_first"  # Sends a response to another request first.
@@ -387,6 +388,13 @@
                 writer, 503, {"X-Not-Executed": "1", **cooldown, **self._leaving_headers()}
             )
             return True
+        if self.fault is ReplicaFault.SHED_CUT:
+            self.rejections.append((time.monotonic(), request.peer))
+            writer.write(_encode_head(503, {"X-Not-Executed": "1"}, 10) + b"ful")
+            await writer.drain()
+            await asyncio.sleep(0.05)  # So that the head arrives before the reset.
+            writer.transport.abort()
+            return False
         self.executed.append(request)
         if self.fatal_body and request.body == self.fatal_body:
             await self._crash()
--- a/tests/test_gateway_ends.py
+++ b/tests/test_gateway_ends.py
@@ -12,7 +12,7 @@
 import pytest
 from gateway_world import HOST, World, until_true, world
 from raw_http import RawResponse, request_raw
-from standins.replica import Ending, Framing, Replica, ResponseEnd, encode_event
+from standins.replica import Ending, Framing, Replica, ReplicaFault, ResponseEnd, encode_event
 
 EVENTS = [encode_event(number) for number in range(1, 7)]
 STREAM = b"".join(EVENTS)
@@ -139,3 +139,15 @@
         await until_true(lambda: deployment.replicas[0].executed)
         await deployment.nodes[0]._http_server.close()
         assert not (await answer).complete
+
+
+@pytest.mark.parametrize("path", ["/book/x", "/ask/x"])
+async def test_refusal_that_broke_off_still_says_that_nothing_ran(path: str) -> None:
+    async with world() as deployment:
+        await deployment.wait_until_served(path)
+        desk = deployment.replicas[1]
+        desk.fault = ReplicaFault.SHED_CUT
+        desk.executed.clear()
+        answer = await send(deployment, path, adapter="")
+        assert desk.rejections
+        assert (answer.status, desk.executed) == (503, [])
