--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import aiohttp
+import pytest
 from msgspec.structs import replace
 from ports import free_port
 from standins.replica import Replica
@@ -22,6 +23,7 @@
 from wigeonarch_core.store_contact import LapseTimes, StoreContact
 from wigeonarch_gateway.node import Node
 from wigeonarch_gateway.options import LeaseOptions, Options, RetryOptions, StoreOptions
+from wigeonarch_gateway.pools import CONNECT_TIMEOUT, ConnectionPools
 from wigeonarch_platform.dialect import DIALECT
 from wigeonarch_platform.store import Store
 from yarl import URL
@@ -260,6 +262,26 @@
     return address
 
 
+def cut_from_endpoints(node: Node, monkeypatch: pytest.MonkeyPatch, silent: bool) -> None:
+    """Cuts an instance from all endpoints until the patch is undone.
+
+    Its idle connections end. New ones fail at once, or as `silent` tells, get no answer.
+    """
+    pools = node._pools
+    pools.close()
+    open_connection = ConnectionPools._open
+
+    async def fail_to_open(self: ConnectionPools, *args: Any) -> Any:
+        if self is not pools:
+            return await open_connection(self, *args)
+        if silent:
+            await asyncio.sleep(CONNECT_TIMEOUT)
+            raise TimeoutError
+        raise ConnectionRefusedError
+
+    monkeypatch.setattr(ConnectionPools, "_open", fail_to_open)
+
+
 def parse_json(body: bytes) -> Any:
     """Decodes a JSON document."""
     return json.loads(body)
