RECOVER: an instance that reaches no endpoint hands its requests over to a peer

Cause: each choice is among endpoints that the instance reaches itself; nothing told or used what others reach. Ruled out for the time of the cut: doubts of its own that outlast it (no connection to an endpoint succeeded). Weighed: sending callers elsewhere by not being ready: open connections stay, each new one that still comes is a failed first try, and under half of a zone in rotation it does nothing; left out.

With two endpoints of a service out of reach the others are probed, with all of them the service is lost here, told in heartbeats, and probed each 0.5 s until it is back. Its requests go to a peer over HTTP on the port for peers, with the headers an endpoint would get, without keys, with the time left and the endpoints on which they may have run; the peer routes them itself, never hands them on, and marks a refusal that says "not run". Without that mark a request that was sent may have run and is not sent again. The end of a stream is judged at both hops; a caller that leaves ends it at the endpoint. Quotas, keys and the count of new requests stay with the first instance, repeats count where they are made.

New tests: no circles, failures told alike over a peer, a peer that is lost, a caller that leaves, keys.

--- a/packages/wigeonarch-core/src/wigeonarch_core/endpoint_health.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/endpoint_health.py
@@ -63,6 +63,13 @@
         found.pauses = 0
         found.probing = False
 
+    def end_pause(self, endpoint: str) -> None:
+        """Notes that a connection could be opened, so that requests may be sent again."""
+        found = self._evidence.get(endpoint)
+        if found is not None:
+            found.pauses = 0
+            found.probing = False
+
     def end_probe(self, endpoint: str) -> None:
         """Notes that a request ended without showing whether the endpoint works."""
         found = self._evidence.get(endpoint)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/connections.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/connections.py
@@ -24,13 +24,15 @@
 
 import httptools
 
-from wigeonarch_gateway.ports import ResponseHead
+from wigeonarch_gateway.ports import Headers, ResponseHead
 
 # Unread bytes of a response above which reading is paused, so that the endpoint has to wait.
 READ_AHEAD_BYTES: Final = 262_144
 # Milliseconds after which sent bytes without a TCP acknowledgement mean that the endpoint can't be
 # reached.
 UNACKNOWLEDGED_MS: Final = 1_500
+# Largest body of a response that is read completely before it is forwarded.
+MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 NO_BODY_STATUSES: Final = frozenset({204, 304})
 
 
@@ -252,6 +254,21 @@
             self._transport.resume_reading()
         return data
 
+    async def read_all(self) -> bytes:
+        """Waits for the rest of the body and returns it.
+
+        Raises:
+            ConnectionLost: The connection closed before the body was complete, or it is too large.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while part := await self.read():
+            parts.append(part)
+            size += len(part)
+            if size > MAX_BODY_BYTES:
+                raise ConnectionLost("the response is too large")
+        return b"".join(parts)
+
     def finish(self) -> bool:
         """Ends the request; returns whether the connection can be used for another one."""
         sent = self._transport is not None and not self._transport.get_write_buffer_size()
@@ -308,3 +325,12 @@
     def _wake_reader(self) -> None:
         if self._data_ready is not None and not self._data_ready.done():
             self._data_ready.set_result(None)
+
+
+def encode_request(method: str, target: str, headers: Headers, body: bytes) -> bytes:
+    """Returns a request as it is sent: its head, with the length of the body, and the body."""
+    lines = [f"{method} {target} HTTP/1.1".encode("latin-1")]
+    lines += [name + b": " + value for name, value in headers]
+    if body or method in ("POST", "PUT", "PATCH"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
@@ -1,8 +1,9 @@
 """Records the outcomes of dispatches, and answers what follows from them.
 
-Outcomes show of an endpoint how healthy and how fast it is, whether it limits its rate or asked for
-a cooldown; and of a request, whether endpoints crash while they run it. Each of these is kept by a
-module of its own, and this one passes every outcome on to those that it concerns.
+Outcomes show of an endpoint how healthy and how fast it is, whether it can be reached, limits its
+rate or asked for a cooldown; and of a request, whether endpoints crash while they run it. Each of
+these is kept by a module of its own, and this one passes every outcome on to those that it
+concerns.
 """
 
 from __future__ import annotations
@@ -16,13 +17,14 @@
 from wigeonarch_gateway.limits import EndpointLimits
 from wigeonarch_gateway.notices import Notices
 from wigeonarch_gateway.ports import EndpointRecord, Notice
+from wigeonarch_gateway.service_reach import ServiceReach
 from wigeonarch_gateway.suspects import SuspectRequests
 
 
 class DispatchOutcomes:
     """The outcomes of this instance's dispatches."""
 
-    __slots__ = ("_cooldowns", "_health", "_latency", "_limits", "_notices", "_suspects")
+    __slots__ = ("_cooldowns", "_health", "_latency", "_limits", "_notices", "_reach", "_suspects")
 
     def __init__(
         self,
@@ -32,6 +34,7 @@
         limits: EndpointLimits,
         cooldowns: Cooldowns,
         notices: Notices,
+        reach: ServiceReach,
     ) -> None:
         self._health = health
         self._latency = latency
@@ -39,6 +42,7 @@
         self._limits = limits
         self._cooldowns = cooldowns
         self._notices = notices
+        self._reach = reach
 
     def quarantine_left(self, job: Job) -> float:
         """Returns the seconds for which a request stays quarantined; 0 if it may be sent."""
@@ -84,6 +88,11 @@
     def record_unreachable(self, record: EndpointRecord) -> None:
         """Records that no connection to an endpoint could be opened."""
         self._health.record_unreachable(record.endpoint, monotonic())
+        self._reach.record_unreachable(record)
+
+    def record_head(self, record: EndpointRecord) -> None:
+        """Records that the head of a response arrived."""
+        self._reach.record_reached(record)
 
     def record_send(self, record: EndpointRecord, expected: float | None) -> Wait | None:
         """Records that a request is sent.
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -18,13 +18,19 @@
 from wigeonarch_runtime.timeouts import timeout_after
 
 from wigeonarch_gateway import texts
-from wigeonarch_gateway.connections import Connection, ConnectionLost, Framing
+from wigeonarch_gateway.connections import (
+    Connection,
+    ConnectionLost,
+    Framing,
+    encode_request,
+)
 from wigeonarch_gateway.dispatch_outcomes import DispatchOutcomes
 from wigeonarch_gateway.endpoints import EndpointRegistry
 from wigeonarch_gateway.engineviews import EngineViews
 from wigeonarch_gateway.jobs import MAY_HAVE_RUN, DispatchFailure, Job
 from wigeonarch_gateway.load_requests import LoadRequests
 from wigeonarch_gateway.metrics import Metrics
+from wigeonarch_gateway.peer_forwarding import PeerForwarder
 from wigeonarch_gateway.pools import ConnectionPools
 from wigeonarch_gateway.ports import (
     Dialect,
@@ -41,8 +47,8 @@
     NoEndpointReason.UNAVAILABLE: texts.NO_ENDPOINT,
     NoEndpointReason.OVERLOADED: texts.OVERLOADED,
     NoEndpointReason.LIMITED: texts.LIMITED,
+    NoEndpointReason.OUT_OF_REACH: texts.OUT_OF_REACH,
 }
-EVENT_STREAM: Final = b"text/event-stream"
 # Pause before an engine that was believed to have an adapter and lacked it is tried again: in
 # seconds, at least, and as a share of the time that a load takes there.
 MIN_MISSING_ADAPTER_PAUSE: Final = 0.03
@@ -52,9 +58,6 @@
 # Share of the latency objective after which a dispatch without a response is given up, if the
 # request may be sent again: the response would be late in any case, and a lost one never comes.
 RESPONSE_TIMEOUT_SHARE: Final = 1.2
-# Largest body of a response that is not a stream; such a body is read completely before it is
-# forwarded.
-MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 # Share of the requested output length that a request is expected to use.
 EXPECTED_OUTPUT_SHARE: Final = 0.5
 
@@ -85,6 +88,7 @@
         "_load_requests",
         "_metrics",
         "_outcomes",
+        "_peers",
         "_pools",
         "_responder",
         "_retries",
@@ -106,6 +110,7 @@
         metrics: Metrics,
         selector: EndpointSelector,
         responder: Responder,
+        peers: PeerForwarder,
     ) -> None:
         self._dialect = dialect
         self._endpoints = endpoints
@@ -118,6 +123,7 @@
         self._metrics = metrics
         self._selector = selector
         self._responder = responder
+        self._peers = peers
 
     async def forward(self, job: Job) -> None:
         """Dispatches a request until its caller has a response.
@@ -126,6 +132,10 @@
         """
         while not await self._refuse_if_quarantined(job):
             record = await self._selector.select(job)
+            if record is NoEndpointReason.OUT_OF_REACH:
+                if await self._hand_over(job):
+                    return
+                continue
             if isinstance(record, NoEndpointReason):
                 after = self._selector.retry_after(job, record)
                 await self._responder.give_up(job, record.value, NO_ENDPOINT_TEXTS[record], after)
@@ -140,6 +150,29 @@
             if not await self._may_retry(job, record, failure):
                 return
 
+    async def _hand_over(self, job: Job) -> bool:
+        """Hands a request over to a peer; returns whether the caller has its response."""
+        peer = self._peers.choose(job)
+        if peer is None:
+            reason = NoEndpointReason.OUT_OF_REACH
+            await self._responder.give_up(job, reason.value, NO_ENDPOINT_TEXTS[reason])
+            return True
+        failure = await self._peers.forward(job, peer)
+        if failure is None:
+            return True
+        log(
+            "try_failed",
+            request=job.request_id,
+            endpoint=peer.name,
+            reason=failure.value,
+            sends=job.dispatch_count,
+            waited=monotonic() - job.request.received,
+        )
+        if failure in MAY_HAVE_RUN:
+            await self._responder.fail(job, failure)
+            return True
+        return False
+
     async def _refuse_if_quarantined(self, job: Job) -> bool:
         """Refuses a request that crashes endpoints; returns whether it did.
 
@@ -269,14 +302,8 @@
             job.requires_key,
             job.team.name if job.team is not None else "",
         )
-        lines = [f"{request.method} {request.target} HTTP/1.1".encode("latin-1")]
-        lines += [
-            name + b": " + value
-            for name, value in self._dialect.endpoint_headers(request.raw_headers, dispatch)
-        ]
-        if request.body or request.method in ("POST", "PUT", "PATCH"):
-            lines.append(b"Content-Length: %d" % len(request.body))
-        return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+        headers = self._dialect.endpoint_headers(request.raw_headers, dispatch)
+        return encode_request(request.method, request.target, headers, request.body)
 
     async def _exchange(
         self, job: Job, record: EndpointRecord, conn: Connection, in_flight: InFlightRequest
@@ -308,6 +335,7 @@
             conn.close()
             self._outcomes.record_silence(job, record)
             return DispatchFailure.SILENT
+        self._outcomes.record_head(record)
         verdict = judge(job.request_id, head)
         notice = self._dialect.read_notice(head)
         if notice is not None:
@@ -316,7 +344,7 @@
             job.may_have_run_on.remove(record.endpoint)
             return await self._handle_refusal(job, record, conn, in_flight, verdict)
         self._metrics.first_byte.labels(job.route.name).observe(monotonic() - job.request.received)
-        if head.status == 200 and (head.get(b"content-type") or b"").startswith(EVENT_STREAM):
+        if head.is_event_stream:
             return await self._forward_stream(job, record, conn, in_flight, head)
         if not job.terms.model:
             self._selector.record_response_time(job, record, monotonic() - sent_at, running)
@@ -368,25 +396,19 @@
         head: ResponseHead,
         verdict: Verdict,
     ) -> DispatchFailure | None:
-        parts: list[bytes] = []
-        size = 0
-        while part := await conn.read():
-            parts.append(part)
-            size += len(part)
-            if size > MAX_BODY_BYTES:
-                raise ConnectionLost("the response is too large")
+        body = await conn.read_all()
         self._pools.release(record.endpoint, conn)
         failed = verdict is not Verdict.ANSWER
         self._outcomes.record_response(job, record, failed)
         if verdict is Verdict.UNUSABLE:
             return DispatchFailure.FAILED
         if failed and not job.response.started:
-            job.failure_response = (head, b"".join(parts))
+            job.failure_response = (head, body)
             if job.may_repeat:
                 return DispatchFailure.FAILED
         if job.response.started:
             return DispatchFailure.FAILED
-        await self._responder.forward_response(job, record, head, b"".join(parts))
+        await self._responder.forward_response(job, record, head, body)
         return None
 
     # Streams.
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
@@ -60,6 +60,8 @@
         longest_pause: Longest time between two events so far, in seconds.
         requires_key: Whether the configuration asks callers for API keys.
         team: Team whose API key the request carries; None if there is none.
+        from_peer: Whether a peer handed the request over to this instance.
+        peers_tried: Peers to which it was handed over.
     """
 
     request: CallerRequest
@@ -85,6 +87,8 @@
     longest_pause: float = 0.0
     requires_key: bool = False
     team: Team | None = None
+    from_peer: bool = False
+    peers_tried: list[str] = field(default_factory=list)
 
     def record_events(self, now: float) -> None:
         """Records that events were forwarded to the caller."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/member.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/member.py
@@ -28,6 +28,7 @@
             was by the heartbeat's transit time. None if the store has not answered it yet.
         started: Time of its start, by this instance's clock and late by the transit time; all
             instances know it alike.
+        lost_services: Services of which it reaches no endpoint.
     """
 
     name: str
@@ -41,6 +42,7 @@
     adapters_in_use: dict[str, list[AdapterName]]
     store_contact: Contact | None
     started: float
+    lost_services: frozenset[str] = frozenset()
 
 
 def store_contact_of(heartbeat: Heartbeat, now: float) -> Contact | None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -69,6 +69,7 @@
         "_directory",
         "_heartbeat_interval",
         "_incarnation",
+        "_lost_services",
         "_members",
         "_metrics",
         "_on_lease_reported",
@@ -98,6 +99,7 @@
         on_silent: Callable[[str], None],
         metrics: Metrics,
         store_contact: StoreContact,
+        lost_services: Callable[[], list[str]] = list,
     ) -> None:
         """Creates the members; no other instance is known yet.
 
@@ -115,9 +117,11 @@
             on_silent: Called with an instance that is no longer reachable.
             metrics: Counters.
             store_contact: This instance's contact with the store, which heartbeats report.
+            lost_services: Returns the services of which this instance reaches no endpoint.
         """
         self._opts = opts
         self._store_contact = store_contact
+        self._lost_services = lost_services
         self._incarnation = incarnation
         self._address = f"{opts.ip}:{opts.peer_port}"
         self._socket = socket
@@ -152,6 +156,11 @@
         """Returns the reachable instances whose lease is in force."""
         return {name for name in self.reachable() if self._members[name].has_lease}
 
+    def reaching(self, service: str) -> list[Member]:
+        """Returns the reachable instances that go on running and reach a service's endpoints."""
+        members = [self._members[name] for name in self.reachable()]
+        return [m for m in members if not m.leaving and service not in m.lost_services]
+
     def send_to_zone(self, zone: str, message: Message) -> bool:
         """Sends a message to a random instance of another zone; returns False if it was dropped."""
         addresses = self._relays().get(zone) or [
@@ -266,6 +275,7 @@
             in_use,
             store_contact_of(heartbeat, now),
             now - heartbeat.uptime_ms / 1000,
+            frozenset(heartbeat.lost_services),
         )
         self.discovery.note_address(heartbeat.address, heartbeat.zone)
         self._traffic.receive_loads(heartbeat.sender, heartbeat.loads)
@@ -379,6 +389,7 @@
             None if contact is None else int((now - contact.since) * 1000),
             0 if contact is None else int((now - contact.until) * 1000),
             int((now - self._started) * 1000),
+            self._lost_services(),
         )
 
     def _adapters_in_use_at(self, owner: str, endpoints: list[str]) -> list[AdaptersInUse]:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -57,6 +57,7 @@
             outage, or after its start; None if the store has not answered yet.
         store_answered_ms: Milliseconds since the store's last answer to the sender.
         uptime_ms: Milliseconds since the sender started.
+        lost_services: Services of which the sender reaches no endpoint.
     """
 
     sender: str
@@ -71,6 +72,7 @@
     store_contact_ms: int | None = None
     store_answered_ms: int = 0
     uptime_ms: int = 0
+    lost_services: list[str] = []
 
 
 class EngineUpdate(msgspec.Struct, array_like=True, tag="places"):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
@@ -74,6 +74,12 @@
         self.retries = Counter(
             "wigeonarch_gateway_retries", "Repeated sends, by reason", ["reason"], registry=reg
         )
+        self.handovers = Counter(
+            "wigeonarch_gateway_handovers",
+            "Requests handed over to peers (out) and by peers (in), by result",
+            ["direction", "result"],
+            registry=reg,
+        )
         self.orders = Counter(
             "wigeonarch_gateway_orders", "Orders by result", ["order", "result"], registry=reg
         )
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -75,6 +75,8 @@
 from wigeonarch_gateway.model_load_permits import ModelLoadPermits
 from wigeonarch_gateway.notices import Notices
 from wigeonarch_gateway.options import Options
+from wigeonarch_gateway.peer_forwarding import PeerForwarder
+from wigeonarch_gateway.peer_requests import PeerRequests
 from wigeonarch_gateway.peer_socket import PeerSocket, split_address
 from wigeonarch_gateway.pools import ConnectionPools
 from wigeonarch_gateway.ports import (
@@ -86,6 +88,7 @@
 from wigeonarch_gateway.quotas import FIRST_NUMBER_BOUND, QuotaManager
 from wigeonarch_gateway.responder import Responder
 from wigeonarch_gateway.selection import EndpointSelector
+from wigeonarch_gateway.service_reach import ServiceReach
 from wigeonarch_gateway.serving import RequestPipeline
 from wigeonarch_gateway.sharing import WatchSharing
 from wigeonarch_gateway.status import Page, StatusServer
@@ -142,6 +145,7 @@
         self._endpoints = EndpointRegistry(
             self._may_lapse_until, self._endpoint_gone, self._endpoint_restarted
         )
+        self._reach = ServiceReach(self._endpoints.ready, self._pools, self._endpoint_health)
         self._catalogue = Catalogue(dialect.decode_configuration, dialect.decode_version)
         self._store_updates = StoreUpdateHandlers(
             opts.store, self._catalogue, self._endpoints, self._views, dialect.decode_endpoint
@@ -180,6 +184,7 @@
             self._views.note_owner_silent,
             self._metrics,
             self._store_contact,
+            self._reach.lost_services,
         )
         self._suspects = SuspectRequests(
             opts.instance,
@@ -205,6 +210,7 @@
             self._limits,
             self._cooldowns,
             self._notices,
+            self._reach,
         )
         self._members.discovery.on_entry = lambda entry: self._suspects.adopt_stored_crashes(
             entry.ended_under
@@ -249,6 +255,7 @@
             load_requests,
             opts.zone,
             lambda: self._members.heartbeat_interval(),
+            lambda job: self._peer_forwarder.is_needed(job),
         )
         self._quota_ledger = QuotaLedger(
             opts.quotas, monotonic(), random.randrange(FIRST_NUMBER_BOUND)
@@ -268,6 +275,17 @@
         )
         admission = Admission(dialect.read_key, self._quotas, self._freshness, self._metrics)
         responder = Responder(self._metrics, selector.log_fields)
+        self._peer_pools = ConnectionPools(loop, opts.ip)
+        self._peer_forwarder = PeerForwarder(
+            opts.instance,
+            opts.zone,
+            dialect,
+            self._peer_pools,
+            self._reach,
+            self._members.reaching,
+            responder,
+            self._metrics,
+        )
         forwarder = Forwarder(
             dialect,
             self._endpoints,
@@ -280,6 +298,7 @@
             self._metrics,
             selector,
             responder,
+            self._peer_forwarder,
         )
         pipeline = RequestPipeline(
             dialect,
@@ -292,7 +311,9 @@
             self._metrics,
         )
         self._receivers = self._message_receivers()
+        peer_requests = PeerRequests(dialect, self._catalogue, pipeline, responder, self._metrics)
         self._http_server = HttpServer(pipeline.serve, self._max_body_bytes)
+        self._peer_server = HttpServer(peer_requests.serve, self._max_body_bytes)
         self._ready_server = StatusServer([Page(dialect.ready_path, self._readiness_page)])
         self._metrics_server = StatusServer([Page("/metrics", self._metrics_page)])
 
@@ -302,11 +323,20 @@
         await self._links.open()
         await self._ready_server.listen(*split_address(opts.ready))
         await self._open_metrics()
+        await self._open_peer_server()
         await self._http_server.listen(*split_address(opts.front))
         log("started", incarnation=self._incarnation, front=opts.front, seeds=len(opts.seeds))
         for name, coroutine in self._background_tasks().items():
             self._tasks.append(asyncio.create_task(coroutine, name=name))
 
+    async def _open_peer_server(self) -> None:
+        """Opens the server for peers; without it only their requests are not served."""
+        try:
+            await self._peer_server.listen(self._opts.ip, self._opts.peer_port)
+        except OSError as exc:
+            port = self._opts.peer_port
+            log("peer_server_unavailable", "ERROR", port=port, reason=str(exc))
+
     async def _open_metrics(self) -> None:
         """Opens the metrics server; without it the process goes on, as callers matter more."""
         try:
@@ -343,8 +373,8 @@
 
     async def _drain(self) -> None:
         began = monotonic()
-        log("stopping", in_progress=self._http_server.in_progress, grace=self._opts.grace)
-        self._http_server.draining = True
+        log("stopping", in_progress=self._in_progress(), grace=self._opts.grace)
+        self._http_server.draining = self._peer_server.draining = True
         self._members.roles.leaving = True
         self._engine_ownership.leaving = True
         end = began + self._opts.grace - SHUTDOWN_MARGIN
@@ -353,22 +383,29 @@
                 # Callers with idle connections here would otherwise be cut off when the process
                 # ends.
                 self._http_server.stop_accepting()
-                if not self._http_server.in_progress:
+                self._peer_server.stop_accepting()
+                if not self._in_progress():
                     break
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
 
     async def _close(self) -> None:
-        aborted = self._http_server.in_progress
+        aborted = self._in_progress()
         self._engine_ownership.close()
         await self._http_server.close()
+        await self._peer_server.close()
         await self._cancel_background_tasks()
         await self._ready_server.close()
         await self._metrics_server.close()
         self._pools.close()
+        self._peer_pools.close()
         self._links.close()
         await self._store.close()
         log("stopped", cut=aborted)
 
+    def _in_progress(self) -> int:
+        """Returns the number of requests of callers and peers that are being served."""
+        return self._http_server.in_progress + self._peer_server.in_progress
+
     async def _cancel_background_tasks(self) -> None:
         """Cancels all background tasks until they have ended, within the time that is left.
 
@@ -401,6 +438,7 @@
         tasks["lease"] = self._own_lease.keep_renewed()
         tasks["clock"] = self._own_lease.watch_clock()
         tasks["holders"] = self._engine_ownership.claim_engines()
+        tasks["reach"] = self._reach.keep_probing()
         tasks["tick"] = self._tick()
         return tasks
 
@@ -426,6 +464,7 @@
                 self._metrics.knowledge_age.labels(kind.value).observe(self._sharing.age(kind))
             self._endpoints.expire(monotonic())
             self._pools.close_expired()
+            self._peer_pools.close_expired()
             self._suspects.expire()
             self._limits.expire(lambda endpoint: self._endpoints.get(endpoint) is not None)
             self._metrics.log_lines_dropped.set(dropped_lines())
@@ -450,6 +489,7 @@
             in_progress=self._http_server.in_progress,
             configuration=table.version if table is not None else 0,
             store_away=self._store_state.is_away,
+            ways_lost=",".join(self._reach.lost_services()),
             following=self._sharing.following,
             followers=self._sharing.follower_count(),
             age=max(self._sharing.age(kind) for kind in self._sharing.kinds()),
@@ -482,6 +522,7 @@
         self._pools.forget(endpoint)
         self._views.forget(endpoint)
         self._endpoint_health.forget(endpoint)
+        self._reach.forget(endpoint)
         self._engine_latency.forget(endpoint)
         self._suspects.endpoint_ended(endpoint)
 
@@ -489,6 +530,7 @@
         """Forgets what was known of an endpoint's last incarnation."""
         self._pools.forget(record.endpoint)
         self._endpoint_health.forget(record.endpoint)
+        self._reach.forget(record.endpoint)
         self._engine_latency.forget(record.endpoint)
         self._limits.forget(record.endpoint)
         self._cooldowns.forget(record.endpoint)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/pools.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/pools.py
@@ -55,13 +55,17 @@
 
     async def acquire(self, endpoint: EndpointRecord) -> Connection | None:
         """Returns a connection to an endpoint, reused or new; None if it can't be reached now."""
-        kept = self._idle.get(endpoint.endpoint, [])
+        return await self.acquire_at(endpoint.endpoint, endpoint.address)
+
+    async def acquire_at(self, name: str, address: str) -> Connection | None:
+        """Returns a connection to `IP:PORT`; connections are kept for reuse under a name."""
+        kept = self._idle.get(name, [])
         while kept:
             conn = kept.pop()
             if conn.usable and self._is_within_idle_timeout(conn):
                 return conn
             conn.close()
-        return await self._connect(endpoint)
+        return await self._connect(address)
 
     async def probe(self, endpoint: EndpointRecord) -> ProbeResult:
         """Tells whether a process listens at an endpoint's address.
@@ -69,7 +73,7 @@
         A connection that was opened for this is kept for reuse.
         """
         try:
-            conn = await self._open(endpoint)
+            conn = await self._open(endpoint.address)
         except ConnectionRefusedError:
             return ProbeResult.REFUSED
         except (OSError, TimeoutError):
@@ -114,20 +118,20 @@
         )
         return self._loop.time() - conn.idle_since < max_idle_time
 
-    async def _connect(self, endpoint: EndpointRecord) -> Connection | None:
+    async def _connect(self, address: str) -> Connection | None:
         try:
-            return await self._open(endpoint)
+            return await self._open(address)
         except (OSError, TimeoutError):
             return None
 
-    async def _open(self, endpoint: EndpointRecord) -> Connection:
-        """Opens a connection.
+    async def _open(self, address: str) -> Connection:
+        """Opens a connection to `IP:PORT`.
 
         Raises:
             OSError: The connection was refused, or there is no network path.
             TimeoutError: No answer within `CONNECT_TIMEOUT`.
         """
-        host, _, port = endpoint.address.rpartition(":")
+        host, _, port = address.rpartition(":")
         source = (self._source, 0) if self._source else None
         async with timeout_after(CONNECT_TIMEOUT):
             _, conn = await self._loop.create_connection(
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
@@ -10,13 +10,14 @@
 
 import enum
 from collections.abc import Callable, Mapping, Sequence
-from typing import Any, Protocol
+from typing import Any, Final, Protocol
 
 import msgspec
 from wigeonarch_core.engine_places import AdapterKey
 from wigeonarch_core.routes import RoutingTable
 
 Headers = Sequence[tuple[bytes, bytes]]
+EVENT_STREAM: Final = b"text/event-stream"
 
 
 class ObjectKind(enum.Enum):
@@ -278,6 +279,11 @@
         """Returns the value of the first header with a name; None if there is none."""
         return next((value for key, value in self.headers if key == name), None)
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Tells whether the body is a stream of server-sent events."""
+        return self.status == 200 and (self.get(b"content-type") or b"").startswith(EVENT_STREAM)
+
 
 class Notice(msgspec.Struct, frozen=True):
     """What an endpoint states about itself in the head of any response.
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
@@ -72,6 +72,7 @@
     UNAVAILABLE = "no_endpoint"  # No endpoint could take it for as long as it could wait.
     OVERLOADED = "service_overloaded"  # The plain service receives more than it can do in time.
     LIMITED = "endpoints_limited"  # All endpoints have stated rate limits that are used up.
+    OUT_OF_REACH = "out_of_reach"  # This instance reaches none; a peer may be able to help.
 
 
 class EndpointSelector:
@@ -80,6 +81,7 @@
     __slots__ = (
         "_catalogue",
         "_endpoints",
+        "_is_out_of_reach",
         "_load_requests",
         "_outcomes",
         "_peer_lag",
@@ -99,6 +101,7 @@
         load_requests: LoadRequests,
         zone: str,
         peer_lag: Callable[[], float],
+        is_out_of_reach: Callable[[Job], bool],
     ) -> None:
         """Creates a selector.
 
@@ -111,6 +114,7 @@
             load_requests: Sends load requests to the owners of engines.
             zone: Availability zone of this instance.
             peer_lag: Returns the age of what other instances reported, in seconds.
+            is_out_of_reach: Tells whether a request need not wait for an endpoint here.
         """
         self._catalogue = catalogue
         self._endpoints = endpoints
@@ -120,6 +124,7 @@
         self._load_requests = load_requests
         self._zone = zone
         self._peer_lag = peer_lag
+        self._is_out_of_reach = is_out_of_reach
         self._times = ServiceTimes()
 
     async def select(self, job: Job) -> EndpointRecord | NoEndpointReason:
@@ -130,6 +135,8 @@
         selected: EndpointRecord | NoEndpointReason | None
         while True:
             now = monotonic()
+            if self._is_out_of_reach(job):
+                return NoEndpointReason.OUT_OF_REACH
             if job.terms.model and job.spec is not None and job.spec.engine is not None:
                 choice = self._choose_engine(job, now)
                 selected, awaits_load = self._engine_or_load(job, choice, now), choice is not None
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
@@ -13,6 +13,7 @@
 from wigeonarch_core.content_key import content_key
 from wigeonarch_core.retry_window import RetryWindow
 from wigeonarch_core.routes import Route, RoutingTable, pick_service
+from wigeonarch_core.teams import Team
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.logs import log
 from wigeonarch_runtime.timeouts import timeout_at
@@ -86,7 +87,7 @@
             log_fields |= self._freshness.log_fields()
             await self._respond_not_admitted(response, terms, decision, log_fields)
             return
-        job = self._make_job(request, terms, response, route, table, decision)
+        job = make_job(request, terms, response, route, table, decision.team)
         await self._serve_admitted(job, decision)
 
     async def _respond_no_route(
@@ -137,6 +138,14 @@
 
     async def _serve_admitted(self, job: Job, admitted: Admitted) -> None:
         self._retries.record_request(job.service, monotonic())
+        try:
+            await self.run(job)
+        finally:
+            if not job.may_have_run_on:
+                self._admission.refund(admitted)
+
+    async def run(self, job: Job) -> None:
+        """Responds to an admitted request; the task is cancelled when the caller disconnects."""
         self._metrics.in_progress.inc()
         try:
             async with timeout_at(_loop_time(job.deadline)):
@@ -154,32 +163,31 @@
             raise
         finally:
             self._metrics.in_progress.dec()
-            if not job.may_have_run_on:
-                self._admission.refund(admitted)
 
-    @staticmethod
-    def _make_job(
-        request: CallerRequest,
-        terms: RequestTerms,
-        response: ResponseWriter,
-        route: Route,
-        table: RoutingTable,
-        admitted: Admitted,
-    ) -> Job:
-        timeout = route.timeout if terms.wait is None else min(terms.wait, route.timeout)
-        service = pick_service(route, random.random())
-        return Job(
-            request,
-            terms,
-            response,
-            route,
-            service,
-            content_key(request.method, request.host, request.target, request.body),
-            request.received + timeout,
-            table.services.get(service),
-            requires_key=table.teams is not None,
-            team=admitted.team,
-        )
+
+def make_job(
+    request: CallerRequest,
+    terms: RequestTerms,
+    response: ResponseWriter,
+    route: Route,
+    table: RoutingTable,
+    team: Team | None,
+) -> Job:
+    """Returns the state of a request that was admitted, with its deadline."""
+    timeout = route.timeout if terms.wait is None else min(terms.wait, route.timeout)
+    service = pick_service(route, random.random())
+    return Job(
+        request,
+        terms,
+        response,
+        route,
+        service,
+        content_key(request.method, request.host, request.target, request.body),
+        request.received + timeout,
+        table.services.get(service),
+        requires_key=table.teams is not None,
+        team=team,
+    )
 
 
 def _loop_time(when: float) -> float:
--- a/tests/test_gateway_lost_way.py
+++ b/tests/test_gateway_lost_way.py
@@ -10,11 +10,24 @@
 from collections import Counter
 
 import pytest
-from gateway_world import World, cut_from_endpoints, until, world
+from gateway_world import (
+    World,
+    configuration,
+    cut_from_endpoints,
+    team,
+    until,
+    until_true,
+    world,
+)
+from standins.replica import ReplicaFault, encode_event
+from wigeonarch_gateway.exchange import CallerRequest, ResponseWriter
+from wigeonarch_gateway.node import Node
+from wigeonarch_gateway.peer_requests import PeerRequests
 
 # First requests at the instance, in which it may learn that its way is lost.
 LEARNING = 6
 ASKED = 20
+STREAM = b"".join(encode_event(number) for number in range(1, 7))
 
 
 async def lose_way(deployment: World, monkeypatch: pytest.MonkeyPatch, silent: bool) -> None:
@@ -62,3 +75,125 @@
             return answer.status == 200 and desk.executed[-1].peer == deployment.options[0].ip
 
         await until(is_sent_directly)
+
+
+async def test_request_is_refused_and_not_passed_in_circles_if_no_instance_reaches_an_endpoint(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with world(nodes=2) as deployment:
+        await lose_way(deployment, monkeypatch, silent=False)
+        cut_from_endpoints(deployment.nodes[1], monkeypatch, silent=False)
+        deployment.replicas[1].executed.clear()
+        for number in range(ASKED):
+            answer = await deployment.send_request("/book/x", b"%d" % number)
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0
+        assert not deployment.replicas[1].executed
+        assert handovers(deployment.nodes[0]) <= 2 * LEARNING + ASKED  # Once each at most.
+        assert handovers(deployment.nodes[1]) == 0
+
+
+def handovers(node: Node) -> float:
+    """Returns the number of requests that an instance handed over."""
+    samples = [s for family in node._metrics.handovers.collect() for s in family.samples]
+    return sum(
+        sample.value
+        for sample in samples
+        if sample.labels.get("direction") == "out" and sample.name.endswith("_total")
+    )
+
+
+@pytest.mark.parametrize(
+    ("fault", "path", "adapter", "status", "complete"),
+    [
+        (ReplicaFault.SHED, "/book/x", "", 503, True),
+        (ReplicaFault.RESET, "/book/x", "", 502, True),
+        (ReplicaFault.ERROR, "/book/x", "", 500, True),
+        (ReplicaFault.CUT, "/book/x", "", 502, True),
+        (ReplicaFault.CUT, "/write/x", "a1", 200, False),
+    ],
+)
+async def test_failure_of_an_endpoint_is_told_alike_over_a_peer(
+    fault: ReplicaFault,
+    path: str,
+    adapter: str,
+    status: int,
+    complete: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with world(nodes=2) as deployment:
+        await lose_way(deployment, monkeypatch, silent=False)
+        replica = deployment.replicas[0 if adapter else 1]
+        replica.fault = fault
+        replica.executed.clear()
+        answer = await deployment.send_request(path, adapter=adapter)
+        assert (answer.status, answer.complete) == (status, complete)
+        assert len(replica.executed) == (status != 503)
+        assert STREAM.startswith(answer.body) or answer.status != 200
+
+
+async def test_request_that_is_lost_with_the_peer_may_have_run_and_is_not_sent_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with world(nodes=3) as deployment:
+        await lose_way(deployment, monkeypatch, silent=False)
+        desk = deployment.replicas[1]
+        desk.fault = ReplicaFault.SILENT
+        desk.executed.clear()
+        answer = asyncio.create_task(deployment.send_request("/book/x"))
+        await until_true(lambda: desk.executed)
+        for node in deployment.nodes[1:]:
+            await node._peer_server.close()
+        assert (await answer).status == 502
+        assert len(desk.executed) == 1
+
+
+async def test_engine_stops_when_the_caller_of_a_handed_over_stream_leaves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with world(nodes=2) as deployment:
+        await lose_way(deployment, monkeypatch, silent=False)
+        engine = deployment.replicas[0]
+        engine.events = 100_000
+        engine.executed.clear()
+        asked = asyncio.create_task(deployment.send_request("/write/x", adapter="a1"))
+        await until_true(lambda: engine.executed)
+        asked.cancel()
+        await until_true(lambda: engine.cancelled)
+
+
+async def test_api_key_stays_with_the_instance_that_took_the_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with world(nodes=2) as deployment:
+        teams = [team("gold", "key-1", priority=0), team("plain", "key-2")]
+        await deployment.store.put("config", "main", configuration(2, teams=teams))
+        desk = deployment.replicas[1]
+
+        async def is_served_with_key() -> bool:
+            answer = await deployment.send_request("/ask/x", Authorization="Bearer key-1")
+            return answer.status == 200 and desk.executed[-1].headers.get("x-tenant") == "gold"
+
+        await until(is_served_with_key)
+        cut_from_endpoints(deployment.nodes[0], monkeypatch, silent=False)
+        taken_over: list[CallerRequest] = []
+        serve = PeerRequests.serve
+
+        async def note_and_serve(
+            self: PeerRequests, request: CallerRequest, response: ResponseWriter
+        ) -> None:
+            taken_over.append(request)
+            await serve(self, request, response)
+
+        server = deployment.nodes[1]._peer_server
+        monkeypatch.setattr(server, "_serve", note_and_serve.__get__(server._serve.__self__))  # type: ignore[attr-defined]
+
+        async def is_handed_over() -> bool:
+            answer = await deployment.send_request("/ask/x", Authorization="Bearer key-1")
+            return answer.status == 200 and bool(taken_over)
+
+        await until(is_handed_over)
+        assert desk.executed[-1].headers["x-tenant"] == "gold"
+        sent = [value for request in taken_over for _, value in request.raw_headers]
+        assert not any(b"key-1" in value for value in sent)
+        assert "authorization" not in desk.executed[-1].headers
--- a/tests/test_timeouts.py
+++ b/tests/test_timeouts.py
@@ -150,9 +150,9 @@
         other, node = await add_replica_beside_a_limited_one(deployment), deployment.nodes[0]
         loop, open_connection = asyncio.get_running_loop(), ConnectionPools._open
 
-        async def open_in_a_standstill(pools: ConnectionPools, record: EndpointRecord) -> object:
+        async def open_in_a_standstill(pools: ConnectionPools, address: str) -> object:
             loop.call_soon(time.sleep, CONNECT_TIMEOUT + 0.05)
-            return await open_connection(pools, record)
+            return await open_connection(pools, address)
 
         monkeypatch.setattr(ConnectionPools, "_open", open_in_a_standstill)
         answers = []
@@ -170,9 +170,9 @@
         desk, node = deployment.replicas[1], deployment.nodes[0]
         loop, open_connection = asyncio.get_running_loop(), ConnectionPools._open
 
-        async def open_in_a_standstill(pools: ConnectionPools, record: EndpointRecord) -> object:
+        async def open_in_a_standstill(pools: ConnectionPools, address: str) -> object:
             loop.call_soon(time.sleep, STANDSTILL)
-            return await open_connection(pools, record)
+            return await open_connection(pools, address)
 
         monkeypatch.setattr(ConnectionPools, "_open", open_in_a_standstill)
         node._pools.forget(desk.name)
