RECOVER, elsewhere: a crash that only a lost way suggested is taken back

Callers of a request were refused at all instances, as quarantined for fifteen minutes, after an instance had lost its way to the endpoints by resets while it ran that request at three of them. Cause: it probes an endpoint after a lost connection, finds that nobody listens, and reports a crash; from behind a cut that looks alike, and the others believe it. Evidence: test_gateway_lost_way.py, three endpoints, one of two instances cut by resets: afterwards 503 ("endpoints ended each time they ran this request") at both on, 200 now. Ruled out: to doubt the probe whenever no other endpoint can be reached either; that would count a third real crash late, and one more endpoint could be felled.

Change: a crash counts at once, as before, and is retracted, for all, when an instance has proof that the incarnation lives: its answer to a request sent after the report; where endpoints may start again under their id, only over a connection older than the report. It is forgotten, not cleared, so that a real crash later counts. Left: endpoints that state their start time and to which nobody kept a connection.

--- a/packages/wigeonarch-core/src/wigeonarch_core/fatal_requests.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/fatal_requests.py
@@ -152,6 +152,18 @@
             suspect.counted -= cleared.crash_ids
             suspect.cleared = _union_or_new(suspect.cleared, cleared.crash_ids)
 
+    def retract(self, crash: str) -> int:
+        """Forgets a crash that did not happen; returns for how many requests it counted.
+
+        It is not remembered as cleared: the same incarnation may really crash later.
+        """
+        affected = 0
+        for suspect in self._suspects.values():
+            affected += crash in suspect.counted
+            suspect.counted.discard(crash)
+            suspect.uncounted.discard(crash)
+        return affected
+
     def quarantine_left(self, content_key: str, now: float) -> float:
         """Returns the seconds until a request may be sent; 0 if it may be sent now."""
         suspect = self._suspects.get(content_key)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/connections.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/connections.py
@@ -23,6 +23,7 @@
 from typing import Final, cast
 
 import httptools
+from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_gateway.ports import Headers, ResponseHead
 
@@ -69,6 +70,7 @@
     """A connection to an endpoint.
 
     Attributes:
+        connected_at: Time at which it was opened, in seconds of the monotonic clock.
         idle_since: Time at which the last response was read, in seconds of the event loop's clock.
         keep_alive_timeout: Seconds for which the endpoint keeps an idle connection; None if it did
             not say.
@@ -90,6 +92,7 @@
         self._lost_reason: str | None = None
         self._not_reusable = False
         self._data_ready: asyncio.Future[None] | None = None
+        self.connected_at = monotonic()
         self.idle_since = 0.0
         self.keep_alive_timeout: float | None = None
         self.unused = True
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
@@ -90,9 +90,10 @@
         self._health.record_unreachable(record.endpoint, monotonic())
         self._reach.record_unreachable(record)
 
-    def record_head(self, record: EndpointRecord) -> None:
-        """Records that the head of a response arrived."""
+    def record_head(self, job: Job, record: EndpointRecord, connected_at: float) -> None:
+        """Records that the head of a response arrived, over a connection opened at that time."""
         self._reach.record_reached(record)
+        self._suspects.record_head(record, job.dispatched_at, connected_at)
 
     def record_send(self, record: EndpointRecord, expected: float | None) -> Wait | None:
         """Records that a request is sent.
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -335,7 +335,7 @@
             conn.close()
             self._outcomes.record_silence(job, record)
             return DispatchFailure.SILENT
-        self._outcomes.record_head(record)
+        self._outcomes.record_head(job, record, conn.connected_at)
         verdict = judge(job.request_id, head)
         notice = self._dialect.read_notice(head)
         if notice is not None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -332,12 +332,15 @@
             endpoint has run it to completion.
         counted: Keys of requests, with all crashes that the sender counts against each; sent to an
             instance that may know of none of them.
+        retracted: Incarnations of endpoints that were reported to have crashed and that have
+            answered since.
     """
 
     sender: str
     crashes: list[tuple[str, str, int]]
     cleared: list[tuple[str, list[str]]]
     counted: list[tuple[str, list[str]]]
+    retracted: list[str] = []
 
 
 class RateLimitUpdate(msgspec.Struct, array_like=True, tag="limit"):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspects.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspects.py
@@ -13,7 +13,11 @@
 one early lease renewal.
 
 A crash counts once for each incarnation of an endpoint, and a complete response clears a request of
-all its crashes (see `core.fatal_requests`).
+all its crashes (see `core.fatal_requests`). An instance that has lost its way to the endpoints
+can't tell them from crashed ones. So a crash is retracted as soon as any instance has proof that
+the incarnation lives: its answer to a request that was sent after the crash was reported. Where an
+endpoint may restart under its id, as those do that state their start time, only a connection that
+is older than the report proves that the answer is not the next incarnation's.
 """
 
 from __future__ import annotations
@@ -53,6 +57,9 @@
 # as those read them, too.
 STARTUP_PERIOD: Final = 5.0
 
+# Reported crashes whose times are remembered, so that they can be retracted.
+MAX_REPORTED_CRASHES: Final = 1000
+
 # Content keys of requests, each with the ids of its crashes, as encoded in messages and leases.
 CrashesByContent = list[tuple[str, list[str]]]
 
@@ -85,6 +92,7 @@
         "_metrics",
         "_on_crashes_to_store",
         "_probe",
+        "_reported_at",
         "_send_all",
         "_started",
         "_unsent",
@@ -119,6 +127,8 @@
         self._unsent_cleared: list[RequestCrashes] = []
         self._batch_timer: asyncio.TimerHandle | None = None
         self._abandoned: defaultdict[str, deque[_AbandonedRun]] = defaultdict(deque)
+        # Time at which each crash was reported here, by its id, in order.
+        self._reported_at: dict[str, float] = {}
         self._started = monotonic()
 
     def quarantine_left(self, content_key: str) -> float:
@@ -168,6 +178,38 @@
         if len(runs) > MAX_ABANDONED_RUNS:
             runs.popleft()
 
+    def record_head(
+        self, record: EndpointRecord, dispatched_at: float, connected_at: float
+    ) -> None:
+        """Records the head of a response, which may show that its endpoint has not crashed.
+
+        Args:
+            record: The endpoint.
+            dispatched_at: Time at which the request was sent, in seconds.
+            connected_at: Time at which its connection was opened, in seconds.
+        """
+        if not self._reported_at:
+            return
+        crash = crash_id(record.endpoint, record.born)
+        reported_at = self._reported_at.get(crash, float("inf"))
+        may_be_next_incarnation = record.born and connected_at >= reported_at
+        if dispatched_at <= reported_at or may_be_next_incarnation:
+            return
+        self._retract(crash)
+        self._send_all(CrashReport(self._instance, [], [], [], [crash]))
+
+    def _retract(self, crash: str) -> None:
+        self._reported_at.pop(crash, None)
+        affected = self._fatal_requests.retract(crash)
+        if affected:
+            log("crash_retracted", endpoint=crash, requests=affected)
+
+    def _note_reported(self, crash: str) -> None:
+        self._reported_at.pop(crash, None)
+        self._reported_at[crash] = monotonic()
+        if len(self._reported_at) > MAX_REPORTED_CRASHES:
+            del self._reported_at[next(iter(self._reported_at))]
+
     def record_answered(self, content_key: str) -> None:
         """Records a complete response, which clears the request."""
         crashes = self._fatal_requests.record_completion(content_key)
@@ -212,6 +254,7 @@
         count_before = self._fatal_requests.crash_count(crash.content_key)
         if not self._fatal_requests.record_crash(crash, monotonic()):
             return False
+        self._note_reported(crash.crash_id)
         self._log_if_quarantined(crash.content_key, count_before, crash.crash_id)
         return True
 
@@ -219,6 +262,8 @@
         count_before = self._fatal_requests.crash_count(reported.content_key)
         if not self._fatal_requests.adopt(reported, monotonic()):
             return False
+        for crash in reported.crash_ids:
+            self._note_reported(crash)
         self._log_if_quarantined(reported.content_key, count_before, "")
         return True
 
@@ -263,6 +308,8 @@
             self._adopt_crashes(reported)
         for reported in _from_wire(message.cleared):
             self._fatal_requests.apply_clearance(reported)
+        for crash_retracted in message.retracted:
+            self._retract(crash_retracted)
 
     def known_crashes(self) -> CrashReport:
         """Returns a report for an instance that just started."""
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -262,13 +262,20 @@
     return address
 
 
-def cut_from_endpoints(node: Node, monkeypatch: pytest.MonkeyPatch, silent: bool) -> None:
+def cut_from_endpoints(
+    node: Node, monkeypatch: pytest.MonkeyPatch, silent: bool, keeps_idle: bool = False
+) -> None:
     """Cuts an instance from all endpoints until the patch is undone.
 
-    Its idle connections end. New ones fail at once, or as `silent` tells, get no answer.
+    Args:
+        node: The instance.
+        monkeypatch: Replaces how connections are opened.
+        silent: Whether new connections get no answer; if not, they fail at once.
+        keeps_idle: Whether idle connections live on; if not, they end.
     """
     pools = node._pools
-    pools.close()
+    if not keeps_idle:
+        pools.close()
     open_connection = ConnectionPools._open
 
     async def fail_to_open(self: ConnectionPools, *args: Any) -> Any:
--- a/tests/test_gateway_lost_way.py
+++ b/tests/test_gateway_lost_way.py
@@ -19,7 +19,7 @@
     until_true,
     world,
 )
-from standins.replica import ReplicaFault, encode_event
+from standins.replica import Replica, ReplicaFault, encode_event
 from wigeonarch_gateway.exchange import CallerRequest, ResponseWriter
 from wigeonarch_gateway.node import Node
 from wigeonarch_gateway.peer_requests import PeerRequests
@@ -197,3 +197,30 @@
         sent = [value for request in taken_over for _, value in request.raw_headers]
         assert not any(b"key-1" in value for value in sent)
         assert "authorization" not in desk.executed[-1].headers
+
+
+async def test_lost_way_does_not_make_a_request_suspect_of_crashing_endpoints(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with world(nodes=2) as deployment:
+        desks = [deployment.replicas[1]]
+        for number in range(2, 4):
+            desks.append(await deployment.add_replica(Replica("desk", name=f"i-desk{number}")))
+
+        async def all_ran() -> bool:
+            await asyncio.gather(*(deployment.send_request("/ask/x") for _ in range(12)))
+            return all(desk.executed for desk in desks)
+
+        await until(all_ran)
+        cut_from_endpoints(deployment.nodes[0], monkeypatch, silent=False, keeps_idle=True)
+        for desk in desks:
+            desk.fault = ReplicaFault.RESET
+        for _ in range(LEARNING):
+            await deployment.send_request("/ask/x", b"the same")
+        monkeypatch.undo()
+        for desk in desks:
+            desk.fault = ReplicaFault.NONE
+        for node in range(2):
+            await deployment.wait_until_served("/ask/x", node=node)
+            answer = await deployment.send_request("/ask/x", b"the same", node=node)
+            assert answer.status == 200
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -201,3 +201,44 @@
     await finish_probe()
     assert all(instance.suspects.crash_count(f"r{number}") == 1 for number in range(10))
     assert not instance.suspects._checks
+
+
+@pytest.mark.parametrize(
+    ("born", "sent_after", "connected_before", "counts"),
+    [
+        (0, True, False, False),
+        (0, True, True, False),
+        (0, False, True, True),  # The answer may have been sent before the crash.
+        (7, True, True, False),
+        (7, True, False, True),  # The answer may be that of the next incarnation.
+        (7, False, True, True),
+    ],
+)
+async def test_crash_is_retracted_only_by_proof_that_the_incarnation_lives(
+    clock: Clock, born: int, sent_after: bool, connected_before: bool, counts: bool
+) -> None:
+    cut_off, other = Instance("cut-off"), Instance("other")
+    record = endpoint("e", born)
+    cut_off.suspects.record_connection_lost("key", record, clock.now)
+    await finish_probe()
+    await asyncio.sleep(2 * BATCH_DELAY)
+    for message in cut_off.messages:
+        other.suspects.receive_report(message)
+    assert other.suspects.crash_count("key") == 1
+    before, after = clock.now - 1.0, clock.now + 1.0
+    clock.now += 2.0
+    other.suspects.record_head(
+        record, after if sent_after else before, before if connected_before else after
+    )
+    for message in other.messages:
+        cut_off.suspects.receive_report(message)
+    assert [i.suspects.crash_count("key") for i in (cut_off, other)] == [counts, counts]
+
+
+async def test_crash_after_a_retraction_counts(clock: Clock) -> None:
+    instance = Instance()
+    await lose_connections(instance, clock, "key", "e")
+    instance.suspects.record_head(endpoint("e"), clock.now, 0.0)
+    assert instance.suspects.crash_count("key") == 0
+    await lose_connections(instance, clock, "key", "e")
+    assert instance.suspects.crash_count("key") == 1
