--- a/tests/test_gateway_lost_way.py
+++ b/tests/test_gateway_lost_way.py
@@ -224,3 +224,18 @@
             await deployment.wait_until_served("/ask/x", node=node)
             answer = await deployment.send_request("/ask/x", b"the same", node=node)
             assert answer.status == 200
+
+
+async def test_requests_are_served_while_old_connections_live_on_and_new_ones_fail(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with world(nodes=2) as deployment:
+        for node in range(2):
+            await deployment.wait_until_served("/book/x", node=node)
+        cut_from_endpoints(deployment.nodes[0], monkeypatch, silent=False, keeps_idle=True)
+        deployment.replicas[1].executed.clear()
+        requests = (deployment.send_request("/book/x", b"%d" % n) for n in range(ASKED))
+        answers = await asyncio.gather(*requests)
+        assert Counter(answer.status for answer in answers) == {200: ASKED}
+        runs = Counter(s.body for s in deployment.replicas[1].executed)
+        assert runs == {b"%d" % n: 1 for n in range(ASKED)}
