A rejection that names no limit does not end the limit of its endpoint

An overloaded endpoint that named a limit got many times what it allows as soon as it also turned requests away: its rejections repeat no limit, each of them ended the limit for all instances, and the next answer set it again. Cause: any answer without the limit, sent after it was named, was taken for the end of it. Evidence: test_a_rejection_that_names_no_limit_does_not_end_it, three instances, a limit of 2.5 a second: 274 requests in 4 s where 20 are allowed on, within it now. Change: only an answer to a request that ran ends a limit; a rejection that names one still counts.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
@@ -16,7 +16,7 @@
 from wigeonarch_gateway.jobs import Job
 from wigeonarch_gateway.limits import EndpointLimits
 from wigeonarch_gateway.notices import Notices
-from wigeonarch_gateway.ports import EndpointRecord, Notice
+from wigeonarch_gateway.ports import EndpointRecord, Notice, Verdict
 from wigeonarch_gateway.service_reach import ServiceReach
 from wigeonarch_gateway.suspects import SuspectRequests
 
@@ -111,9 +111,12 @@
             None if expected is None else self._latency.record_send(record.endpoint, expected, now)
         )
 
-    def record_notice(self, job: Job, record: EndpointRecord, notice: Notice) -> None:
+    def record_notice(
+        self, job: Job, record: EndpointRecord, notice: Notice, verdict: Verdict
+    ) -> None:
         """Records what the head of a response says of the endpoint itself."""
-        self._notices.note_response(record, notice, job.dispatched_at)
+        ran = verdict in (Verdict.ANSWER, Verdict.FAILURE)
+        self._notices.note_response(record, notice, job.dispatched_at, ran)
 
     def record_first_token(self, record: EndpointRecord, wait: Wait | None) -> None:
         """Records the first token of a stream."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -339,7 +339,7 @@
         verdict = judge(job.request_id, head)
         notice = self._dialect.read_notice(head)
         if notice is not None:
-            self._outcomes.record_notice(job, record, notice)
+            self._outcomes.record_notice(job, record, notice, verdict)
         if verdict in (Verdict.NOT_RUN, Verdict.MISDIRECTED):
             job.may_have_run_on.remove(record.endpoint)
             return await self._handle_refusal(job, record, conn, in_flight, verdict)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/notices.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/notices.py
@@ -43,9 +43,18 @@
         self._cooldowns = cooldowns
         self._send_all = send_all
 
-    def note_response(self, record: EndpointRecord, notice: Notice, sent: float) -> None:
-        """Handles the notice in the response to a caller's request dispatched at time `sent`."""
-        self._limits.record_limit(record, notice.limit, sent)
+    def note_response(self, record: EndpointRecord, notice: Notice, sent: float, ran: bool) -> None:
+        """Handles the notice in the response to a caller's request.
+
+        Args:
+            record: The endpoint.
+            notice: The notice.
+            sent: Time at which the request was dispatched, in seconds.
+            ran: Whether the endpoint ran the request. A rejection ends no limit: an endpoint that
+                turns requests away has not recovered.
+        """
+        if ran or notice.limit is not None:
+            self._limits.record_limit(record, notice.limit, sent)
         self.note(record, notice)
 
     def note(self, record: EndpointRecord, notice: Notice) -> None:
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -30,7 +30,6 @@
     ERROR = "error"  # Runs the request and responds with 500.
     FALSE_503 = "false_503"  # Runs it and responds with 503, without "X-Not-Executed".
     SHED = "shed"  # Responds with 503 and "X-Not-Executed", and does not run it.
-    SHED_CUT = "shed_cut"  # The same, but the connection is reset in the midst of the response.
     CUT = "cut"  # Closes or resets the connection in the middle of the response.
     DOUBLE = "double"  # Sends the response twice.
     FOREIGN_FIRST = "foreign_first"  # Sends a response to another request first.
@@ -100,6 +99,7 @@
         load_time: Duration of an adapter load, in seconds.
         events: Number of events in a whole stream.
         fault: How responses are faulty.
+        resets_rejections: Whether the connection is reset in the midst of each rejection.
         response_end: How and where responses end; None to mark the end of whole ones.
         delays_orders: Whether orders get no response and are executed after `order_delay` seconds.
         executed: Requests that it started to run.
@@ -131,6 +131,7 @@
     load_time: float = 0.05
     events: int = 6
     fault: ReplicaFault = ReplicaFault.NONE
+    resets_rejections: bool = False
     response_end: ResponseEnd | None = None
     delays_orders: bool = False
     order_delay: float = 0.6
@@ -379,6 +380,13 @@
         if (model and model != self.model) or is_missing or is_other_version:
             _write_response(writer, 421, {"X-Instance-Id": self.name, **self._leaving_headers()})
             return True
+        if self.fault is ReplicaFault.SHED and self.resets_rejections:
+            self.rejections.append((time.monotonic(), request.peer))
+            writer.write(_encode_head(503, {"X-Not-Executed": "1"}, 10) + b"ful")
+            await writer.drain()
+            await asyncio.sleep(0.05)  # So that the head arrives before the reset.
+            writer.transport.abort()
+            return False
         if self.fault is ReplicaFault.SHED:
             self.rejections.append((time.monotonic(), request.peer))
             cooldown = {"Retry-After": self.retry_after} if self.retry_after else {}
@@ -388,13 +396,6 @@
                 writer, 503, {"X-Not-Executed": "1", **cooldown, **self._leaving_headers()}
             )
             return True
-        if self.fault is ReplicaFault.SHED_CUT:
-            self.rejections.append((time.monotonic(), request.peer))
-            writer.write(_encode_head(503, {"X-Not-Executed": "1"}, 10) + b"ful")
-            await writer.drain()
-            await asyncio.sleep(0.05)  # So that the head arrives before the reset.
-            writer.transport.abort()
-            return False
         self.executed.append(request)
         if self.fatal_body and request.body == self.fatal_body:
             await self._crash()
--- a/tests/test_gateway_ends.py
+++ b/tests/test_gateway_ends.py
@@ -146,7 +146,7 @@
     async with world() as deployment:
         await deployment.wait_until_served(path)
         desk = deployment.replicas[1]
-        desk.fault = ReplicaFault.SHED_CUT
+        desk.fault, desk.resets_rejections = ReplicaFault.SHED, True
         desk.executed.clear()
         answer = await send(deployment, path, adapter="")
         assert desk.rejections
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -9,7 +9,7 @@
 
 import pytest
 from gateway_world import CallerResponse, World, configuration, route, until, world
-from standins.replica import Replica
+from standins.replica import Replica, ReplicaFault
 from wigeonarch_core.endpoint_health import MIN_PAUSE
 from wigeonarch_core.permits import PERMIT_LIFETIME
 from wigeonarch_gateway.ports import ResponseHead
@@ -238,3 +238,23 @@
             (await deployment.send_request("/write/x", adapter=f"rare{n}")).status for n in range(4)
         ]
         assert statuses == [200] * len(statuses)
+
+
+async def test_a_rejection_that_names_no_limit_does_not_end_it() -> None:
+    async with world(nodes=3) as deployment:
+        limited = deployment.replicas[1]
+        other = await deployment.add_replica(Replica("desk", name="i-desk2"))
+        await until(partial(all_know, deployment, 2))
+        await until(partial(both_used, deployment, limited, other))
+        limited.rate_limit = "2.5"
+        stated_at = time.monotonic()
+        answers: list[CallerResponse] = []
+        until_time = stated_at + NOTICE_TIME + LOAD_TIME
+        loads = [
+            asyncio.create_task(load(deployment, "/ask/x", until_time, answers)) for _ in range(4)
+        ]
+        await asyncio.sleep(NOTICE_TIME)
+        limited.fault = ReplicaFault.SHED
+        await asyncio.gather(*loads)
+        allowed = MAX_EXCESS * 2.5 * WINDOW + MAX_EXTRA
+        assert most_arrivals(limited, stated_at + NOTICE_TIME) <= allowed
