A crash is not retracted by a response that another process at the address may have sent

After an endpoint is gone its address may belong to another one, which calls requests for it misdirected; that was proof enough to retract the crash, and a request that felled three endpoints could have gone to a fourth. Evidence: the new test fails with the check taken out (crash count 0 for 1). Change: only an answer with the endpoint's signature, or its own "not run", is proof.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from wigeonarch_core.cooldowns import Cooldowns
 from wigeonarch_core.endpoint_health import EndpointHealth
 from wigeonarch_core.engine_latency import EngineLatency, Wait
@@ -20,6 +22,10 @@
 from wigeonarch_gateway.service_reach import ServiceReach
 from wigeonarch_gateway.suspects import SuspectRequests
 
+# Verdicts on responses that only the endpoint that was meant can have sent. After it is gone, its
+# address may belong to another one, which calls requests for it misdirected.
+OWN_RESPONSES: Final = frozenset({Verdict.ANSWER, Verdict.NOT_RUN})
+
 
 class DispatchOutcomes:
     """The outcomes of this instance's dispatches."""
@@ -90,10 +96,13 @@
         self._health.record_unreachable(record.endpoint, monotonic())
         self._reach.record_unreachable(record)
 
-    def record_head(self, job: Job, record: EndpointRecord, connected_at: float) -> None:
+    def record_head(
+        self, job: Job, record: EndpointRecord, verdict: Verdict, connected_at: float
+    ) -> None:
         """Records that the head of a response arrived, over a connection opened at that time."""
         self._reach.record_reached(record)
-        self._suspects.record_head(record, job.dispatched_at, connected_at)
+        if verdict in OWN_RESPONSES:
+            self._suspects.record_head(record, job.dispatched_at, connected_at)
 
     def record_send(self, record: EndpointRecord, expected: float | None) -> Wait | None:
         """Records that a request is sent.
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -335,8 +335,8 @@
             conn.close()
             self._outcomes.record_silence(job, record)
             return DispatchFailure.SILENT
-        self._outcomes.record_head(job, record, conn.connected_at)
         verdict = judge(job.request_id, head)
+        self._outcomes.record_head(job, record, verdict, conn.connected_at)
         notice = self._dialect.read_notice(head)
         if notice is not None:
             self._outcomes.record_notice(job, record, notice, verdict)
--- a/tests/test_gateway_lost_way.py
+++ b/tests/test_gateway_lost_way.py
@@ -20,7 +20,9 @@
     world,
 )
 from standins.replica import Replica, ReplicaFault, encode_event
+from wigeonarch_core.fatal_requests import crash_id
 from wigeonarch_gateway.exchange import CallerRequest, ResponseWriter
+from wigeonarch_gateway.messages import CrashReport
 from wigeonarch_gateway.node import Node
 from wigeonarch_gateway.peer_requests import PeerRequests
 
@@ -239,3 +241,17 @@
         assert Counter(answer.status for answer in answers) == {200: ASKED}
         runs = Counter(s.body for s in deployment.replicas[1].executed)
         assert runs == {b"%d" % n: 1 for n in range(ASKED)}
+
+
+async def test_another_process_at_an_endpoints_address_retracts_no_crash() -> None:
+    async with world() as deployment:
+        await deployment.wait_until_served("/ask/x")
+        desk, suspects = deployment.replicas[1], deployment.nodes[0]._suspects
+        suspects.receive_report(CrashReport("peer", [("key", crash_id("i-desk", 0), 0)], [], []))
+        desk.name = "i-other"
+        for _ in range(3):
+            await deployment.send_request("/ask/x")
+        assert suspects.crash_count("key") == 1
+        desk.name = "i-desk"
+        await deployment.wait_until_served("/ask/x")
+        assert suspects.crash_count("key") == 0
