ORDER, elsewhere: a stream without the endpoint's signature is not delivered

A whole answer of which nothing shows that the endpoint made it is not delivered; a stream was, as its content type was looked at first. Evidence: test_answer_without_a_signature_is_not_delivered [/write/x] got 200 before this change; the whole answer's case passed before. Change: a stream is passed on only with the verdict that a whole answer needs.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -344,7 +344,7 @@
             job.may_have_run_on.remove(record.endpoint)
             return await self._handle_refusal(job, record, conn, in_flight, verdict)
         self._metrics.first_byte.labels(job.route.name).observe(monotonic() - job.request.received)
-        if head.is_event_stream:
+        if head.is_event_stream and verdict is Verdict.ANSWER:
             return await self._forward_stream(job, record, conn, in_flight, head)
         if not job.terms.model:
             self._selector.record_response_time(job, record, monotonic() - sent_at, running)
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -99,6 +99,7 @@
         load_time: Duration of an adapter load, in seconds.
         events: Number of events in a whole stream.
         fault: How responses are faulty.
+        signs: Whether its responses bear its signature.
         resets_rejections: Whether the connection is reset in the midst of each rejection.
         response_end: How and where responses end; None to mark the end of whole ones.
         delays_orders: Whether orders get no response and are executed after `order_delay` seconds.
@@ -132,6 +133,7 @@
     events: int = 6
     fault: ReplicaFault = ReplicaFault.NONE
     resets_rejections: bool = False
+    signs: bool = True
     response_end: ResponseEnd | None = None
     delays_orders: bool = False
     order_delay: float = 0.6
@@ -412,7 +414,7 @@
     ) -> bool:
         headers = {
             "X-Request-Id": request.headers.get("x-request-id", ""),
-            "X-Server-Stamp": self.name,
+            **({"X-Server-Stamp": self.name} if self.signs else {}),
         }
         headers |= self._leaving_headers()
         if self.rate_limit:
--- a/tests/test_gateway_ends.py
+++ b/tests/test_gateway_ends.py
@@ -151,3 +151,13 @@
         answer = await send(deployment, path, adapter="")
         assert desk.rejections
         assert (answer.status, desk.executed) == (503, [])
+
+
+@pytest.mark.parametrize(("path", "adapter"), [("/write/x", "a1"), ("/book/x", "")])
+async def test_answer_without_a_signature_is_not_delivered(path: str, adapter: str) -> None:
+    async with world() as deployment:
+        await deployment.wait_until_served(path, adapter=adapter)
+        replica = deployment.replicas[0 if adapter else 1]
+        replica.signs = False
+        answer = await send(deployment, path, adapter=adapter)
+        assert (answer.status, answer.complete) == (502, True)
