--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -157,6 +157,10 @@
             reason = NoEndpointReason.OUT_OF_REACH
             await self._responder.give_up(job, reason.value, NO_ENDPOINT_TEXTS[reason])
             return True
+        if job.peers_tried and not await self._take_retry(job, DispatchFailure.NOT_RUN):
+            # The first peer may have sent it to endpoints, which refused it.
+            await self._responder.give_up(job, "retry_budget", texts.ENDPOINTS_FULL)
+            return True
         failure = await self._peers.forward(job, peer)
         if failure is None:
             return True
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_forwarding.py
@@ -27,10 +27,12 @@
     encode_terms,
 )
 from wigeonarch_gateway.pools import ConnectionPools
-from wigeonarch_gateway.ports import Dialect, Dispatch, ResponseHead
+from wigeonarch_gateway.ports import Dialect, Dispatch, ResponseHead, Verdict
 from wigeonarch_gateway.responder import Responder, end_to_end_headers
 from wigeonarch_gateway.service_reach import ServiceReach
 
+# Verdicts on a peer's response with which it is forwarded; failures may also be the peer's own.
+FORWARDED: Final = frozenset({Verdict.ANSWER, Verdict.FAILURE})
 MAX_PEERS: Final = 2  # Peers to which one request is handed over at most, one after the other.
 
 
@@ -153,6 +155,8 @@
             return DispatchFailure.NOT_RUN
         if conn.framing is Framing.CONNECTION and job.request.method != "HEAD":
             raise ConnectionLost("a peer's response without a mark of its end")
+        if self._dialect.classify_response(job.request_id, head) not in FORWARDED:
+            raise ConnectionLost(f"a peer's response that no endpoint has signed: {head.status}")
         if head.is_event_stream:
             await self._copy_stream(job, conn, head)
             self._pools.release(peer.name, conn)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_requests.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_requests.py
@@ -29,7 +29,7 @@
 from wigeonarch_gateway.responder import Responder
 from wigeonarch_gateway.serving import RequestPipeline, make_job
 
-BAD_REQUEST: Final = 400
+UNAVAILABLE: Final = 503
 
 
 class PeerRequests:
@@ -58,7 +58,7 @@
             handover = decode_terms(values[0])
         except (IndexError, ValueError) as exc:
             log("handover_unreadable", "WARNING", reason=repr(exc))
-            await response.send(BAD_REQUEST, [], texts.BAD_HANDOVER.encode())
+            await response.send(UNAVAILABLE, [(NOT_RUN_HEADER, b"1")], texts.BAD_HANDOVER.encode())
             return
         terms = self._dialect.read_terms(request.headers)
         marked = _PeerResponseWriter(response)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/service_reach.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/service_reach.py
@@ -19,14 +19,13 @@
 from wigeonarch_gateway.pools import ConnectionPools, ProbeResult
 from wigeonarch_gateway.ports import EndpointRecord
 
-PROBE_INTERVAL: Final = 0.5  # Seconds between probes of the endpoints of a service out of reach.
-CHECK_INTERVAL: Final = 0.1  # Seconds between looks for endpoints to probe.
+PROBE_INTERVAL: Final = 0.5  # Seconds between two rounds of probes.
 
 
 class ServiceReach:
     """The services whose endpoints this instance can't reach."""
 
-    __slots__ = ("_health", "_lost_since", "_pools", "_reach", "_ready", "_suspicious")
+    __slots__ = ("_health", "_lost_since", "_pools", "_reach", "_ready", "_suspicious", "_wake")
 
     def __init__(
         self,
@@ -47,6 +46,7 @@
         self._reach = EndpointReach()
         self._lost_since: dict[str, float] = {}
         self._suspicious: set[str] = set()
+        self._wake = asyncio.Event()  # Set when there are endpoints to probe.
 
     def record_unreachable(self, record: EndpointRecord) -> None:
         """Notes that no connection to an endpoint could be opened."""
@@ -54,6 +54,7 @@
             return
         if self._reach.is_suspicious(self._endpoints(record.service)):
             self._suspicious.add(record.service)
+            self._wake.set()
         self._note_loss(record.service)
 
     def record_reached(self, record: EndpointRecord) -> None:
@@ -80,15 +81,16 @@
 
     async def keep_probing(self) -> None:
         """Probes endpoints of services that may be out of reach; runs until cancelled."""
-        next_probe = 0.0
         while True:
-            await asyncio.sleep(CHECK_INTERVAL)
+            await self._wake.wait()
+            self._wake.clear()
             services, self._suspicious = self._suspicious, set()
-            if monotonic() >= next_probe and self._lost_since:
-                next_probe = monotonic() + PROBE_INTERVAL
-                services |= set(self.lost_services())
+            services.update(self.lost_services())
             records = [record for service in services for record in self._ready(service)]
             await asyncio.gather(*(self._probe(record) for record in records))
+            await asyncio.sleep(PROBE_INTERVAL)
+            if self._lost_since:
+                self._wake.set()
 
     async def _probe(self, record: EndpointRecord) -> None:
         if await self._pools.probe(record) is ProbeResult.OPEN:
@@ -104,6 +106,7 @@
             self._lost_since.pop(service, None)
         elif service not in self._lost_since:
             self._lost_since[service] = monotonic()
+            self._wake.set()
             log("way_lost", "WARNING", service=service, endpoints=len(endpoints))
 
     def _endpoints(self, service: str) -> list[str]:
