RECOVER: a peer's refusal whose rest is cut off is still a refusal

The same as for endpoints, in the code that is new here: the head of a peer's refusal says that the request has not run, and the loss of the rest of its body made "may have run" of it. One function reads such a rest for both.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/connections.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/connections.py
@@ -272,6 +272,11 @@
                 raise ConnectionLost("the response is too large")
         return b"".join(parts)
 
+    async def discard_rest(self) -> None:
+        """Waits until the rest of a body has arrived or is lost, of which only the head matters."""
+        with contextlib.suppress(ConnectionLost):
+            await self.read_all()
+
     def finish(self) -> bool:
         """Ends the request; returns whether the connection can be used for another one."""
         sent = self._transport is not None and not self._transport.get_write_buffer_size()
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -368,12 +368,7 @@
         in_flight: InFlightRequest,
         verdict: Verdict,
     ) -> DispatchFailure:
-        try:
-            while await conn.read():
-                pass
-        except ConnectionLost as exc:
-            # The head has said all: the request has not run and will not.
-            log("refusal_cut", "INFO", endpoint=record.endpoint, how=str(exc))
+        await conn.discard_rest()
         self._pools.release(record.endpoint, conn)
         self._outcomes.record_refusal(record)
         if in_flight.adapter is None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_forwarding.py
@@ -150,7 +150,7 @@
         if head.get(NOT_RUN_HEADER) is not None:
             job.may_have_run_on.remove(peer.name)
             job.dispatch_count -= 1
-            await conn.read_all()
+            await conn.discard_rest()
             self._pools.release(peer.name, conn)
             return DispatchFailure.NOT_RUN
         if conn.framing is Framing.CONNECTION and job.request.method != "HEAD":
