RECOVER, elsewhere: a retracted crash is not adopted again from a lease

Cause: the instance that was cut off had stored the crashes in its lease, and an instance that read the lease adopted them, as they were more than it counts. Change: retracted crashes are remembered and not adopted; one that is recorded anew counts and may be adopted again.

--- a/packages/wigeonarch-core/src/wigeonarch_core/fatal_requests.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/fatal_requests.py
@@ -39,6 +39,7 @@
 MAX_COUNTED_CRASHES: Final = 8  # Per request; these are also sent to other instances.
 MAX_UNCOUNTED_CRASHES: Final = 64  # Per request, that are known but don't count.
 MAX_SUSPECTS: Final = 5000  # Beyond it, those with the fewest and oldest crashes are dropped.
+MAX_RETRACTED_CRASHES: Final = 1000  # That are remembered, so that they are not adopted again.
 MAX_STORED: Final = 32  # Requests kept in the store.
 
 
@@ -88,10 +89,12 @@
 class FatalRequests:
     """Requests under which endpoints have crashed."""
 
-    __slots__ = ("_suspects",)
+    __slots__ = ("_retracted", "_suspects")
 
     def __init__(self) -> None:
         self._suspects: dict[str, _Suspect] = {}
+        # Retracted crashes that were not recorded again since, in order.
+        self._retracted: dict[str, None] = {}
 
     def record_crash(self, crash: Crash, now: float) -> bool:
         """Records a crash just seen here or by another instance; returns whether it counts.
@@ -99,6 +102,7 @@
         At most `MAX_COUNTED_CRASHES` crashes of a request count, which is more than enough to
         quarantine it.
         """
+        self._retracted.pop(crash.crash_id, None)
         suspect = self._suspects.get(crash.content_key)
         if suspect is None:
             suspect = self._add(crash.content_key, now)
@@ -123,7 +127,8 @@
         """
         suspect = self._suspects.get(reported.content_key)
         cleared = set() if suspect is None else suspect.cleared
-        counted = sorted(set(reported.crash_ids) - cleared)[:MAX_COUNTED_CRASHES]
+        known_false = cleared | self._retracted.keys()
+        counted = sorted(set(reported.crash_ids) - known_false)[:MAX_COUNTED_CRASHES]
         if len(counted) <= self.crash_count(reported.content_key):
             return False
         if suspect is None:
@@ -155,8 +160,13 @@
     def retract(self, crash: str) -> int:
         """Forgets a crash that did not happen; returns for how many requests it counted.
 
-        It is not remembered as cleared: the same incarnation may really crash later.
+        It counts again as soon as it is recorded anew, as the same incarnation may really crash
+        later; but it is not adopted from an instance that still counts it.
         """
+        self._retracted.pop(crash, None)
+        self._retracted[crash] = None
+        if len(self._retracted) > MAX_RETRACTED_CRASHES:
+            del self._retracted[next(iter(self._retracted))]
         affected = 0
         for suspect in self._suspects.values():
             affected += crash in suspect.counted
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -242,3 +242,20 @@
     assert instance.suspects.crash_count("key") == 0
     await lose_connections(instance, clock, "key", "e")
     assert instance.suspects.crash_count("key") == 1
+
+
+async def test_retracted_crash_is_not_adopted_from_an_instance_that_still_counts_it(
+    clock: Clock,
+) -> None:
+    other, instance = Instance("other"), Instance()
+    stored = [("key", ["a@1", "b@1", "c@1"])]
+    instance.suspects.adopt_stored_crashes(stored)
+    instance.suspects.receive_report(CrashReport("other", [], [], [], ["a@1"]))
+    instance.suspects.adopt_stored_crashes(stored)
+    assert instance.suspects.crash_count("key") == 2
+    # The same incarnation really crashes.
+    instance.suspects.receive_report(CrashReport("other", [("key", "a@1", 0)], [], []))
+    instance.suspects.adopt_stored_crashes(stored)
+    assert instance.suspects.crash_count("key") == 3
+    other.suspects.adopt_stored_crashes(stored)
+    assert other.suspects.crash_count("key") == 3
