One place logs a failed try, and one that a way is back

Read as a newcomer: the log line of a failed try stood twice since handing over, the forwarder's field for it did not say what it is, and a way that was back because endpoints changed left no way_back. No decision changes.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -88,7 +88,7 @@
         "_load_requests",
         "_metrics",
         "_outcomes",
-        "_peers",
+        "_peer_forwarder",
         "_pools",
         "_responder",
         "_retries",
@@ -110,7 +110,7 @@
         metrics: Metrics,
         selector: EndpointSelector,
         responder: Responder,
-        peers: PeerForwarder,
+        peer_forwarder: PeerForwarder,
     ) -> None:
         self._dialect = dialect
         self._endpoints = endpoints
@@ -123,7 +123,7 @@
         self._metrics = metrics
         self._selector = selector
         self._responder = responder
-        self._peers = peers
+        self._peer_forwarder = peer_forwarder
 
     async def forward(self, job: Job) -> None:
         """Dispatches a request until its caller has a response.
@@ -152,7 +152,7 @@
 
     async def _hand_over(self, job: Job) -> bool:
         """Hands a request over to a peer; returns whether the caller has its response."""
-        peer = self._peers.choose(job)
+        peer = self._peer_forwarder.choose(job)
         if peer is None:
             reason = NoEndpointReason.OUT_OF_REACH
             await self._responder.give_up(job, reason.value, NO_ENDPOINT_TEXTS[reason])
@@ -161,17 +161,10 @@
             # The first peer may have sent it to endpoints, which refused it.
             await self._responder.give_up(job, "retry_budget", texts.ENDPOINTS_FULL)
             return True
-        failure = await self._peers.forward(job, peer)
+        failure = await self._peer_forwarder.forward(job, peer)
         if failure is None:
             return True
-        log(
-            "try_failed",
-            request=job.request_id,
-            endpoint=peer.name,
-            reason=failure.value,
-            sends=job.dispatch_count,
-            waited=monotonic() - job.request.received,
-        )
+        _log_failed_try(job, peer.name, failure)
         if failure in MAY_HAVE_RUN:
             await self._responder.fail(job, failure)
             return True
@@ -191,14 +184,7 @@
 
     async def _may_retry(self, job: Job, record: EndpointRecord, failure: DispatchFailure) -> bool:
         """Decides whether another dispatch follows a failed one; if not, responds to the caller."""
-        log(
-            "try_failed",
-            request=job.request_id,
-            endpoint=record.endpoint,
-            reason=failure.value,
-            sends=job.dispatch_count,
-            waited=monotonic() - job.request.received,
-        )
+        _log_failed_try(job, record.endpoint, failure)
         if failure in MAY_HAVE_RUN and not job.may_repeat:
             await self._responder.fail(job, failure)
             return False
@@ -446,3 +432,15 @@
         await job.response.finish()
         self._responder.record_responded(job, record.endpoint, head.status, stream_end)
         return None
+
+
+def _log_failed_try(job: Job, name: str, failure: DispatchFailure) -> None:
+    """Logs that an endpoint, or the peer to which a request was handed over, did not answer it."""
+    log(
+        "try_failed",
+        request=job.request_id,
+        endpoint=name,
+        reason=failure.value,
+        sends=job.dispatch_count,
+        waited=monotonic() - job.request.received,
+    )
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_forwarding.py
@@ -37,7 +37,7 @@
 
 
 class PeerForwarder:
-    """Hands requests over to peers."""
+    """Hands requests over to peers while the way to a service's endpoints is lost."""
 
     __slots__ = (
         "_dialect",
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/service_reach.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/service_reach.py
@@ -60,9 +60,7 @@
     def record_reached(self, record: EndpointRecord) -> None:
         """Notes that bytes of an endpoint arrived, or that a connection could be opened."""
         self._reach.record_reached(record.endpoint)
-        since = self._lost_since.pop(record.service, None)
-        if since is not None:
-            log("way_back", service=record.service, seconds=monotonic() - since)
+        self._note_return(record.service)
 
     def is_lost(self, service: str) -> bool:
         """Tells whether a service has endpoints and this instance reaches none of them."""
@@ -103,11 +101,17 @@
         """Brings the record of a service in line with the endpoints that it has now."""
         endpoints = self._endpoints(service)
         if not self._reach.reaches_none(endpoints):
-            self._lost_since.pop(service, None)
+            self._note_return(service)
         elif service not in self._lost_since:
             self._lost_since[service] = monotonic()
             self._wake.set()
             log("way_lost", "WARNING", service=service, endpoints=len(endpoints))
 
+    def _note_return(self, service: str) -> None:
+        """Notes that a service is not out of reach, and logs it if it was."""
+        since = self._lost_since.pop(service, None)
+        if since is not None:
+            log("way_back", service=service, seconds=monotonic() - since)
+
     def _endpoints(self, service: str) -> list[str]:
         return [record.endpoint for record in self._ready(service)]
