Sight: logs tell the software version of each dispatch, and which stream it resumes

Change: the version in an endpoint's entry is decoded (one that is missing, empty, too long or no text counts as unknown, and the endpoint is used as before), and so is the header with which a caller names the attempt that began its stream. `sent` and `endpoint_state` name them. No decision uses them yet. The stand-in endpoint states a version in its entry and marks its events with it.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/endpoints.py
@@ -143,6 +143,7 @@
                 address=record.address,
                 zone=record.zone,
                 state=record.state.value,
+                software=record.software,
             )
 
         return True
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -302,14 +302,17 @@
         sent_at, running = monotonic(), self._traffic.load_at(record.endpoint).running
         log(
             "sent",
+            "INFO",
             request=job.request_id,
             content=job.content_key,
             endpoint=record.endpoint,
             route=job.route.name,
             adapter=job.terms.adapter,
             version=in_flight.adapter.version if in_flight.adapter else 0,
+            software=record.software,
             running=running,
             waited=monotonic() - job.request.received,
+            **self._stream_fields(job),
         )
         judge = self._dialect.classify_response
         job.may_have_run_on.append(record.endpoint)
@@ -340,6 +343,13 @@
             self._selector.record_response_time(job, record, monotonic() - sent_at, running)
         return await self._forward_whole(job, record, conn, head, verdict)
 
+    @staticmethod
+    def _stream_fields(job: Job) -> LogFields:
+        """Returns log fields that tell which stream a dispatch resumes; none for a new one."""
+        if not job.terms.resumed and not job.splitter.count:
+            return {}
+        return {"resumes": job.terms.resumes, "events": job.splitter.count}
+
     def _head_timeout(self, job: Job) -> float | None:
         """Returns the seconds to wait for a response's head; None to wait until the deadline."""
         if not job.may_repeat:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
@@ -148,6 +148,7 @@
         slots: Number of requests that it runs at once.
         state: Whether it accepts new requests.
         models: Models that were loaded when it last wrote its description.
+        software: Version of its software; empty if unknown.
         born: Time of its start by its own clock, in milliseconds; 0 if unknown. It is compared only
             with that of the same endpoint id, where a greater value means a later incarnation.
     """
@@ -160,6 +161,7 @@
     state: EndpointState
     models: tuple[LoadedModel, ...]
     born: int = 0
+    software: str = ""
 
 
 class EngineReport(msgspec.Struct, frozen=True):
@@ -222,6 +224,8 @@
         output_tokens: Greatest length of the output.
         shared_tokens: Tokens of the prompt before its last part.
         resumed: Whether the caller itself resumes a stream.
+        resumes: Id of the caller's attempt that brought the first event of the resumed stream;
+            empty if not stated.
         tokens: Tokens that count against a quota; None if not stated.
     """
 
@@ -233,6 +237,7 @@
     output_tokens: int = 0
     shared_tokens: int = 0
     resumed: bool = False
+    resumes: str = ""
     tokens: int | None = None
 
 
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -19,6 +19,7 @@
 from typing import Any
 
 TOKEN_INTERVAL = 0.004
+DEFAULT_SOFTWARE = "v1"
 
 
 class ReplicaFault(enum.Enum):
@@ -100,6 +101,7 @@
         events: Number of events in a whole stream.
         fault: How responses are faulty.
         signs: Whether its responses bear its signature.
+        software: Version of its software, which marks its events.
         resets_rejections: Whether the connection is reset in the midst of each rejection.
         response_end: How and where responses end; None to mark the end of whole ones.
         delays_orders: Whether orders get no response and are executed after `order_delay` seconds.
@@ -134,6 +136,7 @@
     fault: ReplicaFault = ReplicaFault.NONE
     resets_rejections: bool = False
     signs: bool = True
+    software: str = DEFAULT_SOFTWARE
     response_end: ResponseEnd | None = None
     delays_orders: bool = False
     order_delay: float = 0.6
@@ -199,6 +202,7 @@
             "zone": self.zone,
             "slots": 8,
             "state": state,
+            "version": self.software,
             "models": models,
             **({"born": self.incarnation} if self.incarnation else {}),
         }
@@ -451,7 +455,7 @@
         whole = b"answer of " + self.name.encode() + b" to " + request.body
         if self.model:
             headers = {**headers, "Content-Type": "text/event-stream"}
-            whole = b"".join(encode_event(n) for n in range(first, self.events + 1))
+            whole = b"".join(encode_event(n, self.software) for n in range(first, self.events + 1))
         body = whole[: end.size]
         marked = end.ending is Ending.MARKED
         length = None
@@ -509,7 +513,7 @@
         writer.write(_encode_head(200, headers, None, chunked=True))
         first = int(request.headers.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
-            event = encode_event(number)
+            event = encode_event(number, self.software)
             if self.fault is ReplicaFault.CUT and number == 4:
                 writer.write(b"%x\r\n" % len(event) + event[:7])
                 await writer.drain()
@@ -525,9 +529,10 @@
         return True
 
 
-def encode_event(number: int) -> bytes:
-    """Returns the event of a stream that has a number."""
-    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+def encode_event(number: int, software: str = DEFAULT_SOFTWARE) -> bytes:
+    """Returns the event of a stream that has a number, as a version of the software writes it."""
+    mark = "" if software == DEFAULT_SOFTWARE else f" by {software}"
+    return f"id: {number}\ndata: piece {number}{mark}\n\n".encode()
 
 
 async def _wait_for_token(reader: asyncio.StreamReader) -> bool:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -150,6 +150,18 @@
     assert result.models[0].adapters == (AdapterKey("m", "a1", 3), AdapterKey("m", "a2", 1))
 
 
+@pytest.mark.parametrize(
+    ("version", "expected"),
+    [("v1.1", "v1.1"), ("", ""), (" ", ""), (3, ""), (None, ""), ("v" * 10_000, "")],
+)
+def test_software_of_an_endpoint_is_unknown_if_its_version_can_not_be_read(
+    version: object, expected: str
+) -> None:
+    spec = {"service": "s", "address": "10.0.0.9:80", "zone": "b", "slots": 6, "state": "ready"}
+    found = records.decode_endpoint(stored({**spec, "version": version}, "i-1"))
+    assert found.software == expected
+
+
 def test_report() -> None:
     body = {
         "models": [{"name": "m", "version": 1, "adapters": ["a1@2"]}],
@@ -174,6 +186,7 @@
         ({"x-prefix-hash": "5c:800,91:410,e4:250"}, "shared_tokens", 1210),
         ({"x-prefix-hash": ""}, "shared_tokens", 0),
         ({"last-event-id": "4"}, "resumed", True),
+        ({"last-event-id": "4", "resumes": "r1"}, "resumes", "r1"),
     ],
 )
 def test_terms(headers: dict[str, str], field: str, expected: object) -> None:
