ORDER over software versions: a stream goes on only at the service and software that began it

What callers saw: streams that held events of two software versions of a service.

Cause: what is joined was never compared. A request whose stream broke off was sent to whichever endpoint was best, and an instance to which a caller came back knew nothing of what had begun the stream. The class: two things are joined because nothing speaks against it, not because they are proved alike.

Ruled out for the three streams in the logs: an endpoint that is not what its description says (the two `sent` lines name endpoints of two versions, each under an id of its own).

Change: - The origin of a stream is the service and the software of the endpoint that brought its first event. From then on only endpoints of that origin are chosen; an unknown version is like no other. Where none is left, the request is refused or broken off at once, not after half of the objective. - An instance keeps the origin of each stream that may be resumed, under a key of team, content, model and attempt, so that nobody takes up or learns of another's stream; two origins under one key are no origin. Unless a stream of the route can have one origin only, it tells three others (two of its zone and one elsewhere, by a hash of the key) before the caller has the first event. When a second software appears, the origins of the streams that began before are told, too. - An instance to which a caller comes back asks these three, then all. What nobody remembers goes on if only one origin is possible, as far as this instance or one of them has seen, and is refused else. - Streams that may be resumed begin at new software only when all instances in touch know of it, as long as another endpoint can take them. - A request that is handed over to a peer carries its origin.

One correction to the tests: two of them cut the stream at the size of three events of v1 also where v1.1 writes longer ones; they cut after three of its own events now, and check the same.

--- /dev/null
+++ b/packages/wigeonarch-core/src/wigeonarch_core/stream_origins.py
@@ -0,0 +1,198 @@
+"""What began each stream, and which software can have begun one that nobody remembers.
+
+Endpoints of a service may run several versions of their software side by side. What two versions
+write does not fit together, so a stream goes on only at the service and software that began it.
+Unknown software is like no other, so it is described by its endpoint and incarnation.
+
+`OriginMemory` keeps what began the streams that an instance has heard of. `SoftwareHistory` keeps
+which software the endpoints of each service have run, and proves that a stream which nobody
+remembers can have only one origin. The proof holds because of two waits:
+
+    age of the state that an instance relies on < settling time
+    time for which software is known before streams begin there >= settling time
+
+So software that is not in an instance's state yet has begun no stream that may be resumed.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import OrderedDict
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+# Seconds for which a stream's origin is kept: longer than callers wait for a stream to end.
+ORIGIN_TTL: Final = 60.0
+MAX_ORIGINS: Final = 20_000  # Origins kept at most, of which the oldest go first.
+KEY_BYTES: Final = 12
+SEPARATOR: Final = b"\0"
+KNOWN_MARK: Final = "="
+UNKNOWN_MARK: Final = "?"
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """What began a stream.
+
+    Attributes:
+        service: The service.
+        software: Its endpoint's software, as `describe_software` returns it.
+    """
+
+    service: str
+    software: str
+
+
+def describe_software(version: str, endpoint: str, born: int) -> str:
+    """Returns a description that is equal only for endpoints that are proved to be alike.
+
+    Args:
+        version: Version of the endpoint's software; empty if unknown.
+        endpoint: Id of the endpoint.
+        born: Start time of its incarnation; 0 if unknown.
+    """
+    if version:
+        return KNOWN_MARK + version
+    return f"{UNKNOWN_MARK}{endpoint}/{born}"
+
+
+def stream_key(team: str, content: str, model: str, attempt: str) -> bytes:
+    """Returns the key under which the origin of a stream is kept.
+
+    It contains all that makes a stream a caller's own, so that nobody learns of, or takes up, the
+    stream of another team, route or adapter by naming its attempt.
+
+    Args:
+        team: Name of the team; empty for none.
+        content: Content key of the request.
+        model: Model and adapter.
+        attempt: Id of the caller's attempt.
+    """
+    digest = hashlib.blake2b(digest_size=KEY_BYTES)
+    for part in (team, content, model, attempt):
+        digest.update(part.encode("utf-8", "replace"))
+        digest.update(SEPARATOR)
+    return digest.digest()
+
+
+@dataclass(slots=True)
+class _Entry:
+    """The origin of a stream; None if several were told. The time is in seconds."""
+
+    origin: Origin | None
+    at: float
+
+
+class OriginMemory:
+    """The origins of streams that began lately."""
+
+    __slots__ = ("_entries",)
+
+    def __init__(self) -> None:
+        self._entries: OrderedDict[bytes, _Entry] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def record(self, key: bytes, origin: Origin, now: float) -> None:
+        """Records what began a stream; of two that use one key, neither is known any more."""
+        entry = self._entries.get(key)
+        if entry is None:
+            self._entries[key] = _Entry(origin, now)
+        else:
+            entry.at = now
+            if entry.origin != origin:
+                entry.origin = None
+        self._entries.move_to_end(key)
+        self.expire(now)
+
+    def knows(self, key: bytes) -> bool:
+        """Tells whether anything is known of a stream."""
+        return key in self._entries
+
+    def find(self, key: bytes) -> Origin | None:
+        """Returns what began a stream; None if that is unknown or ambiguous."""
+        entry = self._entries.get(key)
+        return entry.origin if entry is not None else None
+
+    def expire(self, now: float) -> None:
+        """Forgets what is too old or too much."""
+        while self._entries:
+            key, entry = next(iter(self._entries.items()))
+            if now - entry.at < ORIGIN_TTL and len(self._entries) <= MAX_ORIGINS:
+                return
+            del self._entries[key]
+
+
+@dataclass(slots=True)
+class _Presence:
+    """When software was first and last seen at a service, in seconds."""
+
+    first: float
+    last: float
+
+
+class SoftwareHistory:
+    """The software that the endpoints of each service have run, as one instance has seen it."""
+
+    __slots__ = ("_complete_since", "_settling_time", "_software")
+
+    def __init__(self, settling_time: float, now: float) -> None:
+        """Creates an empty history.
+
+        Args:
+            settling_time: Seconds by which the state relied on may be old, at most.
+            now: The time, in seconds.
+        """
+        self._settling_time = settling_time
+        self._software: dict[str, dict[str, _Presence]] = {}
+        self._complete_since = now
+
+    def observe(self, services: Mapping[str, Collection[str]], age: float, now: float) -> None:
+        """Records the software that runs now.
+
+        Args:
+            services: Software of the endpoints of each service.
+            age: Seconds since the store last confirmed that.
+            now: The time, in seconds.
+        """
+        if age >= self._settling_time:
+            self._complete_since = now
+        for service, present in services.items():
+            seen = self._software.setdefault(service, {})
+            is_first = not seen
+            for software in present:
+                presence = seen.get(software)
+                if presence is None:
+                    # What the first look shows may have run for long.
+                    first = float("-inf") if is_first else now
+                    seen[software] = _Presence(first, now)
+                else:
+                    presence.last = now
+        self._expire(now)
+
+    def _expire(self, now: float) -> None:
+        for service, seen in list(self._software.items()):
+            for software in [s for s, p in seen.items() if now - p.last > ORIGIN_TTL]:
+                del seen[software]
+            if not seen:
+                del self._software[service]
+
+    def is_settled(self, service: str, software: str, now: float) -> bool:
+        """Tells whether all instances whose state is recent know of a software."""
+        presence = self._software.get(service, {}).get(software)
+        return presence is not None and now - presence.first >= self._settling_time
+
+    def only_origin(self, service: str, window: float, now: float) -> Origin | None:
+        """Returns the only origin that a service's streams of the last seconds can have.
+
+        Args:
+            service: The service.
+            window: Seconds in which a stream may have begun.
+            now: The time, in seconds.
+        """
+        if now - self._complete_since < window:
+            return None
+        recent = [s for s, p in self._software.get(service, {}).items() if now - p.last <= window]
+        return Origin(service, recent[0]) if len(recent) == 1 else None
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -41,12 +41,18 @@
 )
 from wigeonarch_gateway.responder import Responder, end_to_end_headers
 from wigeonarch_gateway.selection import EndpointSelector, LogFields, NoEndpointReason
+from wigeonarch_gateway.stream_origins import StreamOrigins, Unresumable
 from wigeonarch_gateway.traffic import InFlightRequest, InFlightTracker
 
+UNRESUMABLE_TEXTS: Final = {
+    Unresumable.ORIGIN_UNKNOWN: texts.ORIGIN_UNKNOWN,
+    Unresumable.SOFTWARE_GONE: texts.SOFTWARE_GONE,
+}
 NO_ENDPOINT_TEXTS: Final = {
     NoEndpointReason.UNAVAILABLE: texts.NO_ENDPOINT,
     NoEndpointReason.OVERLOADED: texts.OVERLOADED,
     NoEndpointReason.LIMITED: texts.LIMITED,
+    NoEndpointReason.SOFTWARE_GONE: texts.SOFTWARE_GONE,
     NoEndpointReason.OUT_OF_REACH: texts.OUT_OF_REACH,
 }
 # Pause before an engine that was believed to have an adapter and lacked it is tried again: in
@@ -93,6 +99,7 @@
         "_responder",
         "_retries",
         "_selector",
+        "_streams",
         "_traffic",
         "_views",
     )
@@ -111,6 +118,7 @@
         selector: EndpointSelector,
         responder: Responder,
         peer_forwarder: PeerForwarder,
+        streams: StreamOrigins,
     ) -> None:
         self._dialect = dialect
         self._endpoints = endpoints
@@ -124,12 +132,18 @@
         self._selector = selector
         self._responder = responder
         self._peer_forwarder = peer_forwarder
+        self._streams = streams
 
     async def forward(self, job: Job) -> None:
         """Dispatches a request until its caller has a response.
 
         The task is cancelled when the request's deadline passes or its caller disconnects.
         """
+        if job.takes_up_stream:
+            refusal = await self._streams.bind(job)
+            if refusal is not None:
+                await self._responder.give_up(job, refusal.value, UNRESUMABLE_TEXTS[refusal])
+                return
         while not await self._refuse_if_quarantined(job):
             record = await self._selector.select(job)
             if record is NoEndpointReason.OUT_OF_REACH:
@@ -429,6 +443,7 @@
                 self._traffic.first_token(in_flight)
                 self._outcomes.record_first_token(record, in_flight.first_token_wait)
             if events:
+                self._streams.record_begun(job, record)
                 job.record_events(monotonic())
                 await job.response.write(events)
         stream_end: LogFields = {"framing": conn.framing.value}
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from wigeonarch_core.routes import Route, ServiceSpec
+from wigeonarch_core.routes import Route, RouteKind, ServiceSpec
+from wigeonarch_core.stream_origins import Origin
 from wigeonarch_core.teams import Team
 
 from wigeonarch_gateway.events import EventSplitter
@@ -62,6 +63,8 @@
         team: Team whose API key the request carries; None if there is none.
         from_peer: Whether a peer handed the request over to this instance.
         peers_tried: Peers to which it was handed over.
+        origin: What began the stream of which the caller has events; None if it has none.
+        origin_recorded: Whether that was recorded for this attempt.
     """
 
     request: CallerRequest
@@ -89,6 +92,8 @@
     team: Team | None = None
     from_peer: bool = False
     peers_tried: list[str] = field(default_factory=list)
+    origin: Origin | None = None
+    origin_recorded: bool = False
 
     def record_events(self, now: float) -> None:
         """Records that events were forwarded to the caller."""
@@ -110,6 +115,12 @@
             return self.team.priority
         return self.route.priority
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Tells whether the caller has events of the stream, and what began it is not known yet."""
+        is_stream = self.route.kind is RouteKind.STREAMING
+        return is_stream and self.terms.resumed and self.origin is None
+
     @property
     def may_repeat(self) -> bool:
         """Tells whether the request may be sent again although it may have run."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -402,6 +402,58 @@
     limiter: str
 
 
+class StreamsBegun(msgspec.Struct, array_like=True, tag="began"):
+    """What began some streams that their callers may take up at any instance.
+
+    Attributes:
+        streams: Key of each stream, with the service and the software that began it.
+    """
+
+    streams: list[tuple[bytes, str, str]]
+
+
+class OriginQuery(msgspec.Struct, array_like=True, tag="whose"):
+    """Asks what began a stream that a caller takes up.
+
+    Attributes:
+        sender: The instance at which the caller is.
+        address: Its address for messages.
+        number: Number of the query.
+        key: Key of the stream; empty if the caller does not name it.
+        host: Host that the request names.
+        path: Its path.
+        only_if_known: Whether only an instance that knows the stream is to reply.
+    """
+
+    sender: str
+    address: str
+    number: int
+    key: bytes
+    host: str
+    path: str
+    only_if_known: bool
+
+
+class OriginReply(msgspec.Struct, array_like=True, tag="origin"):
+    """The reply to an `OriginQuery`.
+
+    Attributes:
+        sender: The instance that was asked.
+        number: Number of the query.
+        known: Whether the sender remembers the stream.
+        is_only: Whether it does not, and streams of the route can have this origin only.
+        service: Service that began the stream; empty if that is unknown or ambiguous.
+        software: Software that began it; empty if that is unknown or ambiguous.
+    """
+
+    sender: str
+    number: int
+    known: bool
+    is_only: bool
+    service: str
+    software: str
+
+
 class CompressedFrame(msgspec.Struct, array_like=True, tag="packed"):
     """An encoded message in compressed form."""
 
@@ -433,6 +485,9 @@
     | LeavingEndpoints
     | PermitRequest
     | PermitReply
+    | StreamsBegun
+    | OriginQuery
+    | OriginReply
 )
 
 # Size in bytes from which a frame is compressed; compressing one that fits into a single packet
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -55,6 +55,8 @@
     LeavingEndpoints,
     LoadRequest,
     Message,
+    OriginQuery,
+    OriginReply,
     PeerAddresses,
     PeerQuery,
     PermitReply,
@@ -68,6 +70,7 @@
     Relay,
     SeenAdapters,
     StoreUpdate,
+    StreamsBegun,
     UpdateUnavailable,
     decode,
 )
@@ -93,6 +96,7 @@
 from wigeonarch_gateway.sharing import WatchSharing
 from wigeonarch_gateway.status import Page, StatusServer
 from wigeonarch_gateway.store_updates import StoreUpdateHandlers
+from wigeonarch_gateway.stream_origins import StreamOrigins
 from wigeonarch_gateway.support import LeaseSupport
 from wigeonarch_gateway.suspects import SuspectRequests
 from wigeonarch_gateway.traffic import InFlightTracker
@@ -243,6 +247,17 @@
         self._lease_support = LeaseSupport(
             opts.instance, store, self._store_state, self._engine_ownership, self._members
         )
+        self._streams = StreamOrigins(
+            opts.instance,
+            address,
+            opts.store.endpoints_age,
+            self._endpoints,
+            self._members,
+            self._members.roles.origin_holders,
+            self._links.send,
+            lambda: self._catalogue.table,
+            lambda: self._sharing.age(ObjectKind.ENDPOINTS),
+        )
         load_requests = LoadRequests(
             opts.instance, self._views, self._engine_ownership, self._members.send
         )
@@ -256,6 +271,7 @@
             opts.zone,
             lambda: self._members.heartbeat_interval(),
             lambda job: self._peer_forwarder.is_needed(job),
+            self._streams.is_settled,
         )
         self._quota_ledger = QuotaLedger(
             opts.quotas, monotonic(), random.randrange(FIRST_NUMBER_BOUND)
@@ -299,6 +315,7 @@
             selector,
             responder,
             self._peer_forwarder,
+            self._streams,
         )
         pipeline = RequestPipeline(
             dialect,
@@ -463,6 +480,7 @@
             for kind in self._sharing.kinds():
                 self._metrics.knowledge_age.labels(kind.value).observe(self._sharing.age(kind))
             self._endpoints.expire(monotonic())
+            self._streams.refresh()
             self._pools.close_expired()
             self._peer_pools.close_expired()
             self._suspects.expire()
@@ -572,6 +590,9 @@
             LeavingEndpoints: self._notices.receive_leaving,
             PermitRequest: self._limits.receive_request,
             PermitReply: self._limits.receive_reply,
+            StreamsBegun: self._streams.receive_begun,
+            OriginQuery: self._streams.receive_query,
+            OriginReply: self._streams.receive_reply,
         }
 
     def _receive_load_request(self, message: LoadRequest) -> None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
@@ -26,6 +26,10 @@
     window: float = 10.0
 
 
+# Seconds that a call to the store and the handling of its answer take at most, beside its wait.
+STORE_CALL_TIME: Final = 1.0
+
+
 class LeaseOptions(msgspec.Struct, frozen=True):
     """Times of leases and takeovers, in seconds.
 
@@ -86,6 +90,11 @@
     contact: float = 3.0
     propagation: PropagationBounds = msgspec.field(default_factory=PropagationBounds)
 
+    @property
+    def endpoints_age(self) -> float:
+        """Returns the age that the state of endpoints has at most while the store answers."""
+        return self.watch + self.batch_pause + STORE_CALL_TIME
+
 
 class Options(msgspec.Struct, frozen=True):
     """All options that a gateway is started with.
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_forwarding.py
@@ -188,6 +188,8 @@
             now - job.request.received,
             job.team.name if job.team is not None else "",
             tuple(job.may_have_run_on),
+            job.origin.service if job.origin is not None else "",
+            job.origin.software if job.origin is not None else "",
         )
         dispatch = Dispatch(
             "",
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_requests.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_requests.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from msgspec.structs import replace
+from wigeonarch_core.stream_origins import Origin
 from wigeonarch_core.teams import Team
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.logs import log
@@ -88,6 +89,9 @@
         job.request = replace(request, received=request.received - handover.elapsed)
         job.deadline = min(job.deadline, job.request.received + route.timeout)
         job.from_peer = True
+        if handover.software:
+            job.origin = Origin(handover.service, handover.software)
+            job.service, job.spec = handover.service, table.services.get(handover.service)
         job.may_have_run_on = list(handover.ran_on)
         job.avoided_endpoints = set(handover.ran_on)
         log(
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_terms.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_terms.py
@@ -27,12 +27,16 @@
         elapsed: Seconds since then.
         team: Team whose key the caller sent; empty for none. Keys are not handed over.
         ran_on: Endpoints on which the request may have run.
+        service: Service that began the stream of which the caller has events; empty if none did.
+        software: Software that began it, as in `core.stream_origins`.
     """
 
     origin: str
     elapsed: float
     team: str
     ran_on: tuple[str, ...]
+    service: str = ""
+    software: str = ""
 
 
 def encode_terms(terms: HandoverTerms) -> bytes:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/roles.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/roles.py
@@ -36,6 +36,11 @@
 DELEGATES_HASH_KEY: Final = "keepers"
 QUOTA_COORDINATOR_HASH_KEY: Final = "banker/"
 LIMITER_HASH_KEY: Final = "limiter/"
+ORIGIN_HASH_KEY: Final = "origin/"
+# Instances that keep the origin of a stream: of the own zone, where its caller comes back as a
+# rule, and of all others together, in case the zone is lost.
+NEAR_ORIGIN_HOLDERS: Final = 2
+FAR_ORIGIN_HOLDERS: Final = 1
 
 
 class Roles:
@@ -218,6 +223,17 @@
         names = found or stay | {self._me}
         return ranked(LIMITER_HASH_KEY + endpoint, sorted(names))[0]
 
+    def origin_holders(self, key: str) -> list[str]:
+        """Returns the other instances that keep the origin of a stream, for its key."""
+        stay = [name for name in self._reachable() if not self._members[name].leaving]
+        near = [name for name in stay if self._members[name].zone == self._zone]
+        far = [name for name in stay if self._members[name].zone != self._zone]
+        hash_key = ORIGIN_HASH_KEY + key
+        return [
+            *ranked(hash_key, near)[:NEAR_ORIGIN_HOLDERS],
+            *ranked(hash_key, far)[:FAR_ORIGIN_HOLDERS],
+        ]
+
     def _start_of(self, name: str) -> float:
         member = self._members.get(name)
         return self._started if member is None else member.started
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
@@ -29,6 +29,7 @@
 from wigeonarch_gateway.jobs import Job
 from wigeonarch_gateway.load_requests import LoadRequests
 from wigeonarch_gateway.ports import EndpointRecord
+from wigeonarch_gateway.stream_origins import software_of
 from wigeonarch_gateway.traffic import InFlightTracker
 
 # Longest wait for a requested load before another engine is asked, as a multiple of the time that
@@ -72,6 +73,7 @@
     UNAVAILABLE = "no_endpoint"  # No endpoint could take it for as long as it could wait.
     OVERLOADED = "service_overloaded"  # The plain service receives more than it can do in time.
     LIMITED = "endpoints_limited"  # All endpoints have stated rate limits that are used up.
+    SOFTWARE_GONE = "software_gone"  # No endpoint is left on which its stream can go on.
     OUT_OF_REACH = "out_of_reach"  # This instance reaches none; a peer may be able to help.
 
 
@@ -82,6 +84,7 @@
         "_catalogue",
         "_endpoints",
         "_is_out_of_reach",
+        "_is_settled",
         "_load_requests",
         "_outcomes",
         "_peer_lag",
@@ -102,6 +105,7 @@
         zone: str,
         peer_lag: Callable[[], float],
         is_out_of_reach: Callable[[Job], bool],
+        is_settled: Callable[[EndpointRecord], bool],
     ) -> None:
         """Creates a selector.
 
@@ -115,6 +119,7 @@
             zone: Availability zone of this instance.
             peer_lag: Returns the age of what other instances reported, in seconds.
             is_out_of_reach: Tells whether a request need not wait for an endpoint here.
+            is_settled: Tells whether streams that may be resumed may begin at an endpoint.
         """
         self._catalogue = catalogue
         self._endpoints = endpoints
@@ -125,6 +130,7 @@
         self._zone = zone
         self._peer_lag = peer_lag
         self._is_out_of_reach = is_out_of_reach
+        self._is_settled = is_settled
         self._times = ServiceTimes()
 
     async def select(self, job: Job) -> EndpointRecord | NoEndpointReason:
@@ -137,6 +143,8 @@
             now = monotonic()
             if self._is_out_of_reach(job):
                 return NoEndpointReason.OUT_OF_REACH
+            if job.origin is not None and not self._may_go_on(job):
+                return NoEndpointReason.SOFTWARE_GONE
             if job.terms.model and job.spec is not None and job.spec.engine is not None:
                 choice = self._choose_engine(job, now)
                 selected, awaits_load = self._engine_or_load(job, choice, now), choice is not None
@@ -215,16 +223,29 @@
         """
         self._times.record_answer(job.service, took, running, record.slots)
 
-    def _candidates(self, job: Job, now: float) -> list[EndpointRecord]:
+    def _ready(self, job: Job) -> list[EndpointRecord]:
+        """Returns the endpoints that take new requests and whose software fits the stream."""
         ready = self._endpoints.ready(job.service)
+        if job.origin is None:
+            return ready
+        return [record for record in ready if software_of(record) == job.origin.software]
+
+    def _may_go_on(self, job: Job) -> bool:
+        """Tells whether there is an endpoint on which a stream with events can go on."""
+        return any(record.endpoint not in job.may_have_run_on for record in self._ready(job))
+
+    def _candidates(self, job: Job, now: float) -> list[EndpointRecord]:
+        ready = self._ready(job)
         untried = [record for record in ready if record.endpoint not in job.avoided_endpoints]
         untried = untried or [
             record for record in ready if record.endpoint not in job.may_have_run_on
         ]
-        reachable = [record for record in untried if not self._outcomes.is_paused(record, now)]
-        if not self._outcomes.any_limited(now):
-            return reachable
-        return [record for record in reachable if not self._outcomes.limit_wait(record, now)]
+        usable = [record for record in untried if not self._outcomes.is_paused(record, now)]
+        if self._outcomes.any_limited(now):
+            usable = [record for record in usable if not self._outcomes.limit_wait(record, now)]
+        if job.origin is None and job.route.resumable:
+            return [record for record in usable if self._is_settled(record)] or usable
+        return usable
 
     def _limit_wait(self, job: Job, now: float) -> float:
         """Returns the seconds until the first endpoint takes a request within its rate limit.
@@ -236,7 +257,7 @@
             return 0.0
         waits = [
             (self._outcomes.limit_wait(record, now), self._outcomes.pause_left(record, now))
-            for record in self._endpoints.ready(job.service)
+            for record in self._ready(job)
         ]
         if not any(limit_wait for limit_wait, _ in waits):
             return 0.0
@@ -345,7 +366,7 @@
     def log_fields(self, job: Job) -> LogFields:
         """Returns log fields that explain why a request was refused."""
         now = monotonic()
-        ready = self._endpoints.ready(job.service)
+        ready = self._ready(job)
         views = [self._views.get(record.endpoint) for record in ready]
         return {
             "route": job.route.name,
--- /dev/null
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/stream_origins.py
@@ -0,0 +1,338 @@
+"""Tells on which service and software a stream may go on that its caller takes up again.
+
+The caller may come to any instance, within milliseconds, also when the one at which the stream
+began is gone. So an instance that begins a stream which may be resumed tells a few others what
+began it, before the caller has its first event. These are chosen by a function of the stream's key,
+so that all instances ask the same ones. An instance that gets no answer from them asks all others.
+
+Nothing is told while a stream of the service can have one origin only. As soon as a second software
+appears, instances tell the origins of the streams that began before. What nobody remembers goes on
+if only one origin is possible (see `core.stream_origins`), and else is refused: a guess could join
+what two versions wrote.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import random
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass, field
+from typing import Final, Protocol
+
+from wigeonarch_core.routes import Route, RoutingTable
+from wigeonarch_core.stream_origins import (
+    Origin,
+    OriginMemory,
+    SoftwareHistory,
+    describe_software,
+    stream_key,
+)
+from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
+
+from wigeonarch_gateway.endpoints import EndpointRegistry
+from wigeonarch_gateway.jobs import Job
+from wigeonarch_gateway.messages import Message, OriginQuery, OriginReply, StreamsBegun
+from wigeonarch_gateway.ports import EndpointRecord
+
+# Seconds to wait for the instances that should know a stream, and then for all others.
+HOLDER_TIMEOUT: Final = 0.04
+BROADCAST_TIMEOUT: Final = 0.08
+# Seconds after its start within which an instance waits until it hears others to ask.
+FIRST_CONTACT_TIME: Final = 1.5
+CONTACT_POLL_INTERVAL: Final = 0.05  # Seconds.
+MAX_STREAMS_PER_MESSAGE: Final = 100
+MAX_LOGGED_ID: Final = 64  # Characters of a caller's id that are logged.
+FIRST_NUMBER_BOUND: Final = 1 << 40  # Numbers of queries start at a random value below this.
+
+
+class Unresumable(enum.Enum):
+    """Why a stream that a caller takes up can't go on."""
+
+    ORIGIN_UNKNOWN = "origin_unknown"  # Nobody knows what began it.
+    SOFTWARE_GONE = "software_gone"  # Its route leads to no service that could go on with it.
+
+
+class Peers(Protocol):
+    """Sends messages to the other instances."""
+
+    def reachable(self) -> list[str]:
+        """Returns the other instances whose heartbeats arrived lately."""
+
+    def send(self, name: str, message: Message) -> bool:
+        """Sends a message to an instance."""
+
+    def send_all(self, message: Message) -> None:
+        """Sends a message to all instances."""
+
+
+def software_of(record: EndpointRecord) -> str:
+    """Returns the description of an endpoint's software; equal ones are proved to be alike."""
+    return describe_software(record.software, record.endpoint, record.born)
+
+
+@dataclass(slots=True)
+class _Query:
+    """A query that waits for replies.
+
+    Attributes:
+        awaited: Instances that were asked by name and have not replied yet.
+        replies: The replies so far.
+        done: Set when all have replied, or one of those asked together knows the stream.
+    """
+
+    awaited: set[str]
+    replies: list[OriginReply] = field(default_factory=list)
+    done: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class StreamOrigins:
+    """What this instance knows of the streams that callers may take up again."""
+
+    __slots__ = (
+        "_address",
+        "_age",
+        "_endpoints",
+        "_history",
+        "_holders",
+        "_instance",
+        "_memory",
+        "_peers",
+        "_queries",
+        "_query_number",
+        "_send_to",
+        "_settling_time",
+        "_started",
+        "_table",
+        "_untold",
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        address: str,
+        settling_time: float,
+        endpoints: EndpointRegistry,
+        peers: Peers,
+        holders: Callable[[str], list[str]],
+        send_to: Callable[[str, Message], bool],
+        table: Callable[[], RoutingTable | None],
+        age: Callable[[], float],
+    ) -> None:
+        """Creates an empty memory.
+
+        Args:
+            instance: Name of this instance.
+            address: Address at which it receives messages.
+            settling_time: Seconds by which the state of endpoints relied on may be old, at most.
+            endpoints: The known endpoints.
+            peers: The other instances.
+            holders: Returns the other instances that keep the origin of a stream, by its key.
+            send_to: Sends a message to an address.
+            table: Returns the routing table in force.
+            age: Returns the seconds since the store last confirmed the state of endpoints.
+        """
+        self._instance = instance
+        self._address = address
+        self._settling_time = settling_time
+        self._endpoints = endpoints
+        self._peers = peers
+        self._holders = holders
+        self._send_to = send_to
+        self._table = table
+        self._age = age
+        self._started = monotonic()
+        self._memory = OriginMemory()
+        self._history = SoftwareHistory(settling_time, self._started)
+        self._untold: dict[bytes, Origin] = {}
+        self._queries: dict[int, _Query] = {}
+        self._query_number = random.randrange(FIRST_NUMBER_BOUND)
+
+    # Streams that begin.
+
+    def is_settled(self, record: EndpointRecord) -> bool:
+        """Tells whether all instances in touch with the store know of an endpoint's software.
+
+        They could take a stream of software that they do not know for one of what they know.
+        """
+        return self._history.is_settled(record.service, software_of(record), monotonic())
+
+    def record_begun(self, job: Job, record: EndpointRecord) -> None:
+        """Records what began a stream, before its caller has the first event."""
+        if job.origin is None:
+            job.origin = Origin(record.service, software_of(record))
+        if not job.route.resumable or job.origin_recorded:
+            return
+        job.origin_recorded = True
+        key = _key(job, job.request_id)
+        self._memory.record(key, job.origin, monotonic())
+        if self._only_origin(job.route) is None:
+            self._tell({key: job.origin})
+        else:
+            self._untold[key] = job.origin
+
+    def refresh(self) -> None:
+        """Notes which software runs now, and tells what others must know for it."""
+        now = monotonic()
+        present: dict[str, set[str]] = {}
+        for record in self._endpoints.all():
+            present.setdefault(record.service, set()).add(software_of(record))
+        self._history.observe(present, self._age(), now)
+        self._memory.expire(now)
+        self._untold = {k: o for k, o in self._untold.items() if self._memory.knows(k)}
+        services = {origin.service for origin in self._untold.values()}
+        mixed = {s for s in services if len(present.get(s, ())) > 1}
+        if mixed:
+            due = {key: o for key, o in self._untold.items() if o.service in mixed}
+            self._tell(due)
+            self._untold = {k: o for k, o in self._untold.items() if k not in due}
+
+    def _tell(self, streams: dict[bytes, Origin]) -> None:
+        """Tells the origins of streams to the instances that keep them."""
+        by_holder: dict[str, list[tuple[bytes, str, str]]] = {}
+        for key, origin in streams.items():
+            for holder in self._holders(key.hex()):
+                by_holder.setdefault(holder, []).append((key, origin.service, origin.software))
+        for holder, found in by_holder.items():
+            for at in range(0, len(found), MAX_STREAMS_PER_MESSAGE):
+                part = found[at : at + MAX_STREAMS_PER_MESSAGE]
+                self._peers.send(holder, StreamsBegun(part))
+
+    def receive_begun(self, message: StreamsBegun) -> None:
+        """Keeps what another instance tells of streams."""
+        now = monotonic()
+        for key, service, software in message.streams:
+            self._memory.record(key, Origin(service, software), now)
+
+    # Streams that callers take up.
+
+    async def bind(self, job: Job) -> Unresumable | None:
+        """Binds a request that takes up a stream to what began it; returns why it can't go on."""
+        origin = await self._find(job)
+        if origin is None:
+            log("origin_unknown", request=job.request_id, resumes=job.terms.resumes[:MAX_LOGGED_ID])
+            return Unresumable.ORIGIN_UNKNOWN
+        table = self._table()
+        if table is None or all(share.service != origin.service for share in job.route.split):
+            return Unresumable.SOFTWARE_GONE
+        job.origin = origin
+        job.service = origin.service
+        job.spec = table.services.get(origin.service)
+        return None
+
+    async def _find(self, job: Job) -> Origin | None:
+        """Returns what began the stream that a request takes up; None if nobody can tell."""
+        attempt = job.terms.resumes
+        key = _key(job, attempt) if attempt and attempt != job.request_id else None
+        if key is not None and self._memory.knows(key):
+            return self._memory.find(key)
+        if key is None:
+            return self._only_origin(job.route) or await self._ask_for_proof(job)
+        return await self._ask(job, key)
+
+    def _only_origin(self, route: Route) -> Origin | None:
+        """Returns the only origin that streams of a route can have, as far as is known here."""
+        if len(route.split) != 1 or self._age() >= self._settling_time:
+            return None
+        return self._history.only_origin(route.split[0].service, route.timeout, monotonic())
+
+    async def _ask(self, job: Job, key: bytes) -> Origin | None:
+        """Asks other instances what began a stream: first those that should know it."""
+        await self._wait_for_contact(job)
+        replies = await self._query(job, key, self._holders(key.hex()), HOLDER_TIMEOUT)
+        if any(reply.known for reply in replies):
+            return _agreed(reply for reply in replies if reply.known)
+        proved = self._only_origin(job.route)
+        if proved is not None:
+            return proved
+        known = await self._query(job, key, [], BROADCAST_TIMEOUT)
+        return _agreed(known or [reply for reply in replies if reply.is_only])
+
+    async def _ask_for_proof(self, job: Job) -> Origin | None:
+        """Asks other instances for the only origin that a stream can have."""
+        await self._wait_for_contact(job)
+        names = self._holders(job.content_key)
+        replies = await self._query(job, b"", names, HOLDER_TIMEOUT)
+        return _agreed(reply for reply in replies if reply.is_only)
+
+    async def _wait_for_contact(self, job: Job) -> None:
+        """Waits until an instance that just started hears others."""
+        end = min(self._started + FIRST_CONTACT_TIME, job.deadline)
+        while not self._peers.reachable() and monotonic() < end:  # noqa: ASYNC110 - rare.
+            await asyncio.sleep(CONTACT_POLL_INTERVAL)
+
+    async def _query(
+        self, job: Job, key: bytes, names: Collection[str], timeout: float
+    ) -> list[OriginReply]:
+        """Asks some instances, or all of them if none is named; returns their replies."""
+        self._query_number += 1
+        number = self._query_number
+        query = self._queries[number] = _Query(set(names))
+        message = OriginQuery(
+            self._instance,
+            self._address,
+            number,
+            key,
+            job.request.host,
+            job.request.path,
+            not names,
+        )
+        if names:
+            for name in names:
+                self._peers.send(name, message)
+        else:
+            self._peers.send_all(message)
+        try:
+            async with asyncio.timeout(timeout):
+                await query.done.wait()
+        except TimeoutError:
+            pass
+        finally:
+            del self._queries[number]
+        return query.replies
+
+    def receive_query(self, query: OriginQuery) -> None:
+        """Replies what began a stream, if this instance knows it or can prove it."""
+        known = bool(query.key) and self._memory.knows(query.key)
+        if query.only_if_known and not known:
+            return
+        origin = self._memory.find(query.key) if known else self._prove(query.host, query.path)
+        reply = OriginReply(
+            self._instance,
+            query.number,
+            known,
+            not known and origin is not None,
+            origin.service if origin is not None else "",
+            origin.software if origin is not None else "",
+        )
+        self._send_to(query.address, reply)
+
+    def _prove(self, host: str, path: str) -> Origin | None:
+        table = self._table()
+        route = table.find(host, path) if table is not None else None
+        return self._only_origin(route) if route is not None else None
+
+    def receive_reply(self, reply: OriginReply) -> None:
+        """Takes over the reply to a query of this instance."""
+        query = self._queries.get(reply.number)
+        if query is None:
+            return
+        query.replies.append(reply)
+        asked_all = not query.awaited
+        query.awaited.discard(reply.sender)
+        if not query.awaited and (reply.known or not asked_all):
+            query.done.set()
+
+
+def _agreed(replies: Iterable[OriginReply]) -> Origin | None:
+    """Returns the origin in which replies agree; None if there is none or one is ambiguous."""
+    found = {Origin(reply.service, reply.software) for reply in replies}
+    origin = found.pop() if len(found) == 1 else None
+    return origin if origin is not None and origin.software else None
+
+
+def _key(job: Job, attempt: str) -> bytes:
+    team = job.team.name if job.team is not None else ""
+    model = f"{job.terms.model}/{job.terms.adapter}"
+    return stream_key(team, job.content_key, model, attempt)
--- a/tests/test_gateway_software_versions.py
+++ b/tests/test_gateway_software_versions.py
@@ -27,8 +27,6 @@
 
 OLD, NEW = "v1", "v1.1"
 EVENTS = 6
-THREE = len(b"".join(encode_event(number) for number in range(1, 4)))
-BREAKS_OFF = ResponseEnd(Framing.CHUNKS, Ending.CLOSED, THREE)
 BREAKS_AT_ONCE = ResponseEnd(Framing.CHUNKS, Ending.CLOSED, 0)
 LONG = 400  # Events of a stream that its caller leaves.
 DRAFT = "/draft/x"
@@ -39,6 +37,11 @@
     return b"".join(encode_event(number, software) for number in range(first, last + 1))
 
 
+def breaks_off(software: str) -> ResponseEnd:
+    """Returns the end of a stream that breaks off after three events."""
+    return ResponseEnd(Framing.CHUNKS, Ending.CLOSED, len(events(1, 3, software)))
+
+
 async def add_engine(
     deployment: World, name: str, software: str, zone: str = "a", adapter: str = "a1"
 ) -> Replica:
@@ -125,7 +128,7 @@
     async with world() as deployment:
         first = await place_first_engine(deployment, "a")
         other = await add_engine(deployment, "i-other", NEW, zone="b")
-        first.response_end = BREAKS_OFF
+        first.response_end = breaks_off(OLD)
         other.executed.clear()
         answer = await deployment.send_request(DRAFT, adapter="a1")
         assert (answer.status, answer.complete) == (200, False)
@@ -140,7 +143,7 @@
         first = await place_first_engine(deployment, "a", began_at)
         await add_engine(deployment, "i-other", newer, zone="a")
         alike = await add_engine(deployment, "i-alike", began_at, zone="b")
-        first.response_end = BREAKS_OFF
+        first.response_end = breaks_off(began_at)
         for _ in range(3):
             answer = await send_until_first(deployment, first)
             assert (answer.status, answer.complete) == (200, True)
@@ -178,7 +181,7 @@
         await deployment.store.put("servers", other.name, {**other.record(), "version": version})
         node = deployment.nodes[0]
         await until_true(lambda: node._endpoints.get(other.name).software == "")  # type: ignore[union-attr]
-        first.response_end = BREAKS_OFF
+        first.response_end = breaks_off(OLD)
         other.executed.clear()
         answer = await send_until_first(deployment, first)
         assert (answer.complete, answer.body) == (False, events(1, 3, OLD))
