Streams go on after all instances have started at once, where one software version has served

What callers would have seen: after a start of all instances, as after a loss of power, a stream that its caller takes up was refused until the new instances had watched the service for as long as the route's timeout, though it has only ever run one version. "Only one version can have begun it" was reckoned from each instance's own start.

Change: an instance's lease stores which services have run several versions lately, and when. An instance that starts takes the leases for the record of the time before: a service that none of them names has run one version. A delegate of each zone stores it at once, the others with their next renewal; nothing is written while services run one version. Streams begin at new software only when it has settled, so the note is stored by then, unless the store is away: that remains.

--- a/packages/wigeonarch-core/src/wigeonarch_core/stream_origins.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/stream_origins.py
@@ -125,18 +125,17 @@
             del self._entries[key]
 
 
-@dataclass(slots=True)
-class _Presence:
-    """When software was first and last seen at a service, in seconds."""
-
-    first: float
-    last: float
-
-
 class SoftwareHistory:
-    """The software that the endpoints of each service have run, as one instance has seen it."""
+    """Which software the endpoints of each service have run, as one instance has seen it."""
 
-    __slots__ = ("_complete_since", "_settling_time", "_software")
+    __slots__ = (
+        "_complete_since",
+        "_first_seen",
+        "_mixed_at",
+        "_present",
+        "_settling_time",
+        "_was_current",
+    )
 
     def __init__(self, settling_time: float, now: float) -> None:
         """Creates an empty history.
@@ -146,8 +145,11 @@
             now: The time, in seconds.
         """
         self._settling_time = settling_time
-        self._software: dict[str, dict[str, _Presence]] = {}
+        self._first_seen: dict[str, dict[str, float]] = {}
+        self._present: dict[str, frozenset[str]] = {}
+        self._mixed_at: dict[str, float] = {}
         self._complete_since = now
+        self._was_current = False  # Whether the state has ever been confirmed.
 
     def observe(self, services: Mapping[str, Collection[str]], age: float, now: float) -> None:
         """Records the software that runs now.
@@ -157,32 +159,47 @@
             age: Seconds since the store last confirmed that.
             now: The time, in seconds.
         """
-        if age >= self._settling_time:
+        is_current = age < self._settling_time
+        if self._was_current and not is_current:
             self._complete_since = now
-        for service, present in services.items():
-            seen = self._software.setdefault(service, {})
-            is_first = not seen
-            for software in present:
-                presence = seen.get(software)
-                if presence is None:
-                    # What the first look shows may have run for long.
-                    first = float("-inf") if is_first else now
-                    seen[software] = _Presence(first, now)
-                else:
-                    presence.last = now
-        self._expire(now)
-
-    def _expire(self, now: float) -> None:
-        for service, seen in list(self._software.items()):
-            for software in [s for s, p in seen.items() if now - p.last > ORIGIN_TTL]:
-                del seen[software]
-            if not seen:
-                del self._software[service]
+        self._was_current = self._was_current or is_current
+        for service, software in services.items():
+            self._observe_service(service, frozenset(software), now)
+
+    def _observe_service(self, service: str, present: frozenset[str], now: float) -> None:
+        if len(present) > 1:
+            self._mixed_at[service] = now
+        if present == self._present.get(service):
+            return
+        self._present[service] = present
+        seen = self._first_seen.get(service)
+        if seen is None:
+            # What the first look shows may have run for long.
+            self._first_seen[service] = dict.fromkeys(present, float("-inf"))
+            return
+        new = present - seen.keys()
+        if new:
+            self._mixed_at[service] = now
+        self._first_seen[service] = {name: seen.get(name, now) for name in present} or seen
+
+    def adopt(self, mixed_at: Mapping[str, float]) -> None:
+        """Takes over what other instances have seen of the time before this one started.
+
+        Args:
+            mixed_at: Time at which each service last ran several versions; none for the others.
+        """
+        self._complete_since = float("-inf")
+        for service, at in mixed_at.items():
+            self._mixed_at[service] = max(at, self._mixed_at.get(service, at))
+
+    def mixed_at(self, now: float) -> dict[str, float]:
+        """Returns the services that have run several versions lately, and when they last did."""
+        return {s: at for s, at in self._mixed_at.items() if now - at < ORIGIN_TTL}
 
     def is_settled(self, service: str, software: str, now: float) -> bool:
         """Tells whether all instances whose state is recent know of a software."""
-        presence = self._software.get(service, {}).get(software)
-        return presence is not None and now - presence.first >= self._settling_time
+        first = self._first_seen.get(service, {}).get(software)
+        return first is not None and now - first >= self._settling_time
 
     def only_origin(self, service: str, window: float, now: float) -> Origin | None:
         """Returns the only origin that a service's streams of the last seconds can have.
@@ -192,7 +209,8 @@
             window: Seconds in which a stream may have begun.
             now: The time, in seconds.
         """
-        if now - self._complete_since < window:
+        present = self._present.get(service, frozenset())
+        alike_since = max(self._complete_since, self._mixed_at.get(service, self._complete_since))
+        if len(present) != 1 or now - alike_since < window:
             return None
-        recent = [s for s, p in self._software.get(service, {}).items() if now - p.last <= window]
-        return Origin(service, recent[0]) if len(recent) == 1 else None
+        return Origin(service, next(iter(present)))
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
@@ -43,6 +43,7 @@
         zone: Availability zone.
         last_renewal: Time at which the lease was last seen to change, in seconds.
         ended_under: Requests that crashed several endpoints, as in `LeaseContent`.
+        mixed: Services that have run several versions lately, as there.
     """
 
     revision: int
@@ -51,6 +52,7 @@
     zone: str
     last_renewal: float
     ended_under: list[tuple[str, list[str]]] = field(default_factory=list)
+    mixed: dict[str, int] = field(default_factory=dict)
 
 
 class Directory:
@@ -86,6 +88,7 @@
                     content.zone,
                     last_renewal,
                     content.ended_under,
+                    content.mixed,
                 )
                 changed.append(entry)
             entry.revision = lease.revision
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/discovery.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/discovery.py
@@ -48,6 +48,7 @@
     Attributes:
         directory: The instances according to their leases in the store.
         on_entry: Called with each lease that is new or changed.
+        on_listed: Called after each list of the leases.
         started: Time at which this instance started to look for others.
     """
 
@@ -61,6 +62,7 @@
         "_zones",
         "directory",
         "on_entry",
+        "on_listed",
         "started",
     )
 
@@ -75,6 +77,7 @@
         self._seeds: list[str] = []
         self.directory = Directory()
         self.on_entry: Callable[[Entry], None] = lambda entry: None
+        self.on_listed: Callable[[], None] = lambda: None
         self.started = monotonic()
         self.set_seeds(opts.seeds)
 
@@ -185,6 +188,7 @@
         for entry in self.directory.take_leases(leases, monotonic()):
             self.note_address(entry.address, entry.zone)
             self.on_entry(entry)
+        self.on_listed()
 
     async def own_lease_revision(self) -> int:
         """Returns the revision of this instance's lease in the first list; 0 if it has none."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
@@ -85,6 +85,7 @@
         "_listed_revision",
         "_logged_as_held",
         "_me",
+        "_mixed_services",
         "_opts",
         "_possible_successors",
         "_promises",
@@ -107,6 +108,7 @@
         is_needed: Callable[[], bool],
         listed_revision: Callable[[], Awaitable[int]],
         memory: CrashMemory,
+        mixed_services: Callable[[], dict[str, int]] = dict,
     ) -> None:
         """Creates a lease that is not in force yet.
 
@@ -120,11 +122,13 @@
             listed_revision: Returns the revision of the lease according to a list that may be
                 old; 0 if it has none.
             memory: Requests that crashed several endpoints, stored for later incarnations.
+            mixed_services: Returns what to store as `LeaseContent.mixed`.
         """
         self._store = store
         self._opts = opts
         self._me = me
         self._crash_memory = memory
+        self._mixed_services = mixed_services
         self._request_support = request_support
         self._possible_successors = possible_successors
         self._is_needed = is_needed
@@ -237,8 +241,14 @@
         self.lease.record_attempt(sent)
         self._renewal_count += 1
         me = self._me
-        crashes = self._crash_memory.crashes()
-        lease = LeaseContent(me.address, me.zone, me.incarnation, self._renewal_count, crashes)
+        lease = LeaseContent(
+            me.address,
+            me.zone,
+            me.incarnation,
+            self._renewal_count,
+            self._crash_memory.crashes(),
+            self._mixed_services(),
+        )
         spec = content(lease)
         result: StoredObject | Absent | Conflict | Unavailable
         if self._revision:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -30,6 +30,7 @@
 
 from wigeonarch_gateway.admission import Admission
 from wigeonarch_gateway.catalogue import Catalogue
+from wigeonarch_gateway.directory import Entry
 from wigeonarch_gateway.dispatch_outcomes import DispatchOutcomes
 from wigeonarch_gateway.endpoints import EndpointRegistry
 from wigeonarch_gateway.engine_controller import ControllerContext
@@ -173,6 +174,7 @@
                 lambda: self._suspects.crashes_to_store(),
                 lambda stored: self._suspects.adopt_stored_crashes(stored),
             ),
+            lambda: self._streams.services_to_store(),
         )
         self._members = Members(
             opts,
@@ -216,9 +218,8 @@
             self._notices,
             self._reach,
         )
-        self._members.discovery.on_entry = lambda entry: self._suspects.adopt_stored_crashes(
-            entry.ended_under
-        )
+        self._members.discovery.on_entry = self._take_lease
+        self._members.discovery.on_listed = lambda: self._streams.adopt_stored()
         self._sharing = WatchSharing(
             opts.instance,
             opts.store,
@@ -257,6 +258,7 @@
             self._links.send,
             lambda: self._catalogue.table,
             lambda: self._sharing.age(ObjectKind.ENDPOINTS),
+            self._store_mixed_services,
         )
         load_requests = LoadRequests(
             opts.instance, self._views, self._engine_ownership, self._members.send
@@ -530,6 +532,16 @@
             self._store_contact.record_older_copy(now)
             self._endpoints.store_came_back_older(now)
 
+    def _take_lease(self, entry: Entry) -> None:
+        """Takes over what another instance stored in its lease."""
+        self._suspects.adopt_stored_crashes(entry.ended_under)
+        self._streams.take_stored(entry.mixed)
+
+    def _store_mixed_services(self) -> None:
+        """Stores which services run several versions; some instances of a zone are enough."""
+        if self._members.roles.is_delegate():
+            self._own_lease.renew_soon()
+
     def _limiter(self, endpoint: str) -> str:
         """Returns the instance that grants permits for an endpoint."""
         record = self._endpoints.get(endpoint)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/object_contents.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/object_contents.py
@@ -23,6 +23,8 @@
         incarnation: Incarnation of its process.
         count: Number of renewals, which makes each renewal a change.
         ended_under: Keys of requests that crashed several endpoints, and the crashed incarnations.
+        mixed: Services whose endpoints have run several versions of their software lately, with the
+            Unix time at which they last did, in milliseconds.
     """
 
     address: str
@@ -30,6 +32,7 @@
     incarnation: str = ""
     count: int = 0
     ended_under: list[tuple[str, list[str]]] = []
+    mixed: dict[str, int] = {}
 
 
 class OwnerContent(msgspec.Struct):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/stream_origins.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/stream_origins.py
@@ -9,6 +9,9 @@
 appears, instances tell the origins of the streams that began before. What nobody remembers goes on
 if only one origin is possible (see `core.stream_origins`), and else is refused: a guess could join
 what two versions wrote.
+
+Leases store which services have run several versions lately. So an instance that starts knows of a
+service without such a note that it has run one, also when all instances start at once.
 """
 
 from __future__ import annotations
@@ -16,7 +19,7 @@
 import asyncio
 import enum
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
@@ -28,7 +31,7 @@
     describe_software,
     stream_key,
 )
-from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.clock import monotonic, unix_time
 from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.endpoints import EndpointRegistry
@@ -43,6 +46,7 @@
 FIRST_CONTACT_TIME: Final = 1.5
 CONTACT_POLL_INTERVAL: Final = 0.05  # Seconds.
 MAX_STREAMS_PER_MESSAGE: Final = 100
+CLOCK_DIFFERENCE: Final = 10.0  # Seconds by which the clocks of instances may differ.
 MAX_LOGGED_ID: Final = 64  # Characters of a caller's id that are logged.
 FIRST_NUMBER_BOUND: Final = 1 << 40  # Numbers of queries start at a random value below this.
 
@@ -95,15 +99,19 @@
         "_age",
         "_endpoints",
         "_history",
+        "_history_adopted",
         "_holders",
         "_instance",
         "_memory",
+        "_mixed_elsewhere",
+        "_noted",
         "_peers",
         "_queries",
         "_query_number",
         "_send_to",
         "_settling_time",
         "_started",
+        "_store_soon",
         "_table",
         "_untold",
     )
@@ -119,6 +127,7 @@
         send_to: Callable[[str, Message], bool],
         table: Callable[[], RoutingTable | None],
         age: Callable[[], float],
+        store_soon: Callable[[], None],
     ) -> None:
         """Creates an empty memory.
 
@@ -132,6 +141,7 @@
             send_to: Sends a message to an address.
             table: Returns the routing table in force.
             age: Returns the seconds since the store last confirmed the state of endpoints.
+            store_soon: Called when `services_to_store` has changed.
         """
         self._instance = instance
         self._address = address
@@ -142,9 +152,13 @@
         self._send_to = send_to
         self._table = table
         self._age = age
+        self._store_soon = store_soon
         self._started = monotonic()
         self._memory = OriginMemory()
         self._history = SoftwareHistory(settling_time, self._started)
+        self._history_adopted = False
+        self._mixed_elsewhere: dict[str, float] = {}
+        self._noted: frozenset[str] = frozenset()
         self._untold: dict[bytes, Origin] = {}
         self._queries: dict[int, _Query] = {}
         self._query_number = random.randrange(FIRST_NUMBER_BOUND)
@@ -165,8 +179,8 @@
         if not job.route.resumable or job.origin_recorded:
             return
         job.origin_recorded = True
-        key = _key(job, job.request_id)
-        self._memory.record(key, job.origin, monotonic())
+        key, now = _key(job, job.request_id), monotonic()
+        self._memory.record(key, job.origin, now)
         if self._only_origin(job.route) is None:
             self._tell({key: job.origin})
         else:
@@ -175,10 +189,11 @@
     def refresh(self) -> None:
         """Notes which software runs now, and tells what others must know for it."""
         now = monotonic()
-        present: dict[str, set[str]] = {}
-        for record in self._endpoints.all():
-            present.setdefault(record.service, set()).add(software_of(record))
-        self._history.observe(present, self._age(), now)
+        present = self._observe(now)
+        mixed_services = frozenset(self._history.mixed_at(now))
+        if not mixed_services <= self._noted:
+            self._store_soon()
+        self._noted = mixed_services
         self._memory.expire(now)
         self._untold = {k: o for k, o in self._untold.items() if self._memory.knows(k)}
         services = {origin.service for origin in self._untold.values()}
@@ -188,6 +203,39 @@
             self._tell(due)
             self._untold = {k: o for k, o in self._untold.items() if k not in due}
 
+    def _observe(self, now: float) -> dict[str, set[str]]:
+        """Notes which software runs now; returns it by service."""
+        present: dict[str, set[str]] = {}
+        for record in self._endpoints.all():
+            present.setdefault(record.service, set()).add(software_of(record))
+        self._history.observe(present, self._age(), now)
+        return present
+
+    # What instances leave to those that start later.
+
+    def services_to_store(self) -> dict[str, int]:
+        """Returns the services that have run several versions lately, as leases store them."""
+        now, unix_now = monotonic(), unix_time()
+        mixed = self._history.mixed_at(now)
+        return {service: int((unix_now - (now - at)) * 1000) for service, at in mixed.items()}
+
+    def take_stored(self, mixed: Mapping[str, int]) -> None:
+        """Notes what another instance stored, if this one just started."""
+        if self._history_adopted:
+            return
+        now, unix_now = monotonic(), unix_time()
+        for service, at_ms in mixed.items():
+            # A time in the future, by a clock that differs, counts as now.
+            ago = max(0.0, unix_now - at_ms / 1000 - CLOCK_DIFFERENCE)
+            before = self._mixed_elsewhere.get(service, float("-inf"))
+            self._mixed_elsewhere[service] = max(before, now - ago)
+
+    def adopt_stored(self) -> None:
+        """Relies on what the leases of all instances stored, once they were listed."""
+        if not self._history_adopted:
+            self._history_adopted = True
+            self._history.adopt(self._mixed_elsewhere)
+
     def _tell(self, streams: dict[bytes, Origin]) -> None:
         """Tells the origins of streams to the instances that keep them."""
         by_holder: dict[str, list[tuple[bytes, str, str]]] = {}
@@ -235,7 +283,9 @@
         """Returns the only origin that streams of a route can have, as far as is known here."""
         if len(route.split) != 1 or self._age() >= self._settling_time:
             return None
-        return self._history.only_origin(route.split[0].service, route.timeout, monotonic())
+        now = monotonic()
+        self._observe(now)
+        return self._history.only_origin(route.split[0].service, route.timeout, now)
 
     async def _ask(self, job: Job, key: bytes) -> Origin | None:
         """Asks other instances what began a stream: first those that should know it."""
--- a/tests/test_gateway_software_versions.py
+++ b/tests/test_gateway_software_versions.py
@@ -323,6 +323,54 @@
         await until(goes_on)
 
 
+async def test_unknown_stream_goes_on_after_all_instances_started_if_one_version_served() -> None:
+    async with world(nodes=2) as deployment:
+        slow = route("slow", "streaming", "llm", resumable=True, timeout_ms=600_000)
+        await deployment.store.put("config", "main", configuration(2, slow))
+        await place_first_engine(deployment, "a")
+        await restart_all(deployment)
+        await deployment.wait_until_served("/slow/x", node=2, adapter="a1")
+
+        async def goes_on() -> bool:
+            answer = await deployment.send_request(
+                "/slow/x", b"unknown", 2, adapter="a1", Resumes="unknown", Last_Event_Id="3"
+            )
+            return (answer.status, answer.body) == (200, events(4, EVENTS, OLD))
+
+        await until(goes_on)
+
+
+async def test_unknown_stream_is_refused_after_all_instances_started_if_two_versions_served() -> (
+    None
+):
+    async with world(nodes=2) as deployment:
+        first = await place_first_engine(deployment, "a")
+        other = await add_engine(deployment, "i-other", NEW)
+        await until_true(lambda: all(mixed_in_lease(deployment, f"edge-{n}") for n in (0, 1)))
+        await remove_engine(deployment, other)
+        await restart_all(deployment)
+        await deployment.wait_until_served(DRAFT, node=2, adapter="a1")
+        first.executed.clear()
+        answer = await deployment.send_request(
+            DRAFT, b"unknown", 2, adapter="a1", Resumes="unknown", Last_Event_Id="3"
+        )
+        assert (answer.status, first.executed) == (503, [])
+
+
+async def restart_all(deployment: World) -> None:
+    """Ends the first two instances and starts a third one, which hears no other."""
+    for node in (0, 1):
+        await kill(deployment, node)
+    await deployment.add_node(2)
+    await until(lambda: is_ready(deployment, 2))
+
+
+def mixed_in_lease(deployment: World, instance: str) -> Any:
+    """Returns the services that have run several versions according to an instance's lease."""
+    found = deployment.store.objects.get(("wigeonarch-leases", instance))
+    return found["spec"].get("mixed") if found else None
+
+
 # Streams of other callers.
 
 
