ORDER, elsewhere: no stream goes on at an endpoint that restarted under its id with other software

What callers would have seen: a stream joined of two software versions although the instance believed both endpoints to run one.

Cause: a version stands in an endpoint's entry only, and an instance that is cut off from the store, or has not had the change yet, uses an entry of an incarnation that is gone.

Change: endpoints that state when they started are asked for their report on the very connection on which a stream is to go on, and it must name the incarnation that the entry is of; also before a stream that may be resumed begins there while the instance is out of touch with the store. A connection leads to one process, so its report tells for what follows on it. When an entry shows a restart with other software, the origins of the streams that began there within the time by which entries may lag become unsure, here and at those who were told. Endpoints that state no start time have a new id after each start and cost nothing.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/calls.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/calls.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Final
 
 import msgspec
 from wigeonarch_runtime.timeouts import timeout_after
 
-from wigeonarch_gateway.connections import ConnectionLost
+from wigeonarch_gateway.connections import Connection, ConnectionLost
 from wigeonarch_gateway.pools import ConnectionPools
-from wigeonarch_gateway.ports import Dialect, EndpointRecord, Notice
+from wigeonarch_gateway.ports import Dialect, EndpointRecord, Notice, ResponseHead
+
+OK: Final = 200
 
 
 class CallResult(msgspec.Struct, frozen=True):
@@ -55,25 +58,13 @@
     conn = await pools.acquire(endpoint)
     if conn is None:
         return CallResult(0, b"", False)
-    lines = [
-        f"{method} {path} HTTP/1.1".encode(),
-        b"Host: " + endpoint.address.encode(),
-        dialect.identity_header + b": " + endpoint.endpoint.encode(),
-    ]
-    if body:
-        lines.append(b"Content-Type: application/json")
-        lines.append(b"Content-Length: %d" % len(body))
-    request = b"\r\n".join(lines) + b"\r\n\r\n" + body
+    request = _encode_call(dialect, endpoint, method, path, body)
     if not may_send():
         pools.release_unused(endpoint.endpoint, conn)
         return CallResult(0, b"", False)
     try:
         async with timeout_after(timeout):
-            conn.send_request(request, None)
-            head = await conn.read_head()
-            parts = []
-            while part := await conn.read():
-                parts.append(part)
+            head, found = await _exchange(conn, request)
     except (ConnectionLost, TimeoutError):
         conn.close()
         return CallResult(0, b"", True)
@@ -81,4 +72,56 @@
         conn.close()
         raise
     pools.release(endpoint.endpoint, conn)
-    return CallResult(head.status, b"".join(parts), True, dialect.read_notice(head))
+    return CallResult(head.status, found, True, dialect.read_notice(head))
+
+
+async def confirm_incarnation(
+    conn: Connection, dialect: Dialect, endpoint: EndpointRecord, timeout: float
+) -> bool:
+    """Tells whether the process at the other end of a connection is the one that a record is of.
+
+    An endpoint that restarted under its id may run other software than its record says. A
+    connection leads to one process only, so its report tells for all that is sent on it. One that
+    can't be used for a request any more counts as not confirmed.
+
+    Args:
+        conn: An unused or idle connection to the endpoint.
+        dialect: The platform's names of headers and paths.
+        endpoint: The record.
+        timeout: Time limit for the report, in seconds.
+    """
+    request = _encode_call(dialect, endpoint, "GET", dialect.report_path, b"")
+    try:
+        async with timeout_after(timeout):
+            head, body = await _exchange(conn, request)
+        return (
+            head.status == OK
+            and dialect.decode_report(body).born == endpoint.born
+            and conn.finish()
+        )
+    except (ConnectionLost, TimeoutError, ValueError):
+        return False
+
+
+def _encode_call(
+    dialect: Dialect, endpoint: EndpointRecord, method: str, path: str, body: bytes
+) -> bytes:
+    lines = [
+        f"{method} {path} HTTP/1.1".encode(),
+        b"Host: " + endpoint.address.encode(),
+        dialect.identity_header + b": " + endpoint.endpoint.encode(),
+    ]
+    if body:
+        lines.append(b"Content-Type: application/json")
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+async def _exchange(conn: Connection, request: bytes) -> tuple[ResponseHead, bytes]:
+    """Sends a call and reads the response."""
+    conn.send_request(request, None)
+    head = await conn.read_head()
+    parts = []
+    while part := await conn.read():
+        parts.append(part)
+    return head, b"".join(parts)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -18,6 +18,7 @@
 from wigeonarch_runtime.timeouts import timeout_after
 
 from wigeonarch_gateway import texts
+from wigeonarch_gateway.calls import confirm_incarnation
 from wigeonarch_gateway.connections import (
     Connection,
     ConnectionLost,
@@ -59,6 +60,7 @@
 # seconds, at least, and as a share of the time that a load takes there.
 MIN_MISSING_ADAPTER_PAUSE: Final = 0.03
 MISSING_ADAPTER_LOAD_SHARE: Final = 0.15
+REPORT_TIMEOUT: Final = 0.2  # Seconds for a report by which an endpoint shows its incarnation.
 RETRY_POLL_INTERVAL: Final = 0.05  # Seconds between checks whether the retry budget allows a retry.
 MAX_REFUSALS: Final = 6  # Refused dispatches of one request; after one more it is refused itself.
 # Share of the latency objective after which a dispatch without a response is given up, if the
@@ -236,6 +238,9 @@
             self._outcomes.record_unreachable(record)
             log("endpoint_unreachable", "WARNING", endpoint=record.endpoint, request=job.request_id)
             return DispatchFailure.NOT_SENT
+        if not await self._is_software_certain(job, record, conn):
+            conn.close()
+            return DispatchFailure.NOT_SENT
         if monotonic() >= job.deadline:
             # After a pause of this process; sending it now could only make the outcome unknown.
             self._pools.release_unused(record.endpoint, conn)
@@ -270,6 +275,23 @@
             self._outcomes.record_end(in_flight.first_token_wait)
             self._views.wake(record.endpoint)
 
+    async def _is_software_certain(
+        self, job: Job, record: EndpointRecord, conn: Connection
+    ) -> bool:
+        """Tells whether an endpoint surely runs the software that its record states.
+
+        Endpoints that state no start time have a new id after each start, so that their records
+        hold for good. Others are asked before a stream goes on there, and before one that may be
+        resumed begins there while this instance may have missed a restart.
+        """
+        may_have_restarted = job.route.resumable and self._streams.is_behind()
+        if not record.born or not (job.origin is not None or may_have_restarted):
+            return True
+        if await confirm_incarnation(conn, self._dialect, record, REPORT_TIMEOUT):
+            return True
+        log("incarnation_unsure", "WARNING", endpoint=record.endpoint, request=job.request_id)
+        return False
+
     def _still_ready(self, record: EndpointRecord) -> bool:
         return any(r.endpoint == record.endpoint for r in self._endpoints.ready(record.service))
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -565,6 +565,7 @@
         self._limits.forget(record.endpoint)
         self._cooldowns.forget(record.endpoint)
         self._suspects.endpoint_ended(record.endpoint)
+        self._streams.endpoint_restarted(record)
         self._views.note_restart(record.endpoint, record.born)
         controller = self._engine_ownership.controller(record.endpoint)
         if controller is not None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/stream_origins.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/stream_origins.py
@@ -19,6 +19,7 @@
 import asyncio
 import enum
 import random
+from collections import deque
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final, Protocol
@@ -47,6 +48,7 @@
 CONTACT_POLL_INTERVAL: Final = 0.05  # Seconds.
 MAX_STREAMS_PER_MESSAGE: Final = 100
 CLOCK_DIFFERENCE: Final = 10.0  # Seconds by which the clocks of instances may differ.
+UNSURE_SOFTWARE: Final = ""  # Like no software that a stream can go on at.
 MAX_LOGGED_ID: Final = 64  # Characters of a caller's id that are logged.
 FIRST_NUMBER_BOUND: Final = 1 << 40  # Numbers of queries start at a random value below this.
 
@@ -76,6 +78,15 @@
     return describe_software(record.software, record.endpoint, record.born)
 
 
+@dataclass(frozen=True, slots=True)
+class _Begun:
+    """A stream that began at an endpoint; the time is in seconds."""
+
+    at: float
+    endpoint: str
+    key: bytes
+
+
 @dataclass(slots=True)
 class _Query:
     """A query that waits for replies.
@@ -97,6 +108,7 @@
     __slots__ = (
         "_address",
         "_age",
+        "_begun_at",
         "_endpoints",
         "_history",
         "_history_adopted",
@@ -159,6 +171,7 @@
         self._history_adopted = False
         self._mixed_elsewhere: dict[str, float] = {}
         self._noted: frozenset[str] = frozenset()
+        self._begun_at: deque[_Begun] = deque()
         self._untold: dict[bytes, Origin] = {}
         self._queries: dict[int, _Query] = {}
         self._query_number = random.randrange(FIRST_NUMBER_BOUND)
@@ -181,11 +194,34 @@
         job.origin_recorded = True
         key, now = _key(job, job.request_id), monotonic()
         self._memory.record(key, job.origin, now)
+        self._begun_at.append(_Begun(now, record.endpoint, key))
         if self._only_origin(job.route) is None:
             self._tell({key: job.origin})
         else:
             self._untold[key] = job.origin
 
+    def is_behind(self) -> bool:
+        """Tells whether this instance may have missed that an endpoint restarted."""
+        return self._age() >= self._settling_time
+
+    def endpoint_restarted(self, record: EndpointRecord) -> None:
+        """Forgets what began at an endpoint that may have run other software by then.
+
+        Args:
+            record: The new record; the registry still has the one before.
+        """
+        before = self._endpoints.get(record.endpoint)
+        if before is None or software_of(before) == software_of(record):
+            return
+        unsure = {
+            begun.key: Origin(record.service, UNSURE_SOFTWARE)
+            for begun in self._begun_at
+            if begun.endpoint == record.endpoint
+        }
+        for key, origin in unsure.items():
+            self._memory.record(key, origin, monotonic())
+        self._tell(unsure)
+
     def refresh(self) -> None:
         """Notes which software runs now, and tells what others must know for it."""
         now = monotonic()
@@ -194,6 +230,8 @@
         if not mixed_services <= self._noted:
             self._store_soon()
         self._noted = mixed_services
+        while self._begun_at and now - self._begun_at[0].at >= self._settling_time:
+            self._begun_at.popleft()
         self._memory.expire(now)
         self._untold = {k: o for k, o in self._untold.items() if self._memory.knows(k)}
         services = {origin.service for origin in self._untold.values()}
--- a/tests/test_gateway_software_versions.py
+++ b/tests/test_gateway_software_versions.py
@@ -17,6 +17,7 @@
     World,
     configuration,
     cut_from_endpoints,
+    cut_from_store,
     route,
     team,
     until,
@@ -371,6 +372,68 @@
     return found["spec"].get("mixed") if found else None
 
 
+# Endpoints that restart under their id.
+
+
+async def test_stream_does_not_go_on_at_an_endpoint_that_restarted_with_other_software() -> None:
+    async with world() as deployment:
+        first = await place_first_engine(deployment, "a")
+        second = await add_restarting_engine(deployment)
+        cut_from_store(deployment.nodes[0])
+        restart(second, NEW)
+        first.response_end = breaks_off(OLD)
+        answer = await send_until_first(deployment, first)
+        assert (answer.complete, answer.body) == (False, events(1, 3, OLD))
+        assert not second.executed
+
+
+async def test_stream_goes_on_at_an_endpoint_whose_incarnation_is_known() -> None:
+    async with world() as deployment:
+        first = await place_first_engine(deployment, "a")
+        second = await add_restarting_engine(deployment)
+        cut_from_store(deployment.nodes[0])
+        first.response_end = breaks_off(OLD)
+        answer = await send_until_first(deployment, first)
+        assert (answer.complete, answer.body) == (True, events(1, EVENTS, OLD))
+        assert second.executed
+
+
+async def test_stream_that_began_before_a_restart_was_known_goes_on_at_neither_version() -> None:
+    async with world(nodes=2) as deployment:
+        first = await place_first_engine(deployment, "a")
+        second = await add_restarting_engine(deployment)
+        restart(second, NEW)
+        left = await begin_at(deployment, second, first)
+        await deployment.store.put("servers", second.name, second.record())
+        nodes = deployment.nodes
+        await until_true(lambda: all(n._endpoints.get(second.name).software == NEW for n in nodes))  # type: ignore[union-attr]
+        for engine in deployment.replicas:
+            engine.executed.clear()
+        answers = [await take_up(deployment, left, node) for node in (0, 1)]
+        assert [answer.status for answer in answers] == [503, 503]
+        assert not any(engine.executed for engine in deployment.replicas)
+
+
+async def add_restarting_engine(deployment: World) -> Replica:
+    """Adds an engine that states when it started."""
+    engine = Replica(
+        "llm", "b", "m", name="i-second", software=OLD, loaded={"a1": 1}, incarnation=1000
+    )
+    await deployment.add_replica(engine)
+    await until_true(lambda: deployment.recorded_owner(engine.name))
+    nodes = deployment.nodes
+    await until_true(lambda: all(node._views.get(engine.name).owner for node in nodes))
+    return engine
+
+
+def restart(engine: Replica, software: str) -> None:
+    """Restarts an engine under its id with other software; its entry stays as it was."""
+    engine.restart()
+    engine.software = software
+    engine.loaded = {"a1": 1}
+    engine.executed.clear()
+
+
 # Streams of other callers.
 
 
