LOST: a connection accepted as its instance stops gets its answer

A connection that the event loop has accepted in that pass appears after it; its request is read and cancelled when the process ends. The class: an end is judged by what can be seen in one moment, and what is under way in that moment cannot.

Ruled out: the time that the balancer needs to notice (the connection came 2.5 s after SIGTERM, within it), and requests that were being served (stopped cut=0).

Change: `stop_accepting` is called in each pass; an idle connection is closed only if an earlier pass has seen it, and the drain ends only in a pass that finds no connection, after the first. This costs two to three passes of 50 ms at the end of a drain.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/http_server.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/http_server.py
@@ -143,6 +143,8 @@
             access_log=None,
         )
         self._busy_connections: set[RequestHandler] = set()
+        self._seen_connections: set[RequestHandler] = set()  # By the last `stop_accepting`.
+        self._stopped_accepting = False
         self.in_progress = 0
         self.draining = False
 
@@ -153,17 +155,29 @@
             self._aiohttp_server, host, port, backlog=LISTEN_BACKLOG
         )
 
-    def stop_accepting(self) -> None:
-        """Stops accepting connections and closes each open one as soon as it is idle."""
+    def stop_accepting(self) -> bool:
+        """Stops accepting connections and closes each open one as soon as it is idle.
+
+        It is to be called repeatedly. A connection is closed only if an earlier call has seen it:
+        one that was accepted just before has its first request under way.
+
+        Returns:
+            Whether no connection is left.
+        """
         if self._server is not None:
             self._server.close()
-        for conn in list(self._aiohttp_server.connections):
+        connections = set(self._aiohttp_server.connections)
+        for conn in connections & self._seen_connections:
             # A request that was parsed but not yet handled is in the connection's queue, for which
             # aiohttp has no public name. Closing such a connection would abort the request.
             if conn in self._busy_connections or conn._messages:
                 conn.close()
             else:
                 conn.force_close()
+        # One that the event loop has accepted in this pass appears only after it.
+        is_first_call, self._stopped_accepting = not self._stopped_accepting, True
+        self._seen_connections = connections
+        return not connections and not is_first_call
 
     async def close(self) -> None:
         """Stops listening and closes the connections that are still open."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -397,13 +397,13 @@
         self._members.roles.leaving = True
         self._engine_ownership.leaving = True
         end = began + self._opts.grace - SHUTDOWN_MARGIN
+        servers = [self._http_server, self._peer_server]
         while monotonic() < end:
             if monotonic() - began >= self._opts.unready_detection_time:
                 # Callers with idle connections here would otherwise be cut off when the process
                 # ends.
-                self._http_server.stop_accepting()
-                self._peer_server.stop_accepting()
-                if not self._in_progress():
+                are_empty = [server.stop_accepting() for server in servers]
+                if all(are_empty) and not self._in_progress():
                     break
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
 
