A caller's own terms of a handover are not believed

What callers could do: with a `wigeonarch-handover` header of its own, sent to an instance that reaches no endpoint, a caller with the key of one team was served as any team that it named, and could state for how long its request was under way and on which endpoints it may have run.

Cause: the caller's headers went to the peer before the instance's own, and the peer read the first. The class: what only an instance may say is believed because of how it is written, not of who said it.

Change: one list, by prefix and with `_` taken for `-`, decides which headers only instances may set (`internal_headers`). They are dropped from callers' requests as these come in.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_forwarding.py
@@ -17,15 +17,11 @@
 from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.connections import Connection, ConnectionLost, Framing, encode_request
+from wigeonarch_gateway.internal_headers import NOT_RUN_HEADER, TERMS_HEADER
 from wigeonarch_gateway.jobs import DispatchFailure, Job
 from wigeonarch_gateway.member import Member
 from wigeonarch_gateway.metrics import Metrics
-from wigeonarch_gateway.peer_terms import (
-    NOT_RUN_HEADER,
-    TERMS_HEADER,
-    HandoverTerms,
-    encode_terms,
-)
+from wigeonarch_gateway.peer_terms import HandoverTerms, encode_terms
 from wigeonarch_gateway.pools import ConnectionPools
 from wigeonarch_gateway.ports import Dialect, Dispatch, ResponseHead, Verdict
 from wigeonarch_gateway.responder import Responder, end_to_end_headers
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_requests.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_requests.py
@@ -18,14 +18,13 @@
 from wigeonarch_gateway import texts
 from wigeonarch_gateway.catalogue import Catalogue
 from wigeonarch_gateway.exchange import CallerRequest, ResponseWriter
-from wigeonarch_gateway.metrics import Metrics
-from wigeonarch_gateway.peer_terms import (
+from wigeonarch_gateway.internal_headers import (
     NOT_RUN_HEADER,
-    REFUSAL_STATUSES,
     TERMS_HEADER,
-    HandoverTerms,
-    decode_terms,
+    without_internal_headers,
 )
+from wigeonarch_gateway.metrics import Metrics
+from wigeonarch_gateway.peer_terms import REFUSAL_STATUSES, HandoverTerms, decode_terms
 from wigeonarch_gateway.ports import Dialect, Headers, RequestTerms
 from wigeonarch_gateway.responder import Responder
 from wigeonarch_gateway.serving import RequestPipeline, make_job
@@ -63,7 +62,7 @@
             return
         terms = self._dialect.read_terms(request.headers)
         marked = _PeerResponseWriter(response)
-        refusal = await self._serve(_without_terms(request), terms, handover, marked)
+        refusal = await self._serve(without_internal_headers(request), terms, handover, marked)
         self._metrics.handovers.labels("in", refusal or "served").inc()
         if refusal:
             await self._responder.refuse(marked, terms, refusal, texts.NO_ENDPOINT)
@@ -140,8 +139,3 @@
     def abort(self) -> None:
         """Closes the connection, so that the peer does not take the response for complete."""
         self._response.abort()
-
-
-def _without_terms(request: CallerRequest) -> CallerRequest:
-    kept = [pair for pair in request.raw_headers if pair[0].lower() != TERMS_HEADER]
-    return replace(request, raw_headers=kept)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_terms.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_terms.py
@@ -11,9 +11,6 @@
 
 import msgspec
 
-TERMS_HEADER: Final = b"wigeonarch-handover"
-# Marks a response by which a peer states that it has not run the request and will not.
-NOT_RUN_HEADER: Final = b"wigeonarch-not-run"
 # Statuses with which an instance itself refuses a request that has not run; those of endpoints are
 # never forwarded.
 REFUSAL_STATUSES: Final = frozenset({429, 503})
@@ -40,12 +37,12 @@
 
 
 def encode_terms(terms: HandoverTerms) -> bytes:
-    """Returns the value of `TERMS_HEADER`."""
+    """Returns the value of `internal_headers.TERMS_HEADER`."""
     return msgspec.json.encode(terms)
 
 
 def decode_terms(value: bytes) -> HandoverTerms:
-    """Returns the terms in a value of `TERMS_HEADER`.
+    """Returns the terms in a value of `internal_headers.TERMS_HEADER`.
 
     Raises:
         ValueError: It can't be decoded.
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
@@ -24,6 +24,7 @@
 from wigeonarch_gateway.exchange import CallerRequest, ResponseWriter
 from wigeonarch_gateway.forwarding import Forwarder
 from wigeonarch_gateway.freshness import ConfigurationFreshness
+from wigeonarch_gateway.internal_headers import without_internal_headers
 from wigeonarch_gateway.jobs import Job
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.ports import Dialect, RequestTerms
@@ -70,6 +71,7 @@
 
     async def serve(self, request: CallerRequest, response: ResponseWriter) -> None:
         """Responds to a request; the task is cancelled when the caller disconnects."""
+        request = without_internal_headers(request)
         terms = self._dialect.read_terms(request.headers)
         table = self._catalogue.table
         if table is None:
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -102,6 +102,7 @@
         fault: How responses are faulty.
         signs: Whether its responses bear its signature.
         software: Version of its software, which marks its events.
+        extra_headers: Headers that its answers bear besides.
         resets_rejections: Whether the connection is reset in the midst of each rejection.
         response_end: How and where responses end; None to mark the end of whole ones.
         delays_orders: Whether orders get no response and are executed after `order_delay` seconds.
@@ -137,6 +138,7 @@
     resets_rejections: bool = False
     signs: bool = True
     software: str = DEFAULT_SOFTWARE
+    extra_headers: dict[str, str] = field(default_factory=dict)
     response_end: ResponseEnd | None = None
     delays_orders: bool = False
     order_delay: float = 0.6
@@ -420,7 +422,7 @@
             "X-Request-Id": request.headers.get("x-request-id", ""),
             **({"X-Server-Stamp": self.name} if self.signs else {}),
         }
-        headers |= self._leaving_headers()
+        headers |= self._leaving_headers() | self.extra_headers
         if self.rate_limit:
             headers["Server-Limit"] = self.rate_limit
         if self.fault is ReplicaFault.SILENT:
