An endpoint's answer that is marked as "not run" is not believed to be a peer's word

What callers would have got: for a request that was handed over and run, a refusal that promises "not run", and one that may run once could run again at a second peer, if an endpoint's answer bears the header `wigeonarch-not-run`.

Cause: a peer passed an endpoint's headers on with its own, and the instance that had handed the request over took the mark for its peer's.

Evidence: test_endpoint_that_names_its_answer_not_run_is_not_believed failed in both cases (503 for a request that had run); both pass. Change: headers that only instances may set are not passed on from endpoints' responses.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/responder.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/responder.py
@@ -14,6 +14,7 @@
 
 from wigeonarch_gateway import texts
 from wigeonarch_gateway.exchange import ResponseWriter
+from wigeonarch_gateway.internal_headers import is_internal
 from wigeonarch_gateway.jobs import DispatchFailure, Job
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.ports import EndpointRecord, RequestTerms, ResponseHead
@@ -163,10 +164,17 @@
 
 
 def end_to_end_headers(head: ResponseHead) -> list[tuple[bytes, bytes]]:
-    """Returns the headers of an endpoint's response without hop-by-hop ones."""
+    """Returns the headers of an endpoint's response that are passed on.
+
+    Those of a single connection are not, nor those that only instances may set.
+    """
     dropped = set(HOP_BY_HOP_HEADERS)
     for name, value in head.headers:
         if name == b"connection":
             dropped.update(part.strip().lower() for part in value.split(b","))
     dropped.add(b"content-length")
-    return [(name, value) for name, value in head.headers if name not in dropped]
+    return [
+        (name, value)
+        for name, value in head.headers
+        if name not in dropped and not is_internal(name)
+    ]
