The port for peers serves only instances that are known

What a stranger could do: have a request run without any key, as any team, by sending it to the port on which instances hand requests over to one another.

Evidence: test_port_for_peers_serves_no_caller_without_a_key and test_handover_with_two_terms_is_refused failed (served); both pass, with the tests of handing over.

Change: a request is served only from the IP address of an instance that is known from heartbeats, leases or seeds, and with exactly one header of terms. A refusal is marked as not run, so that an instance that just started asks another peer.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/exchange.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/exchange.py
@@ -21,6 +21,7 @@
         headers: Headers by lower-case name; of a repeated header, the first value.
         body: The complete body.
         received: Time at which the request's head was read, in seconds of the monotonic clock.
+        sender: IP address from which it came; empty if unknown.
     """
 
     method: str
@@ -30,6 +31,7 @@
     headers: Mapping[str, str]
     body: bytes
     received: float
+    sender: str = ""
 
     @property
     def path(self) -> str:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/http_server.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/http_server.py
@@ -244,6 +244,7 @@
         headers,
         body,
         received,
+        request.remote or "",
     )
 
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -31,7 +31,7 @@
 )
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.options import Options
-from wigeonarch_gateway.peer_socket import PeerSocket
+from wigeonarch_gateway.peer_socket import PeerSocket, split_address
 from wigeonarch_gateway.roles import Roles
 from wigeonarch_gateway.traffic import InFlightTracker
 
@@ -152,6 +152,10 @@
         since = monotonic() - self._silence_limit()
         return [name for name, member in self._members.items() if member.last_heartbeat > since]
 
+    def has_address(self, ip: str) -> bool:
+        """Tells whether a known instance has an IP address."""
+        return any(split_address(address)[0] == ip for address in self.discovery.addresses())
+
     def with_lease(self) -> set[str]:
         """Returns the reachable instances whose lease is in force."""
         return {name for name in self.reachable() if self._members[name].has_lease}
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -330,7 +330,14 @@
             self._metrics,
         )
         self._receivers = self._message_receivers()
-        peer_requests = PeerRequests(dialect, self._catalogue, pipeline, responder, self._metrics)
+        peer_requests = PeerRequests(
+            dialect,
+            self._catalogue,
+            pipeline,
+            responder,
+            self._metrics,
+            self._members.has_address,
+        )
         self._http_server = HttpServer(pipeline.serve, self._max_body_bytes)
         self._peer_server = HttpServer(peer_requests.serve, self._max_body_bytes)
         self._ready_server = StatusServer([Page(dialect.ready_path, self._readiness_page)])
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_requests.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_requests.py
@@ -2,11 +2,13 @@
 
 Keys, quotas and the count of new requests were settled at the instance that took the request from
 its caller. This one routes it by the configuration that it has in force itself, sends it to
-endpoints, and never hands it over again.
+endpoints, and never hands it over again. As it believes what the request says of its key and its
+time under way, it serves only requests from the address of an instance that it knows.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
 
 from msgspec.structs import replace
@@ -30,12 +32,13 @@
 from wigeonarch_gateway.serving import RequestPipeline, make_job
 
 UNAVAILABLE: Final = 503
+FORBIDDEN: Final = 403
 
 
 class PeerRequests:
     """Serves the requests that peers hand over."""
 
-    __slots__ = ("_catalogue", "_dialect", "_metrics", "_pipeline", "_responder")
+    __slots__ = ("_catalogue", "_dialect", "_is_instance", "_metrics", "_pipeline", "_responder")
 
     def __init__(
         self,
@@ -44,7 +47,19 @@
         pipeline: RequestPipeline,
         responder: Responder,
         metrics: Metrics,
+        is_instance: Callable[[str], bool],
     ) -> None:
+        """Creates a handler.
+
+        Args:
+            dialect: The platform's names of headers.
+            catalogue: Configuration in force.
+            pipeline: Serves requests.
+            responder: Sends refusals.
+            metrics: Counters.
+            is_instance: Tells whether an instance of this deployment has an IP address.
+        """
+        self._is_instance = is_instance
         self._dialect = dialect
         self._catalogue = catalogue
         self._pipeline = pipeline
@@ -53,10 +68,18 @@
 
     async def serve(self, request: CallerRequest, response: ResponseWriter) -> None:
         """Responds to a request; the task is cancelled when the peer closes its connection."""
+        if not self._is_instance(request.sender):
+            log("handover_denied", "WARNING", sender=request.sender)
+            self._metrics.handovers.labels("in", "denied").inc()
+            # An instance that just started may not be known here yet, and asks another peer.
+            not_run = [(NOT_RUN_HEADER, b"1")]
+            await response.send(FORBIDDEN, not_run, texts.NOT_AN_INSTANCE.encode())
+            return
         values = [value for name, value in request.raw_headers if name.lower() == TERMS_HEADER]
         try:
-            handover = decode_terms(values[0])
-        except (IndexError, ValueError) as exc:
+            (value,) = values
+            handover = decode_terms(value)
+        except ValueError as exc:
             log("handover_unreadable", "WARNING", reason=repr(exc))
             await response.send(UNAVAILABLE, [(NOT_RUN_HEADER, b"1")], texts.BAD_HANDOVER.encode())
             return
