--- a/tests/test_gateway_software_versions.py
+++ b/tests/test_gateway_software_versions.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
 from typing import Any
 
 import aiohttp
@@ -25,11 +27,15 @@
     world,
 )
 from standins.replica import Ending, Framing, Replica, ReplicaFault, ResponseEnd, encode_event
+from wigeonarch_gateway.node import Node
 
 OLD, NEW = "v1", "v1.1"
 EVENTS = 6
 BREAKS_AT_ONCE = ResponseEnd(Framing.CHUNKS, Ending.CLOSED, 0)
+
 LONG = 400  # Events of a stream that its caller leaves.
+TAKEN_UP = 24  # Streams of a run that are taken up.
+LEAST_SHARE = 0.9  # Of the share of new streams that begin.
 DRAFT = "/draft/x"
 
 
@@ -480,6 +486,69 @@
         assert not any(engine.executed for engine in deployment.replicas)
 
 
+# Many streams.
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+async def test_streams_that_are_taken_up_go_on_as_often_as_new_ones_begin(seed: int) -> None:
+    rng = random.Random(seed)
+    async with world(nodes=3) as deployment:
+        await place_first_engine(deployment, "a")
+        for name, software, zone in [("i-2", OLD, "b"), ("i-3", NEW, "a"), ("i-4", NEW, "b")]:
+            await add_engine(deployment, name, software, zone)
+        nodes = deployment.nodes
+        await until_true(lambda: all(is_settled(node, "i-4") for node in nodes))
+        set_length(deployment, LONG)
+        left = [
+            stream
+            for software in (OLD, NEW)
+            for stream in await begin_streams(deployment, software, rng)
+        ]
+        resumed = await asyncio.gather(*(take_up_by_chance(deployment, s, rng) for s in left))
+        whole = [stream for stream in resumed if stream is not None]
+        assert set(whole) == {events(1, LONG, OLD), events(1, LONG, NEW)}
+        fresh = [deployment.send_request(DRAFT, adapter="a1") for _ in left]
+        begun = [answer for answer in await asyncio.gather(*fresh) if answer.complete]
+        assert len(whole) >= LEAST_SHARE * len(begun)
+
+
+async def begin_streams(deployment: World, software: str, rng: random.Random) -> list[LeftStream]:
+    """Begins streams at the engines of a version, which their callers leave."""
+    for engine in deployment.replicas:
+        refuses = engine.software != software
+        engine.fault = ReplicaFault.SHED if refuses else ReplicaFault.NONE
+    nodes = range(len(deployment.nodes))
+    streams = [leave_stream(deployment, rng.choice(nodes)) for _ in range(TAKEN_UP // 2)]
+    left = await asyncio.gather(*streams)
+    for engine in deployment.replicas:
+        engine.fault = ReplicaFault.NONE
+    return left
+
+
+def is_settled(node: Node, engine: str) -> bool:
+    """Tells whether streams that may be resumed begin at an engine's software."""
+    record = node._endpoints.get(engine)
+    return record is not None and node._streams.is_settled(record)
+
+
+async def take_up_by_chance(
+    deployment: World, left: LeftStream, rng: random.Random
+) -> bytes | None:
+    """Takes a stream up, at times after leaving it again, each time at any instance.
+
+    Returns:
+        What its caller has then; None if it did not go on.
+    """
+    nodes = range(len(deployment.nodes))
+    for _ in range(rng.choice([0, 0, 1, 2])):
+        more: dict[str, Any] = {"Resumes": left.request_id, "Last_Event_Id": str(left.last)}
+        again = await leave_stream(deployment, rng.choice(nodes), **more)
+        left.last, left.body = left.last + again.last, left.body + again.body
+    answer = await take_up(deployment, left, rng.choice(nodes))
+    is_whole = answer.status == 200 and answer.complete
+    return left.body + answer.body if is_whole else None
+
+
 # What the tests do.
 
 
