--- a/tests/test_gateway_lost_way.py
+++ b/tests/test_gateway_lost_way.py
@@ -10,8 +10,11 @@
 from collections import Counter
 from functools import partial
 
+import aiohttp
 import pytest
 from gateway_world import (
+    HOST,
+    CallerResponse,
     World,
     configuration,
     cut_from_endpoints,
@@ -23,11 +26,13 @@
 from standins.replica import Replica, ReplicaFault, encode_event
 from wigeonarch_core.fatal_requests import crash_id
 from wigeonarch_gateway.exchange import CallerRequest, ResponseWriter
+from wigeonarch_gateway.internal_headers import NOT_RUN_HEADER, TERMS_HEADER
 from wigeonarch_gateway.member import Member
 from wigeonarch_gateway.messages import CrashReport
 from wigeonarch_gateway.node import Node
 from wigeonarch_gateway.peer_forwarding import MAX_PEERS
 from wigeonarch_gateway.peer_requests import PeerRequests
+from wigeonarch_gateway.peer_terms import HandoverTerms, encode_terms
 
 # First requests at the instance, in which it may learn that its way is lost.
 LEARNING = 6
@@ -269,3 +274,58 @@
         desk.name = "i-desk"
         await deployment.wait_until_served("/ask/x")
         assert suspects.crash_count("key") == 0
+
+
+async def hand_over(deployment: World, path: str, terms: HandoverTerms) -> CallerResponse:
+    """Hands a request over to instance 1 as instance 0 does."""
+    own, peer = deployment.options[:2]
+    headers = {"Host": HOST, "X-Request-Id": "handed", "X-Deadline-Ms": "9000"}
+    headers[TERMS_HEADER.decode()] = encode_terms(terms).decode()
+    connector = aiohttp.TCPConnector(local_addr=(own.ip, 0))
+    url = f"http://{peer.ip}:{deployment.peer_port}{path}"
+    async with (
+        aiohttp.ClientSession(connector=connector) as session,
+        session.post(url, headers=headers) as resp,
+    ):
+        found = {name.lower(): value for name, value in resp.headers.items()}
+        return CallerResponse(resp.status, found, await resp.read())
+
+
+@pytest.mark.parametrize("path", ["/ask/x", "/book/x"])
+@pytest.mark.parametrize(("ran_on", "is_not_run"), [((), True), (("i-elsewhere",), False)])
+async def test_peer_does_not_promise_not_run_of_what_may_have_run_before(
+    path: str, ran_on: tuple[str, ...], is_not_run: bool
+) -> None:
+    async with world(nodes=2) as deployment:
+        await deployment.wait_until_served(path, node=1)
+        deployment.replicas[1].fault = ReplicaFault.SHED
+        answer = await hand_over(deployment, path, HandoverTerms("edge-0", 0.0, "", ran_on))
+        assert (answer.status == 503) is is_not_run
+        assert (NOT_RUN_HEADER.decode() in answer.headers) is is_not_run
+
+
+async def test_peer_counts_the_endpoints_on_which_a_request_may_have_run_before() -> None:
+    async with world(nodes=2) as deployment:
+        await deployment.add_replica(Replica("desk", name="i-desk2"))
+        await until_true(lambda: deployment.nodes[1]._endpoints.get("i-desk2"))
+        await deployment.wait_until_served("/ask/x", node=1)
+        desks = deployment.replicas[1:]
+        for desk in desks:
+            desk.fault = ReplicaFault.ERROR
+            desk.executed.clear()
+        terms = HandoverTerms("edge-0", 0.0, "", ("i-elsewhere",))
+        answer = await hand_over(deployment, "/ask/x", terms)
+        assert answer.status == 500
+        # The route allows two endpoints.
+        assert sum(len(desk.executed) for desk in desks) == 1
+
+
+async def test_time_under_way_before_a_handover_counts() -> None:
+    async with world(nodes=2) as deployment:
+        await deployment.wait_until_served("/ask/x", node=1)
+        desk = deployment.replicas[1]
+        desk.executed.clear()
+        answer = await hand_over(deployment, "/ask/x", HandoverTerms("edge-0", 4.0, "", ()))
+        assert answer.status == 200
+        # The route's timeout is 5 s.
+        assert int(desk.executed[-1].headers["x-deadline-ms"]) <= 1000
--- a/tests/test_gateway_software_versions.py
+++ b/tests/test_gateway_software_versions.py
@@ -440,6 +440,57 @@
     engine.executed.clear()
 
 
+# Routes that lead to several services.
+
+
+def two_services(version: int, split: dict[str, int]) -> dict[str, Any]:
+    """Returns a configuration in which the streams' route leads to these services, by weight."""
+    found = configuration(version)
+    engine = next(s for s in found["services"] if s["name"] == "llm")["engine"]
+    found["services"].append({"name": "llm2", "max_conns": 100, "engine": engine})
+    drafts = next(r for r in found["routes"] if r["name"] == "draft")
+    drafts["split"] = [{"service": name, "weight": weight} for name, weight in split.items()]
+    return found
+
+
+async def test_stream_of_a_split_route_goes_on_at_the_service_that_began_it() -> None:
+    async with world(nodes=2) as deployment:
+        first, other = await begin_with_two_services(deployment, {"llm": 1, "llm2": 1})
+        left = await asyncio.gather(*(leave_stream(deployment, 0) for _ in range(12)))
+        set_length(deployment, LONG + 10)
+        answers = await asyncio.gather(*(take_up(deployment, stream, 1) for stream in left))
+        whole = [s.body + a.body for s, a in zip(left, answers, strict=True)]
+        expected = {events(1, LONG + 10, first.software), events(1, LONG + 10, other.software)}
+        assert set(whole) == expected
+
+
+async def test_stream_whose_route_leads_to_another_service_now_is_refused() -> None:
+    async with world(nodes=2) as deployment:
+        _, other = await begin_with_two_services(deployment, {"llm": 1})
+        left = await leave_stream(deployment, 0)
+        await deployment.store.put("config", "main", two_services(9, {"llm2": 1}))
+        await until_true(lambda: all(n._catalogue.table.version == 9 for n in deployment.nodes))  # type: ignore[union-attr]
+        other.executed.clear()
+        answers = [await take_up(deployment, left, node) for node in (0, 1)]
+        assert [answer.status for answer in answers] == [503, 503]
+        assert not other.executed
+
+
+async def begin_with_two_services(
+    deployment: World, split: dict[str, int]
+) -> tuple[Replica, Replica]:
+    """Adds an engine of a second service; both have one version, and mark their events."""
+    await deployment.store.put("config", "main", two_services(2, split))
+    first = await place_first_engine(deployment, "a")
+    other = Replica("llm2", "a", "m", name="i-llm2", software=NEW, loaded={"a1": 1})
+    await deployment.add_replica(other)
+    await until_true(lambda: deployment.recorded_owner("i-llm2"))
+    nodes = deployment.nodes
+    await until_true(lambda: all(node._views.get("i-llm2").owner for node in nodes))
+    set_length(deployment, LONG)
+    return first, other
+
+
 # Streams of other callers.
 
 
