A call that could not be sent in time is "not run", not "unknown"

Cause: the time limit of a call covers opening its connection, and when it ended there, the call was told as silent, which stands for "may have run". After a standstill beyond the deadline the limit of the call and the opening of its connection end together, and which comes first decides. The class: an end is judged by the clock alone, not by whether anything was sent.

Evidence: test_call_whose_time_ends_before_it_was_sent_has_not_run (a listener whose queue is full) failed in 4 of 4 cases, passes in 4 of 4.

Change: the check that a request passes right before it is written remembers that it passed. Where it has not, a call whose time is over is refused for its deadline, and a generation counts as not connected. The same in the client of engines, by reading; its orders say the exception's name as before. The gateway has no such fault: it opens connections outside of a request's limit and looks at the deadline before it sends.

--- a/packages/wigeonarch-entry/src/wigeonarch_entry/engines.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/engines.py
@@ -28,7 +28,8 @@
 from wigeonarch_entry.sending import (
     CheckedConnector,
     NoLongerUsableError,
-    send_only_if,
+    SendCheck,
+    checked,
 )
 from wigeonarch_entry.streamlines import StreamLines
 
@@ -254,9 +255,10 @@
     ) -> AsyncIterator[Chunk | StreamBroken]:
         first_timeout, next_timeout = timeouts
         sent = False
+        check = SendCheck(may_send)
         try:
             request = self._unpooled.request(method, url, json=doc, timeout=NO_TIMEOUT)
-            with send_only_if(may_send):
+            with checked(check):
                 async with timeout_after(first_timeout):
                     resp = await request
             sent = True
@@ -271,7 +273,7 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             yield _CONNECT_FAILED
         except TimeoutError:
-            yield _SILENT
+            yield _SILENT if check.passed else _CONNECT_FAILED
         except (aiohttp.ClientError, OSError):
             yield _LOST if sent or method == "POST" else _CONNECT_FAILED
 
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/sending.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/sending.py
@@ -3,7 +3,7 @@
 Opening a connection takes time, and the process may be paused at any point. A call that was allowed
 when it was made may no longer be allowed when it can be sent, as a lease has lapsed or a grant has
 expired. So the condition is checked on the open connection, and nothing is awaited between that
-check and the write.
+check and the write. A call whose time ends before that check has not been sent, and can't have run.
 """
 
 from __future__ import annotations
@@ -22,7 +22,29 @@
     from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
 
-_may_send: ContextVar[Callable[[], bool] | None] = ContextVar("usable", default=None)
+
+class SendCheck:
+    """The condition under which requests are sent.
+
+    Attributes:
+        passed: Whether it has held for a request, which may have been written from then on.
+    """
+
+    __slots__ = ("_may_send", "passed")
+
+    def __init__(self, may_send: Callable[[], bool]) -> None:
+        self._may_send = may_send
+        self.passed = False
+
+    def passes(self) -> bool:
+        """Checks the condition, right before a request is written."""
+        if not self._may_send():
+            return False
+        self.passed = True
+        return True
+
+
+_check: ContextVar[SendCheck | None] = ContextVar("check", default=None)
 
 
 class NoLongerUsableError(aiohttp.ClientConnectionError):
@@ -30,16 +52,26 @@
 
 
 @contextmanager
-def send_only_if(may_send: Callable[[], bool]) -> Iterator[None]:
+def send_only_if(may_send: Callable[[], bool]) -> Iterator[SendCheck]:
     """Sends the requests made inside only if `may_send` returns True when they can be written.
 
+    Yields the check, which tells whether any may have been written.
+
     Applies to sessions that use a `CheckedConnector`.
     """
-    token = _may_send.set(may_send)
+    check = SendCheck(may_send)
+    with checked(check):
+        yield check
+
+
+@contextmanager
+def checked(check: SendCheck) -> Iterator[None]:
+    """Sends the requests made inside only if a check passes; see `send_only_if`."""
+    token = _check.set(check)
     try:
         yield
     finally:
-        _may_send.reset(token)
+        _check.reset(token)
 
 
 class CheckedConnector(TimedConnector):
@@ -55,8 +87,8 @@
             ConnectionTimeoutError: There was none within the connect timeout.
         """
         conn = await super().connect(req, traces, timeout)
-        may_send = _may_send.get()
-        if may_send is None or may_send():
+        check = _check.get()
+        if check is None or check.passes():
             return conn
         conn.release()
         raise NoLongerUsableError
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/services.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/services.py
@@ -64,6 +64,10 @@
     reason: Reason
 
 
+_NOT_SENT_IN_TIME: Final = CallBroken(Event.REFUSED, Reason.DEADLINE)
+_TIMED_OUT: Final = CallBroken(Event.SILENT, Reason.SILENT)
+
+
 class ServiceClient:
     """HTTP client for the instances of all plain services."""
 
@@ -97,15 +101,24 @@
             headers[KEY_HEADER] = call.key
         url = f"http://{address}/v1/call/{call.operation}"
         deadline = monotonic() + call.remaining
+        with send_only_if(lambda: monotonic() < deadline) as check:
+            reply = await self._try_send(session, url, call, headers)
+        if reply == _TIMED_OUT and not check.passed:
+            return _NOT_SENT_IN_TIME
+        return reply
+
+    async def _try_send(
+        self, session: aiohttp.ClientSession, url: str, call: ServiceCall, headers: dict[str, str]
+    ) -> ServiceReply | CallBroken:
+        """Sends a call; returns the response, or how the call failed."""
         try:
-            with send_only_if(lambda: monotonic() < deadline):
-                return await self._send(session, url, call, headers)
+            return await self._send(session, url, call, headers)
         except NoLongerUsableError:
-            return CallBroken(Event.REFUSED, Reason.DEADLINE)
+            return _NOT_SENT_IN_TIME
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return CallBroken(Event.CONNECT_FAILED, Reason.UNREACHABLE)
         except TimeoutError:
-            return CallBroken(Event.SILENT, Reason.SILENT)
+            return _TIMED_OUT
         except (aiohttp.ClientError, OSError):
             return CallBroken(Event.LOST, Reason.CONNECTION_LOST)
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -32,6 +32,7 @@
 from ports import free_port
 from soak_endpoints import FATAL_BODY, EndpointChecks
 from soak_teams import SETTINGS, UNLIMITED_TEAM, Teams
+from soak_versions import StreamChecks
 from standins.proxy import ConnectionMode, Proxy
 from standins.replica import Replica, ReplicaFault
 from standins.store import StoreFault, StoreStandIn
@@ -135,6 +136,7 @@
         teams: Authenticates requests and checks quotas; None if the deployment has no teams.
         endpoint_checks: Makes engines crash and endpoints limit requests, and checks how gateways
             react; None to do neither.
+        stream_checks: Takes up streams of several software versions; None if there is one.
     """
 
     rng: random.Random
@@ -150,18 +152,23 @@
     all_faults: bool = False
     teams: Teams | None = None
     endpoint_checks: EndpointChecks | None = None
+    stream_checks: StreamChecks | None = None
 
     async def start(self, gateways: int) -> None:
         """Starts the stand-ins and the gateway processes."""
         await self.store.start()
         await self.proxy.start(self.store.address)
         await self._write_configuration()
-        for number in range(3):
+        for number in range(3 if self.stream_checks is None else 5):
             await self._add_replica(Replica("llm", model="m", name=f"i-llm{number}", load_time=0.1))
         for number in range(2):
             await self._add_replica(Replica("desk", name=f"i-desk{number}"))
         if self.endpoint_checks is not None:
             self.endpoint_checks.prepare(self.replicas, self._write_entry)
+        if self.stream_checks is not None:
+            self.stream_checks.prepare(self.replicas)
+            for replica in self.replicas:
+                await self._write_entry(replica)
         peer_port = free_port("127.0.0.10", socket.SOCK_DGRAM)
         for number in range(gateways):
             gateway = self._make_gateway(number, peer_port)
@@ -429,6 +436,8 @@
     async def restart(self) -> None:
         """Restarts an endpoint under the same id while it is running requests and orders."""
         replica = self.rng.choice(self.replicas)
+        if self.stream_checks is not None:
+            self.stream_checks.change_software(replica)
         replica.restart()
         await asyncio.sleep(self.rng.uniform(0.0, 1.0))
         await self.store.put("servers", replica.name, replica.record())
@@ -470,10 +479,11 @@
         executions = Counter(
             one.headers.get("x-request-id", "") for r in self.replicas for one in r.executed
         )
+        taken_up = set(self.stream_checks.sent) if self.stream_checks is not None else set()
         violations = [
             f"UNASKED: {request_id} ran"
             for request_id in executions
-            if request_id not in self.responses
+            if request_id not in self.responses and request_id not in taken_up
         ]
         violations += [
             f"RELOAD: SIGHUP ended edge-{gateway.number}, which had started"
@@ -488,6 +498,8 @@
             violations += self.teams.violations(self.replicas, self.folder)
         if self.endpoint_checks is not None:
             violations += self.endpoint_checks.violations(self.replicas)
+        if self.stream_checks is not None:
+            violations += self.stream_checks.violations()
         return violations
 
     def _response_violations(
@@ -505,7 +517,9 @@
         if response.status != 200 or not response.complete:
             return violations
         if response.path in ("/write/x", "/draft/x"):
-            if response.body != STREAM:
+            checks = self.stream_checks
+            whole = {STREAM} if checks is None else checks.whole_streams()
+            if response.body not in whole:
                 violations.append(f"ORDER: {request_id} got {response.body[-40:]!r}")
         elif not response.body.endswith(b" to " + request_id.encode()):
             violations.append(f"MIXED: {request_id} got {response.body[:60]!r}")
@@ -547,17 +561,27 @@
     all_faults: bool = False,
     teams: bool = False,
     endpoint_checks: bool = False,
+    versions: bool = False,
 ) -> tuple[Soak, list[str]]:
     """Runs one seed; returns the soak and the violated invariants."""
     with tempfile.TemporaryDirectory(prefix="soak-") as name:
         soak = Soak(random.Random(seed), Path(name), all_faults=all_faults)
         soak.teams = Teams(random.Random(seed)) if teams else None
         soak.endpoint_checks = EndpointChecks(random.Random(seed)) if endpoint_checks else None
+        soak.stream_checks = StreamChecks(random.Random(seed)) if versions else None
         await soak.start(gateways)
         tasks = [asyncio.create_task(soak.send_requests(number)) for number in range(callers)]
         if soak.endpoint_checks is not None:
             tasks.append(asyncio.create_task(soak.send_fatal_requests()))
             tasks.append(asyncio.create_task(soak.endpoint_checks.vary_rate_limit(seconds)))
+        if soak.stream_checks is not None:
+            addresses = [gateway.front_address for gateway in soak.gateways]
+            tasks += [
+                asyncio.create_task(
+                    soak.stream_checks.take_up_streams(number, addresses, lambda: soak.stopping)
+                )
+                for number in range(callers)
+            ]
         try:
             await asyncio.sleep(3.0)
             await soak.inject_faults(seconds)
@@ -583,16 +607,19 @@
     parser.add_argument("--all-faults", action="store_true", help="draw also faults added later")
     parser.add_argument("--teams", action="store_true", help="callers authenticate as teams")
     parser.add_argument("--needs", action="store_true", help="endpoints crash and limit requests")
+    parser.add_argument("--versions", action="store_true", help="several software versions serve")
     args = parser.parse_args()
     failed = 0
     for seed in range(args.seed, args.seed + args.seeds):
         options = (args.seconds, args.gateways, args.callers)
-        coroutine = run(seed, *options, args.all_faults, args.teams, args.needs)
+        coroutine = run(seed, *options, args.all_faults, args.teams, args.needs, args.versions)
         soak, violations = asyncio.run(coroutine)
         statuses = Counter(response.status for response in soak.responses.values())
         print(f"seed={seed} requests={len(soak.responses)} statuses={dict(statuses)}", flush=True)
         early = sum(gateway.early_hangups for gateway in soak.gateways)
         print(f"  faults={dict(Counter(soak.injected_faults))} early_hangups={early}", flush=True)
+        if soak.stream_checks is not None:
+            print(f"  {soak.stream_checks.count()}", flush=True)
         for line in violations[:20]:
             print(f"  BROKEN {line}", flush=True)
         failed += bool(violations)
--- a/tests/test_timeouts.py
+++ b/tests/test_timeouts.py
@@ -196,3 +196,35 @@
         assert reply == CallBroken(Event.REFUSED, Reason.DEADLINE)
 
     run(loop_factory, main)
+
+
+@pytest.fixture
+def full_listener() -> Iterator[socket.socket]:
+    """Yields a listening socket whose queue is full, so that no further connection opens."""
+    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+    waiting = [socket.socket() for _ in range(3)]
+    for sock in waiting:
+        sock.setblocking(False)
+        sock.connect_ex(listener.getsockname())
+    yield listener
+    for sock in waiting:
+        sock.close()
+    listener.close()
+
+
+@LOOPS
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_call_whose_time_ends_before_it_was_sent_has_not_run(
+    full_listener: socket.socket,
+    loop_factory: Callable[[], asyncio.AbstractEventLoop],
+    idempotent: bool,
+) -> None:
+    async def main() -> None:
+        client = ServiceClient(30 * TIMEOUT)
+        host, port = full_listener.getsockname()
+        call = ServiceCall("d", "op", b"{}", "", idempotent, TIMEOUT)
+        reply = await client.call(f"{host}:{port}", call)
+        await client.close()
+        assert reply == CallBroken(Event.REFUSED, Reason.DEADLINE)
+
+    run(loop_factory, main)
