Soak: several software versions side by side, and callers that take their streams up at any gateway

Callers leave streams in the middle and take them up, up to four times, at any gateway, beside kills, suspensions, stops, reloads and trouble of the store. Checked from what callers received: one version, no gap, no repetition, whole if it is told as complete.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -90,6 +90,21 @@
     assert not violations
 
 
+# With several software versions side by side, and callers that take their streams up again.
+VERSIONS_SEEDS = [(11000, 8.0)]
+
+
+@pytest.mark.timeout(240)
+@pytest.mark.parametrize(("seed", "seconds"), VERSIONS_SEEDS)
+async def test_no_stream_is_joined_of_several_versions(seed: int, seconds: float) -> None:
+    finished_soak, violations = await soak.run(
+        seed, seconds, gateways=3, callers=4, all_faults=True, versions=True
+    )
+    assert not violations
+    assert finished_soak.stream_checks is not None
+    assert any(one.was_left and one.complete for one in finished_soak.stream_checks.streams)
+
+
 async def test_a_process_that_a_signal_ends_before_its_program_ran_is_started_again(
     tmp_path: Path,
 ) -> None:
