--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
@@ -235,6 +235,11 @@
         return any(record.endpoint not in job.may_have_run_on for record in self._ready(job))
 
     def _candidates(self, job: Job, now: float) -> list[EndpointRecord]:
+        """Returns the endpoints that may take a request now.
+
+        A stream that may be resumed begins at software that all instances know of, as long as any
+        of it can take the stream: others could not tell later where it may go on.
+        """
         ready = self._ready(job)
         untried = [record for record in ready if record.endpoint not in job.avoided_endpoints]
         untried = untried or [
