--- a/packages/wigeonarch-core/src/wigeonarch_core/stream_origins.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/stream_origins.py
@@ -11,7 +11,9 @@
     age of the state that an instance relies on < settling time
     time for which software is known before streams begin there >= settling time
 
-So software that is not in an instance's state yet has begun no stream that may be resumed.
+So software that is not in an instance's state yet has begun no stream that may be resumed. The
+second wait is given up where no other endpoint can take a stream. Such a stream is known to those
+who were told of it, and only if they are all lost can the proof be wrong.
 """
 
 from __future__ import annotations
