Sight for LIMIT: who grants permits for an endpoint, knowing its limit or not

Callers saw: endpoints that got far more requests than the limit that they had named. The logs could not tell the hypotheses apart: no line says that a permit was granted, by whom, or whether the limiter knew the limit. Now `permits` (once a second and endpoint, rate=None if the limiter knows of none, granted to others and used here, denied), `limiter_asked` (when an instance turns to another limiter) and `by=` in `limit_named` (an own response or the peer that told it). At most one line a second for each endpoint that was asked for. No logic is changed.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
@@ -26,6 +26,7 @@
 
 from wigeonarch_gateway.messages import Message, PermitReply, PermitRequest, RateLimitUpdate
 from wigeonarch_gateway.metrics import Metrics
+from wigeonarch_gateway.permit_log import PermitLog
 from wigeonarch_gateway.ports import EndpointRecord
 
 # Seconds without a reply after which a permit is requested again, from the same or another limiter.
@@ -53,6 +54,7 @@
         request_number: Number of that request.
         denied_until: Time until which the limiter has no permit.
         hint: Limiter named by another instance, and the time until which the hint is followed.
+        asked: Limiter that was asked last; empty if none was.
     """
 
     rate: float
@@ -62,6 +64,7 @@
     request_number: int = 0
     denied_until: float = 0.0
     hint: tuple[str, float] = ("", 0.0)
+    asked: str = ""
 
 
 class EndpointLimits:
@@ -74,6 +77,7 @@
         "_limited",
         "_limiter",
         "_metrics",
+        "_permit_log",
         "_request_number",
         "_send",
         "_send_all",
@@ -106,6 +110,7 @@
         # Endpoints with a limit that seem gone, and since when.
         self._gone_since: dict[str, float] = {}
         self._request_number = random.randrange(FIRST_NUMBER_BOUND)
+        self._permit_log = PermitLog()
 
     # Limits that responses state and other instances report.
 
@@ -120,12 +125,12 @@
         limit = self._limited.get(record.endpoint)
         if rate is None and (limit is None or sent_at <= limit.known_since):
             return
-        if self._update(record.endpoint, rate):
+        if self._update(record.endpoint, rate, "response"):
             self._send_all(RateLimitUpdate(self._instance, record.endpoint, rate))
 
     def receive_limit(self, message: RateLimitUpdate) -> None:
         """Takes over a limit that another instance read."""
-        self._update(message.endpoint, message.rate)
+        self._update(message.endpoint, message.rate, message.sender)
 
     def endpoint_gone(self, endpoint: str) -> None:
         """Records that an endpoint seems gone."""
@@ -133,11 +138,12 @@
             self._gone_since[endpoint] = monotonic()
 
     def expire(self, is_known: Callable[[str], bool]) -> None:
-        """Forgets the limits of endpoints that did not come back.
+        """Forgets the limits of endpoints that did not come back, and logs what was granted.
 
         Args:
             is_known: Tells whether an endpoint is known at present.
         """
+        self._permit_log.write(monotonic())
         for endpoint, since in list(self._gone_since.items()):
             if is_known(endpoint):
                 del self._gone_since[endpoint]
@@ -150,13 +156,13 @@
         self._limited.pop(endpoint, None)
         self._buckets.pop(endpoint, None)
 
-    def _update(self, endpoint: str, rate: float | None) -> bool:
-        """Sets or removes a limit; returns whether it changed."""
+    def _update(self, endpoint: str, rate: float | None, source: str) -> bool:
+        """Sets or removes a limit that a source stated; returns whether it changed."""
         limit = self._limited.get(endpoint)
         rate_before = None if limit is None else limit.rate
         if rate == rate_before:
             return False
-        log("limit_named", endpoint=endpoint, rate=rate, before=rate_before)
+        log("limit_named", endpoint=endpoint, rate=rate, before=rate_before, by=source)
         if rate is None:
             self.forget(endpoint)
             return True
@@ -208,7 +214,10 @@
 
     def _take_permit(self, endpoint: str, limit: _EndpointLimit, now: float) -> bool:
         if self._limiter_of(endpoint, limit, now) == self._instance:
-            return self._bucket(endpoint, limit.rate, now).take(now)
+            granted = self._bucket(endpoint, limit.rate, now).take(now)
+            if granted:
+                self._permit_log.record_own(endpoint, limit.rate)
+            return granted
         while limit.permits:
             if now - limit.permits.pop(0) < PERMIT_LIFETIME:
                 return True
@@ -228,6 +237,9 @@
     ) -> None:
         if limit.requested_at is not None and now - limit.requested_at < REPLY_TIMEOUT:
             return
+        if limiter != limit.asked:
+            log("limiter_asked", endpoint=endpoint, peer=limiter, before=limit.asked)
+            limit.asked = limiter
         self._request_number += 1
         limit.requested_at, limit.request_number = now, self._request_number
         self._send(limiter, PermitRequest(self._instance, endpoint, self._request_number))
@@ -241,6 +253,7 @@
         if limit is None:
             # The limit has ended, or this instance does not know it yet; if it still applies, the
             # endpoint's response will state it.
+            self._permit_log.record_reply(request.endpoint, None, True)
             self._reply(request, True, 0.0, self._instance)
             return
         limiter = self._limiter(request.endpoint)
@@ -249,6 +262,7 @@
             return
         bucket = self._bucket(request.endpoint, limit.rate, now)
         granted = bucket.take(now)
+        self._permit_log.record_reply(request.endpoint, limit.rate, granted)
         self._reply(
             request, granted, 0.0 if granted else bucket.seconds_until_permit(now), self._instance
         )
