Failing tests of LIMIT: a limiter that does not know a limit grants everything

Callers saw: endpoints that got far more requests than the limit that they had named.

The simulation moves from tests/test_limits_of_endpoints.py to tests/limit_fleet.py, with the same defaults, and gets answers that take time, instances without callers, missed notices and the calls of expire(); the tests in the first file are unchanged but for the names that they import and arrivals that bear their sender.

No logic is changed.

--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import time
+from collections.abc import Sequence
 from functools import partial
 
 import pytest
@@ -64,10 +65,14 @@
 
 
 async def load(
-    deployment: World, path: str, until_time: float, answers: list[CallerResponse]
+    deployment: World,
+    path: str,
+    until_time: float,
+    answers: list[CallerResponse],
+    nodes: Sequence[int] = (),
 ) -> None:
-    """Sends one request after the other, to all instances in turn, until a time."""
-    for node in itertools.cycle(range(len(deployment.nodes))):
+    """Sends one request after the other, to all or some instances in turn, until a time."""
+    for node in itertools.cycle(nodes or range(len(deployment.nodes))):
         if time.monotonic() > until_time:
             return
         answers.append(await deployment.send_request(path, b"%d" % len(answers), node=node))
@@ -258,3 +263,41 @@
         await asyncio.gather(*loads)
         allowed = MAX_EXCESS * 2.5 * WINDOW + MAX_EXTRA
         assert most_arrivals(limited, stated_at + NOTICE_TIME) <= allowed
+
+
+@pytest.mark.parametrize("how", ["missed_the_notice", "restarted"])
+async def test_limiter_without_callers_that_does_not_know_the_limit_keeps_it(how: str) -> None:
+    async with world(nodes=3) as deployment:
+        limited = deployment.replicas[1]
+        other = await deployment.add_replica(Replica("desk", name="i-desk2"))
+        await until(partial(all_know, deployment, 2))
+        await until(partial(both_used, deployment, limited, other))
+        limited.rate_limit = "1"
+
+        async def limit_known() -> bool:
+            await both_used(deployment, limited, other)
+            return all(limited.name in node._limits._limited for node in deployment.nodes)
+
+        await until(limit_known)
+        known_at = time.monotonic()
+        name = deployment.nodes[0]._limiter(limited.name)
+        limiter = next(n for n, opts in enumerate(deployment.options) if opts.instance == name)
+        if how == "missed_the_notice":
+            deployment.nodes[limiter]._limits.forget(limited.name)
+        else:
+            await restart(deployment, limiter)
+        others = [n for n in range(3) if n != limiter]
+        answers: list[CallerResponse] = []
+        until_time = time.monotonic() + LOAD_TIME
+        await asyncio.gather(
+            *(load(deployment, "/ask/x", until_time, answers, others) for _ in range(4))
+        )
+        assert most_arrivals(limited, known_at) <= MAX_EXCESS * 1.0 * WINDOW + MAX_EXTRA
+        assert [answer for answer in answers if answer.status != 200] == []
+
+
+async def restart(deployment: World, number: int) -> None:
+    """Stops an instance and starts it again under its name."""
+    deployment.nodes[number].stop()
+    await deployment.tasks[number]
+    await deployment.add_node(number)
--- a/tests/test_limits_of_endpoints.py
+++ b/tests/test_limits_of_endpoints.py
@@ -3,97 +3,11 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import pytest
+from limit_fleet import ENDPOINT, MAX_EXCESS, MAX_EXTRA, WINDOW, Fleet
 from wigeonarch_gateway import limits as module
-from wigeonarch_gateway.limits import EndpointLimits
-from wigeonarch_gateway.messages import Message, PermitReply, PermitRequest, RateLimitUpdate
-from wigeonarch_gateway.metrics import Metrics
-from wigeonarch_gateway.ports import EndpointRecord, EndpointState
-
-WINDOW = 4.0  # Seconds over which arrivals are counted.
-MAX_EXCESS = 1.5  # A window may hold this many times the limit,
-MAX_EXTRA = 5.0  # and this many more requests.
-STEP = 0.01  # Seconds of virtual time.
-ENDPOINT = EndpointRecord("e1", "desk", "127.0.0.1:1", "a", 8, EndpointState.READY, ())
-
-
-@dataclass
-class Fleet:
-    """Instances in virtual time; a message takes one step, or is lost with probability `lost`."""
-
-    count: int
-    draw: random.Random
-    lost: float = 0.0
-    now: float = 1000.0
-    limiter: Callable[[str], str] = lambda asking: "i0"
-    cut: set[str] = field(default_factory=set)
-    limits: dict[str, EndpointLimits] = field(default_factory=dict)
-    mail: list[tuple[str, Message]] = field(default_factory=list)
-    arrivals: list[float] = field(default_factory=list)
-
-    def __post_init__(self) -> None:
-        for number in range(self.count):
-            self.start(f"i{number}")
-
-    def start(self, name: str) -> None:
-        """Starts or restarts an instance."""
-        self.limits[name] = EndpointLimits(
-            name,
-            lambda endpoint: self.limiter(name),
-            lambda to, message: self._send(name, to, message),
-            lambda message: self._send_all(name, message),
-            Metrics(),
-        )
-
-    def _send(self, sender: str, name: str, message: Message) -> bool:
-        if (
-            name in self.limits
-            and not {sender, name} & self.cut
-            and self.draw.random() >= self.lost
-        ):
-            self.mail.append((name, message))
-        return True
-
-    def _send_all(self, sender: str, message: Message) -> None:
-        for name in self.limits:
-            if name != sender:
-                self._send(sender, name, message)
-
-    def step(self, rate: float | None, request_probability: float) -> None:
-        """Delivers messages; then each instance has a request with a probability."""
-        self.now += STEP
-        mail, self.mail = self.mail, []
-        for name, message in mail:
-            _deliver(self.limits[name], message)
-        for limits in self.limits.values():
-            if (
-                self.draw.random() < request_probability
-                and limits.permit_wait("e1", self.now) == 0.0
-            ):
-                self._request(limits, rate)
-
-    def _request(self, limits: EndpointLimits, rate: float | None) -> None:
-        if limits.take_permit("e1", self.now):
-            self.arrivals.append(self.now)
-            limits.record_limit(ENDPOINT, rate, self.now)
-
-    def most(self, since: float) -> int:
-        """Returns the largest number of arrivals in any window from a time on."""
-        times = [at for at in self.arrivals if at >= since]
-        return max((sum(at <= t < at + WINDOW for t in times) for at in times), default=0)
-
-
-def _deliver(limits: EndpointLimits, message: Message) -> None:
-    match message:
-        case RateLimitUpdate():
-            limits.receive_limit(message)
-        case PermitRequest():
-            limits.receive_request(message)
-        case PermitReply():
-            limits.receive_reply(message)
+from wigeonarch_gateway.messages import RateLimitUpdate
 
 
 @pytest.fixture(autouse=True)
@@ -119,7 +33,7 @@
     for _ in range(3000):
         cluster.step(rate, 0.3)
     assert cluster.most(begun_at + 3.0) <= MAX_EXCESS * rate * WINDOW + MAX_EXTRA
-    used = len([at for at in cluster.arrivals if at >= begun_at + 3.0])
+    used = len([at for at, _ in cluster.arrivals if at >= begun_at + 3.0])
     assert used >= 0.5 * rate * 27.0
 
 
--- /dev/null
+++ b/tests/test_limits_unknown.py
@@ -0,0 +1,99 @@
+"""A limit is kept where the limiter, or anybody else, does not know of it, and where it may end."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from limit_fleet import ENDPOINT, NOTICE_TIME, Fleet, allowed
+from wigeonarch_gateway import limits as module
+
+RATE = 1.0
+ANSWER_TIMES = [0.0, 1.0, 2.0, 3.0]  # Seconds.
+
+
+@pytest.fixture
+def fleet(monkeypatch: pytest.MonkeyPatch) -> Fleet:
+    cluster = Fleet(7, random.Random(5))
+    monkeypatch.setattr(module, "monotonic", lambda: cluster.now)
+    return cluster
+
+
+def make_limit_known(cluster: Fleet) -> float:
+    """Lets the endpoint name its limit until it must be kept; returns the time from when on."""
+    named_at = cluster.now
+    cluster.run(NOTICE_TIME + 2 * cluster.answer_time + 5.0, RATE)
+    return named_at + NOTICE_TIME + 2 * cluster.answer_time
+
+
+@pytest.mark.parametrize("answer_time", ANSWER_TIMES)
+@pytest.mark.parametrize("with_callers", [True, False], ids=["callers", "no_callers"])
+@pytest.mark.parametrize("how", ["restarted", "next_by_hash", "missed_the_notice"])
+def test_limiter_that_does_not_know_the_limit_keeps_it(
+    how: str, with_callers: bool, answer_time: float, fleet: Fleet
+) -> None:
+    limiter = "i9" if how == "next_by_hash" else "i0"
+    fleet.answer_time = answer_time
+    fleet.callers = {f"i{n}" for n in range(1, 7)} | ({"i0", "i9"} if with_callers else set())
+    if how == "missed_the_notice":
+        fleet.deaf = {"i0"}
+    since = make_limit_known(fleet)
+    if how != "missed_the_notice":
+        fleet.start(limiter)
+        fleet.limiter = lambda asking: limiter
+    fleet.run(15.0, RATE)
+    assert fleet.most(since, excused=[limiter]) <= allowed(RATE)
+
+
+@pytest.mark.parametrize("rate", [0.5, 2.5, 8.0])
+@pytest.mark.parametrize("count", [2, 3])
+def test_limiters_side_by_side_that_hear_each_other_keep_the_limit(
+    count: int, rate: float, fleet: Fleet
+) -> None:
+    fleet.run(5.0, rate)
+    fleet.limiter = lambda asking: f"i{int(asking[1:]) % count}"
+    since = fleet.now
+    fleet.run(20.0, rate)
+    assert fleet.most(since) <= allowed(rate)
+    used = len([at for at, _ in fleet.arrivals if at >= since])
+    assert used >= 0.5 * rate * 20.0
+
+
+def test_answer_from_before_a_limit_was_named_again_does_not_end_it(fleet: Fleet) -> None:
+    late, prompt = fleet.limits["i1"], fleet.limits["i2"]
+    late.record_limit(ENDPOINT, RATE, fleet.now)
+    fleet.run(1.0, RATE, request_probability=0.0)
+    sent_at = fleet.now
+    fleet.run(1.0, RATE, request_probability=0.0)
+    prompt.record_limit(ENDPOINT, RATE, fleet.now)
+    fleet.run(1.0, RATE, request_probability=0.0)
+    late.record_limit(ENDPOINT, None, sent_at)
+    fleet.run(0.5, RATE, request_probability=0.0)
+    for limits in fleet.limits.values():
+        assert limits.permit_wait("e1", fleet.now) > 0.0 or limits is fleet.limits["i0"]
+        assert limits.any_limited
+
+
+def test_end_of_a_limit_that_one_instance_missed_reaches_it(fleet: Fleet) -> None:
+    fleet.run(5.0, RATE)
+    fleet.deaf = {"i3"}
+    fleet.run(2.0, None)
+    fleet.deaf = set()
+    fleet.callers = {f"i{n}" for n in range(7) if n != 3}
+    fleet.run(3.0, None)
+    assert not fleet.limits["i0"].any_limited
+    fleet.callers = {"i3"}
+    before = len(fleet.arrivals)
+    fleet.run(5.0, None)
+    assert len(fleet.arrivals) - before > 50
+
+
+def test_notice_that_one_instance_missed_reaches_it_without_a_request_of_its_own(
+    fleet: Fleet,
+) -> None:
+    fleet.callers = {f"i{n}" for n in range(7) if n != 3}
+    fleet.deaf = {"i3"}
+    fleet.run(2.0, RATE)
+    fleet.deaf = set()
+    fleet.run(NOTICE_TIME, RATE)
+    assert fleet.limits["i3"].any_limited
