A limit ends only by an answer to a request that was sent after it was last named

Callers saw: nothing by itself; an endpoint whose limit was forgotten by all got requests without bound until the next answer named it. Cause: the end was judged by when an instance first learned of the limit, and a notice of an end bore no time. So an answer that was given before the endpoint named its limit again (its caller's instance stood still, or the answer came late) ended the limit everywhere, whatever others had read since; notices that overtake one another did the same. Not shown to be the users' report, which has no logs. It needs an endpoint that stops naming its limit and names it again within an answer's time. Change: core.stated_limits keeps the latest evidence of each kind, by the time at which the answer with the limit arrived or the request without one was sent; instances tell each other the age. Who is told of an end and knows a later limit corrects the sender, and that one takes its end back with all. A notice of the build before has age 0 and counts as it did.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
@@ -8,19 +8,22 @@
 the reply, as most requests can go elsewhere. Without a permit the endpoint is skipped, so a limiter
 that crashed or is cut off may leave the endpoint idle, but never overloads it.
 
-A limit ends when a response to a request that was sent after the limit became known states none,
-or when the endpoint restarts. An endpoint whose entry is missing for a moment still has its limit,
-so the limit is kept for a while after the endpoint seems gone.
+A limit ends when a response to a request that was sent after the last response with the limit
+states none (see `core.stated_limits`), or when the endpoint restarts. An endpoint whose entry is
+missing for a moment still has its limit, so the limit is kept for a while after the endpoint seems
+gone.
 """
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
 from wigeonarch_core.permits import PERMIT_LIFETIME, PermitBucket
+from wigeonarch_core.stated_limits import LimitEvidence, StatedLimits
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.logs import log
 
@@ -43,12 +46,10 @@
 
 
 @dataclass(slots=True)
-class _EndpointLimit:
-    """The limit of an endpoint. All times are in seconds of the monotonic clock.
+class _OwnPermits:
+    """Permits for an endpoint that this instance has or asks for. All times are in seconds.
 
     Attributes:
-        rate: Requests a second.
-        known_since: Time at which this instance first learned of the limit.
         permits: Unused permits, each by the time at which it was requested.
         requested_at: Time of the pending permit request; None if there is none.
         request_number: Number of that request.
@@ -57,8 +58,6 @@
         asked: Limiter that was asked last; empty if none was.
     """
 
-    rate: float
-    known_since: float
     permits: list[float] = field(default_factory=list)
     requested_at: float | None = None
     request_number: int = 0
@@ -74,13 +73,16 @@
         "_buckets",
         "_gone_since",
         "_instance",
-        "_limited",
         "_limiter",
         "_metrics",
+        "_own",
         "_permit_log",
+        "_rates",
         "_request_number",
         "_send",
         "_send_all",
+        "_stated",
+        "_told_ended",
     )
 
     def __init__(
@@ -105,7 +107,10 @@
         self._send = send
         self._send_all = send_all
         self._metrics = metrics
-        self._limited: dict[str, _EndpointLimit] = {}
+        self._stated = StatedLimits()
+        self._rates: dict[str, float] = {}  # The limits in force, as last logged.
+        self._told_ended: set[str] = set()  # Endpoints whose end of a limit was sent to all.
+        self._own: dict[str, _OwnPermits] = {}
         self._buckets: dict[str, PermitBucket] = {}
         # Endpoints with a limit that seem gone, and since when.
         self._gone_since: dict[str, float] = {}
@@ -122,19 +127,33 @@
             rate: Requests a second; None if the response states no limit.
             sent_at: Time at which the request was sent, in seconds.
         """
-        limit = self._limited.get(record.endpoint)
-        if rate is None and (limit is None or sent_at <= limit.known_since):
-            return
-        if self._update(record.endpoint, rate, "response"):
-            self._send_all(RateLimitUpdate(self._instance, record.endpoint, rate))
+        if rate is None:
+            self._stated.record_none(record.endpoint, sent_at)
+        else:
+            self._stated.record_named(record.endpoint, rate, monotonic())
+        if self._note_change(record.endpoint, "response"):
+            self._send_all(self._update(record.endpoint))
+            self._told_ended.discard(record.endpoint)
+            if rate is None:
+                self._told_ended.add(record.endpoint)
 
     def receive_limit(self, message: RateLimitUpdate) -> None:
-        """Takes over a limit that another instance read."""
-        self._update(message.endpoint, message.rate, message.sender)
+        """Takes over what another instance knows; tells it if something later is known here.
+
+        An end that this instance has told to all, and that turns out to be none, is taken back.
+        """
+        evidence = LimitEvidence(message.rate, message.age_ms / 1000)
+        self._stated.adopt(message.endpoint, evidence, monotonic())
+        has_changed = self._note_change(message.endpoint, message.sender)
+        if has_changed and message.endpoint in self._told_ended:
+            self._told_ended.remove(message.endpoint)
+            self._send_all(self._update(message.endpoint))
+        if self._stated.supersedes(message.endpoint, evidence):
+            self._send(message.sender, self._update(message.endpoint))
 
     def endpoint_gone(self, endpoint: str) -> None:
         """Records that an endpoint seems gone."""
-        if endpoint in self._limited:
+        if self._stated.rate(endpoint) is not None:
             self._gone_since[endpoint] = monotonic()
 
     def expire(self, is_known: Callable[[str], bool]) -> None:
@@ -143,88 +162,104 @@
         Args:
             is_known: Tells whether an endpoint is known at present.
         """
-        self._permit_log.write(monotonic())
+        now = monotonic()
+        self._permit_log.write(now)
+        self._stated.expire(now)
         for endpoint, since in list(self._gone_since.items()):
             if is_known(endpoint):
                 del self._gone_since[endpoint]
-            elif monotonic() - since >= GONE_ENDPOINT_TTL:
+            elif now - since >= GONE_ENDPOINT_TTL:
                 self.forget(endpoint)
 
     def forget(self, endpoint: str) -> None:
         """Forgets the limit of an endpoint that restarted or is gone for good."""
-        self._gone_since.pop(endpoint, None)
-        self._limited.pop(endpoint, None)
-        self._buckets.pop(endpoint, None)
-
-    def _update(self, endpoint: str, rate: float | None, source: str) -> bool:
-        """Sets or removes a limit that a source stated; returns whether it changed."""
-        limit = self._limited.get(endpoint)
-        rate_before = None if limit is None else limit.rate
+        self._stated.forget(endpoint)
+        self._told_ended.discard(endpoint)
+        self._note_change(endpoint, "forgotten")
+
+    def _note_change(self, endpoint: str, source: str) -> bool:
+        """Follows a limit that a source began, changed or ended; returns whether it did."""
+        rate = self._stated.rate(endpoint)
+        rate_before = self._rates.get(endpoint)
         if rate == rate_before:
             return False
         log("limit_named", endpoint=endpoint, rate=rate, before=rate_before, by=source)
         if rate is None:
-            self.forget(endpoint)
+            del self._rates[endpoint]
+            self._gone_since.pop(endpoint, None)
+            self._own.pop(endpoint, None)
+            self._buckets.pop(endpoint, None)
             return True
-        if limit is None:
-            self._limited[endpoint] = _EndpointLimit(rate, monotonic())
-        else:
-            limit.rate = rate
+        self._rates[endpoint] = rate
         bucket = self._buckets.get(endpoint)
         if bucket is not None:
             bucket.set_rate(rate, monotonic())
         return True
 
+    def _update(self, endpoint: str) -> RateLimitUpdate:
+        """Returns what this instance knows of an endpoint's limit, for others."""
+        evidence = self._stated.evidence(endpoint, monotonic())
+        assert evidence is not None
+        return RateLimitUpdate(
+            self._instance, endpoint, evidence.rate, math.ceil(evidence.age * 1000)
+        )
+
     # Permits for requests of this instance.
 
     @property
     def any_limited(self) -> bool:
         """Tells whether any endpoint has a limit."""
-        return bool(self._limited)
+        return bool(self._rates)
+
+    def is_limited(self, endpoint: str) -> bool:
+        """Tells whether an endpoint has a limit."""
+        return endpoint in self._rates
 
     def permit_wait(self, endpoint: str, now: float) -> float:
         """Returns the expected seconds until a request may be sent to an endpoint; 0 for now.
 
         If a permit is needed and the limiter has not denied it for now, it is requested.
         """
-        limit = self._limited.get(endpoint)
-        if limit is None:
+        rate = self._rates.get(endpoint)
+        if rate is None:
             return 0.0
-        limiter = self._limiter_of(endpoint, limit, now)
+        own = self._own.setdefault(endpoint, _OwnPermits())
+        limiter = self._limiter_of(endpoint, own, now)
         if limiter == self._instance:
-            return self._bucket(endpoint, limit.rate, now).seconds_until_permit(now)
-        limit.permits = [at for at in limit.permits if now - at < PERMIT_LIFETIME]
-        if limit.permits:
+            return self._bucket(endpoint, rate, now).seconds_until_permit(now)
+        own.permits = [at for at in own.permits if now - at < PERMIT_LIFETIME]
+        if own.permits:
             return 0.0
-        if now < limit.denied_until:
-            return limit.denied_until - now
-        self._request_permit(endpoint, limiter, limit, now)
-        assert limit.requested_at is not None
-        waited = now - limit.requested_at
+        if now < own.denied_until:
+            return own.denied_until - now
+        self._request_permit(endpoint, limiter, own, now)
+        assert own.requested_at is not None
+        waited = now - own.requested_at
         return EXPECTED_REPLY_TIME if waited < EXPECTED_REPLY_TIME else REPLY_TIMEOUT - waited
 
     def take_permit(self, endpoint: str, now: float) -> bool:
         """Uses up a permit for a request that is about to be sent; False if there is none."""
-        limit = self._limited.get(endpoint)
-        if limit is None:
+        rate = self._rates.get(endpoint)
+        if rate is None:
             return True
-        spent = self._take_permit(endpoint, limit, now)
+        spent = self._take_permit(endpoint, rate, now)
         self._metrics.permits.labels("used" if spent else "lacked").inc()
         return spent
 
-    def _take_permit(self, endpoint: str, limit: _EndpointLimit, now: float) -> bool:
-        if self._limiter_of(endpoint, limit, now) == self._instance:
-            granted = self._bucket(endpoint, limit.rate, now).take(now)
+    def _take_permit(self, endpoint: str, rate: float, now: float) -> bool:
+        own = self._own.setdefault(endpoint, _OwnPermits())
+        if self._limiter_of(endpoint, own, now) == self._instance:
+            granted = self._bucket(endpoint, rate, now).take(now)
             if granted:
-                self._permit_log.record_own(endpoint, limit.rate)
+                self._permit_log.record_own(endpoint, rate)
             return granted
-        while limit.permits:
-            if now - limit.permits.pop(0) < PERMIT_LIFETIME:
+        while own.permits:
+            if now - own.permits.pop(0) < PERMIT_LIFETIME:
                 return True
         return False
 
-    def _limiter_of(self, endpoint: str, limit: _EndpointLimit, now: float) -> str:
-        name, until = limit.hint
+    def _limiter_of(self, endpoint: str, own: _OwnPermits, now: float) -> str:
+        name, until = own.hint
         return name if name and now < until else self._limiter(endpoint)
 
     def _bucket(self, endpoint: str, rate: float, now: float) -> PermitBucket:
@@ -232,16 +267,14 @@
             self._buckets[endpoint] = PermitBucket(rate, now)
         return self._buckets[endpoint]
 
-    def _request_permit(
-        self, endpoint: str, limiter: str, limit: _EndpointLimit, now: float
-    ) -> None:
-        if limit.requested_at is not None and now - limit.requested_at < REPLY_TIMEOUT:
+    def _request_permit(self, endpoint: str, limiter: str, own: _OwnPermits, now: float) -> None:
+        if own.requested_at is not None and now - own.requested_at < REPLY_TIMEOUT:
             return
-        if limiter != limit.asked:
-            log("limiter_asked", endpoint=endpoint, peer=limiter, before=limit.asked)
-            limit.asked = limiter
+        if limiter != own.asked:
+            log("limiter_asked", endpoint=endpoint, peer=limiter, before=own.asked)
+            own.asked = limiter
         self._request_number += 1
-        limit.requested_at, limit.request_number = now, self._request_number
+        own.requested_at, own.request_number = now, self._request_number
         self._send(limiter, PermitRequest(self._instance, endpoint, self._request_number))
 
     # The limiter's side, and its replies.
@@ -249,8 +282,8 @@
     def receive_request(self, request: PermitRequest) -> None:
         """Replies with a permit, or with when and from whom to request it again."""
         now = monotonic()
-        limit = self._limited.get(request.endpoint)
-        if limit is None:
+        rate = self._rates.get(request.endpoint)
+        if rate is None:
             # The limit has ended, or this instance does not know it yet; if it still applies, the
             # endpoint's response will state it.
             self._permit_log.record_reply(request.endpoint, None, True)
@@ -260,9 +293,9 @@
         if limiter != self._instance:
             self._reply(request, False, WRONG_LIMITER_RETRY_AFTER, limiter)
             return
-        bucket = self._bucket(request.endpoint, limit.rate, now)
+        bucket = self._bucket(request.endpoint, rate, now)
         granted = bucket.take(now)
-        self._permit_log.record_reply(request.endpoint, limit.rate, granted)
+        self._permit_log.record_reply(request.endpoint, rate, granted)
         self._reply(
             request, granted, 0.0 if granted else bucket.seconds_until_permit(now), self._instance
         )
@@ -275,14 +308,14 @@
 
     def receive_reply(self, reply: PermitReply) -> None:
         """Takes over the limiter's reply; a permit is valid from the time it was requested."""
-        limit = self._limited.get(reply.endpoint)
-        if limit is None or reply.number != limit.request_number or limit.requested_at is None:
+        own = self._own.get(reply.endpoint)
+        if own is None or reply.number != own.request_number or own.requested_at is None:
             return
         now = monotonic()
         if reply.granted:
-            limit.permits.append(limit.requested_at)
+            own.permits.append(own.requested_at)
         else:
-            limit.denied_until = now + reply.wait_ms / 1000
+            own.denied_until = now + reply.wait_ms / 1000
         if reply.limiter not in (reply.sender, self._instance):
-            limit.hint = reply.limiter, now + LIMITER_HINT_TTL
-        limit.requested_at = None
+            own.hint = reply.limiter, now + LIMITER_HINT_TTL
+        own.requested_at = None
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -344,17 +344,20 @@
 
 
 class RateLimitUpdate(msgspec.Struct, array_like=True, tag="limit"):
-    """The request rate that an endpoint stated it accepts from all instances together.
+    """What an instance knows of the request rate that an endpoint accepts from all together.
 
     Attributes:
-        sender: The instance that received the endpoint's response.
+        sender: The instance that knows it.
         endpoint: The endpoint.
         rate: Requests per second; None if the endpoint no longer states a limit.
+        age_ms: Milliseconds since the last response that stated the limit arrived, or since the
+            request was sent whose response stated none.
     """
 
     sender: str
     endpoint: str
     rate: float | None
+    age_ms: int = 0
 
 
 class LeavingEndpoints(msgspec.Struct, array_like=True, tag="leaving"):
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -139,7 +139,7 @@
 
     async def limit_known() -> bool:
         await deployment.send_request("/ask/x")
-        return limited.name in node._limits._limited and bool(other.executed)
+        return node._limits.is_limited(limited.name) and bool(other.executed)
 
     await until(limit_known)
     return other
@@ -166,7 +166,7 @@
 
         async def limited() -> bool:
             await deployment.send_request("/ask/x")
-            return all(desk.name in node._limits._limited for node in deployment.nodes)
+            return all(node._limits.is_limited(desk.name) for node in deployment.nodes)
 
         await until(limited)
         if entry == "missing":
@@ -200,7 +200,7 @@
                 deployment.send_request("/write/x", node=n, X_Model="m") for n in (0, 1, 0, 1)
             ]
             statuses.extend(answer.status for answer in await asyncio.gather(*requests))
-            return all(limited.name in node._limits._limited for node in deployment.nodes)
+            return all(node._limits.is_limited(limited.name) for node in deployment.nodes)
 
         await until(limit_known)
         before = len(limited.received)
@@ -222,7 +222,7 @@
 
         async def known() -> bool:
             await deployment.send_request("/quick/x", node=0)
-            return all("i-desk" in node._limits._limited for node in deployment.nodes)
+            return all(node._limits.is_limited("i-desk") for node in deployment.nodes)
 
         await until(known)
         statuses = []
@@ -276,7 +276,7 @@
 
         async def limit_known() -> bool:
             await both_used(deployment, limited, other)
-            return all(limited.name in node._limits._limited for node in deployment.nodes)
+            return all(node._limits.is_limited(limited.name) for node in deployment.nodes)
 
         await until(limit_known)
         known_at = time.monotonic()
