LIMIT: a limiter that does not know a limit no longer grants every permit

Callers saw: an endpoint that had named a limit got far more requests than it allows, from instances that all knew the limit and asked for permits. Cause: one instance, the limiter, grants the permits of all, and took 'no limit known' for 'no limit'. It does not know when it started a moment ago, missed the one notice (a datagram, in large zones one through a relay), or is the next by hash after another left; and it learned only from an answer to a request of its own, which may take seconds or, at one endpoint of 70, not come for long. Class: not known is read as none; a fact told once, with nothing that heals a lost notice. Change: a request for a permit states the limit that the requester knows, with its age, and the limiter grants by that; one that states none (the build before) gets permits at a rate that keeps to the rule whatever the limit is. An instance that starts is told of all limits; a limiter repeats to all, once a second, the limits for which it grants permits; ends that one instance missed reach it with the reply. The limiter's side is a module of its own.

--- /dev/null
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limiter.py
@@ -0,0 +1,94 @@
+"""Grants the permits of endpoints with a rate limit, while this instance is their limiter.
+
+An instance that begins to grant permits starts with none saved, as another one may have granted
+some a moment ago. It need not know the limit: each request for a permit states what the requester
+knows of it. While it grants permits, it repeats the limit to all regularly, so that an instance
+that missed a notice learns of it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from wigeonarch_core.permits import PermitBucket
+
+from wigeonarch_gateway.permit_log import PermitLog
+
+# Seconds between announcements of a limiter that grants permits.
+ANNOUNCEMENT_INTERVAL: Final = 1.0
+# Rate, in requests per second, at which permits are granted while nobody knows the limit. It keeps
+# to the sum in `core.permits` whatever the limit is.
+CAUTIOUS_RATE: Final = 0.5
+
+
+class Limiter:
+    """The permits that this instance grants."""
+
+    __slots__ = ("_announced_at", "_appointed", "_buckets", "_instance", "_permit_log")
+
+    def __init__(self, instance: str, appointed: Callable[[str], str]) -> None:
+        """Creates a limiter that has granted nothing.
+
+        Args:
+            instance: Name of this instance.
+            appointed: Returns the limiter of an endpoint, as this instance sees it.
+        """
+        self._instance = instance
+        self._appointed = appointed
+        self._buckets: dict[str, PermitBucket] = {}
+        # Time of the last announcement of each endpoint that this instance grants permits for.
+        self._announced_at: dict[str, float] = {}
+        self._permit_log = PermitLog()
+
+    def choose(self, endpoint: str) -> str:
+        """Returns the instance to ask for permits; this one if it grants them."""
+        return self._appointed(endpoint)
+
+    def wait(self, endpoint: str, rate: float | None, now: float) -> float:
+        """Returns the seconds until a permit is available; `rate` is None if nobody knows it."""
+        return self._bucket(endpoint, rate, now).seconds_until_permit(now)
+
+    def take(self, endpoint: str, rate: float, now: float) -> bool:
+        """Takes a permit for a request of this instance; False if none is available."""
+        taken = self._bucket(endpoint, rate, now).take(now)
+        if taken:
+            self._permit_log.record_own(endpoint, rate)
+        return taken
+
+    def grant(self, endpoint: str, rate: float | None, now: float) -> bool:
+        """Takes a permit for another instance; False if none is available."""
+        granted = self._bucket(endpoint, rate, now).take(now)
+        self._permit_log.record_reply(endpoint, rate, granted)
+        return granted
+
+    def _bucket(self, endpoint: str, rate: float | None, now: float) -> PermitBucket:
+        rate = CAUTIOUS_RATE if rate is None else rate
+        bucket = self._buckets.get(endpoint)
+        if bucket is None:
+            bucket = self._buckets[endpoint] = PermitBucket(rate, now)
+        bucket.set_rate(rate, now)
+        return bucket
+
+    def announcements_due(self, now: float) -> list[str]:
+        """Returns the endpoints whose limit is to be repeated to all now.
+
+        Forgets what it saved up for endpoints whose permits another instance grants now.
+        """
+        due = []
+        for endpoint in list(self._buckets):
+            if self.choose(endpoint) != self._instance:
+                self.forget(endpoint)
+            elif now - self._announced_at.get(endpoint, float("-inf")) >= ANNOUNCEMENT_INTERVAL:
+                self._announced_at[endpoint] = now
+                due.append(endpoint)
+        return due
+
+    def forget(self, endpoint: str) -> None:
+        """Forgets an endpoint that has no limit any more, or whose limiter is another instance."""
+        self._buckets.pop(endpoint, None)
+        self._announced_at.pop(endpoint, None)
+
+    def write_log(self, now: float) -> None:
+        """Logs what was granted."""
+        self._permit_log.write(now)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
@@ -3,10 +3,15 @@
 An overloaded endpoint states in its responses how many requests a second it takes from all
 instances together. The instance that reads this first notifies all others. From then on a request
 is sent there only with a permit. Permits are granted by one instance, the endpoint's limiter, which
-all instances determine by the same hash over the peers that they hear. The others request permits
-in advance, whenever a request that could go to the endpoint is looking for one. Nobody waits for
-the reply, as most requests can go elsewhere. Without a permit the endpoint is skipped, so a limiter
-that crashed or is cut off may leave the endpoint idle, but never overloads it.
+all instances determine by the same hash over the peers that they hear (see `limiter`). The others
+request permits in advance, whenever a request that could go to the endpoint is looking for one.
+Nobody waits for the reply, as most requests can go elsewhere. Without a permit the endpoint is
+skipped, so a limiter that crashed or is cut off may leave the endpoint idle, but never overloads
+it.
+
+A limiter that does not know the limit must not take that for none: it may just have started, or
+have missed the notice. So whoever asks for a permit states what it knows, an instance that starts
+is told of all limits, and limiters repeat theirs.
 
 A limit ends when a response to a request that was sent after the last response with the limit
 states none (see `core.stated_limits`), or when the endpoint restarts. An endpoint whose entry is
@@ -22,14 +27,14 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from wigeonarch_core.permits import PERMIT_LIFETIME, PermitBucket
+from wigeonarch_core.permits import PERMIT_LIFETIME
 from wigeonarch_core.stated_limits import LimitEvidence, StatedLimits
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.logs import log
 
+from wigeonarch_gateway.limiter import Limiter
 from wigeonarch_gateway.messages import Message, PermitReply, PermitRequest, RateLimitUpdate
 from wigeonarch_gateway.metrics import Metrics
-from wigeonarch_gateway.permit_log import PermitLog
 from wigeonarch_gateway.ports import EndpointRecord
 
 # Seconds without a reply after which a permit is requested again, from the same or another limiter.
@@ -70,13 +75,11 @@
     """The rate limits of endpoints that this instance knows, and permits to send there."""
 
     __slots__ = (
-        "_buckets",
         "_gone_since",
         "_instance",
         "_limiter",
         "_metrics",
         "_own",
-        "_permit_log",
         "_rates",
         "_request_number",
         "_send",
@@ -103,7 +106,7 @@
             metrics: Counters.
         """
         self._instance = instance
-        self._limiter = limiter
+        self._limiter = Limiter(instance, limiter)
         self._send = send
         self._send_all = send_all
         self._metrics = metrics
@@ -111,11 +114,9 @@
         self._rates: dict[str, float] = {}  # The limits in force, as last logged.
         self._told_ended: set[str] = set()  # Endpoints whose end of a limit was sent to all.
         self._own: dict[str, _OwnPermits] = {}
-        self._buckets: dict[str, PermitBucket] = {}
         # Endpoints with a limit that seem gone, and since when.
         self._gone_since: dict[str, float] = {}
         self._request_number = random.randrange(FIRST_NUMBER_BOUND)
-        self._permit_log = PermitLog()
 
     # Limits that responses state and other instances report.
 
@@ -143,13 +144,19 @@
         An end that this instance has told to all, and that turns out to be none, is taken back.
         """
         evidence = LimitEvidence(message.rate, message.age_ms / 1000)
-        self._stated.adopt(message.endpoint, evidence, monotonic())
-        has_changed = self._note_change(message.endpoint, message.sender)
-        if has_changed and message.endpoint in self._told_ended:
-            self._told_ended.remove(message.endpoint)
-            self._send_all(self._update(message.endpoint))
-        if self._stated.supersedes(message.endpoint, evidence):
-            self._send(message.sender, self._update(message.endpoint))
+        self._adopt(message.endpoint, evidence, message.sender)
+
+    def _adopt(self, endpoint: str, evidence: LimitEvidence, sender: str) -> None:
+        self._stated.adopt(endpoint, evidence, monotonic())
+        if self._note_change(endpoint, sender) and endpoint in self._told_ended:
+            self._told_ended.remove(endpoint)
+            self._send_all(self._update(endpoint))
+        if self._stated.supersedes(endpoint, evidence):
+            self._send(sender, self._update(endpoint))
+
+    def known_limits(self) -> list[RateLimitUpdate]:
+        """Returns the limits in force, for an instance that just started."""
+        return [self._update(endpoint) for endpoint in self._rates]
 
     def endpoint_gone(self, endpoint: str) -> None:
         """Records that an endpoint seems gone."""
@@ -157,14 +164,17 @@
             self._gone_since[endpoint] = monotonic()
 
     def expire(self, is_known: Callable[[str], bool]) -> None:
-        """Forgets the limits of endpoints that did not come back, and logs what was granted.
+        """Forgets the limits of endpoints that did not come back, and repeats others to all.
 
         Args:
             is_known: Tells whether an endpoint is known at present.
         """
         now = monotonic()
-        self._permit_log.write(now)
+        self._limiter.write_log(now)
         self._stated.expire(now)
+        for endpoint in self._limiter.announcements_due(now):
+            if endpoint in self._rates:
+                self._send_all(self._update(endpoint))
         for endpoint, since in list(self._gone_since.items()):
             if is_known(endpoint):
                 del self._gone_since[endpoint]
@@ -175,6 +185,7 @@
         """Forgets the limit of an endpoint that restarted or is gone for good."""
         self._stated.forget(endpoint)
         self._told_ended.discard(endpoint)
+        self._limiter.forget(endpoint)
         self._note_change(endpoint, "forgotten")
 
     def _note_change(self, endpoint: str, source: str) -> bool:
@@ -188,12 +199,9 @@
             del self._rates[endpoint]
             self._gone_since.pop(endpoint, None)
             self._own.pop(endpoint, None)
-            self._buckets.pop(endpoint, None)
+            self._limiter.forget(endpoint)
             return True
         self._rates[endpoint] = rate
-        bucket = self._buckets.get(endpoint)
-        if bucket is not None:
-            bucket.set_rate(rate, monotonic())
         return True
 
     def _update(self, endpoint: str) -> RateLimitUpdate:
@@ -226,7 +234,7 @@
         own = self._own.setdefault(endpoint, _OwnPermits())
         limiter = self._limiter_of(endpoint, own, now)
         if limiter == self._instance:
-            return self._bucket(endpoint, rate, now).seconds_until_permit(now)
+            return self._limiter.wait(endpoint, rate, now)
         own.permits = [at for at in own.permits if now - at < PERMIT_LIFETIME]
         if own.permits:
             return 0.0
@@ -249,10 +257,7 @@
     def _take_permit(self, endpoint: str, rate: float, now: float) -> bool:
         own = self._own.setdefault(endpoint, _OwnPermits())
         if self._limiter_of(endpoint, own, now) == self._instance:
-            granted = self._bucket(endpoint, rate, now).take(now)
-            if granted:
-                self._permit_log.record_own(endpoint, rate)
-            return granted
+            return self._limiter.take(endpoint, rate, now)
         while own.permits:
             if now - own.permits.pop(0) < PERMIT_LIFETIME:
                 return True
@@ -260,12 +265,7 @@
 
     def _limiter_of(self, endpoint: str, own: _OwnPermits, now: float) -> str:
         name, until = own.hint
-        return name if name and now < until else self._limiter(endpoint)
-
-    def _bucket(self, endpoint: str, rate: float, now: float) -> PermitBucket:
-        if endpoint not in self._buckets:
-            self._buckets[endpoint] = PermitBucket(rate, now)
-        return self._buckets[endpoint]
+        return name if name and now < until else self._limiter.choose(endpoint)
 
     def _request_permit(self, endpoint: str, limiter: str, own: _OwnPermits, now: float) -> None:
         if own.requested_at is not None and now - own.requested_at < REPLY_TIMEOUT:
@@ -275,30 +275,38 @@
             own.asked = limiter
         self._request_number += 1
         own.requested_at, own.request_number = now, self._request_number
-        self._send(limiter, PermitRequest(self._instance, endpoint, self._request_number))
+        known = self._stated.evidence(endpoint, now)
+        assert known is not None
+        self._send(
+            limiter,
+            PermitRequest(
+                self._instance,
+                endpoint,
+                self._request_number,
+                known.rate,
+                math.ceil(known.age * 1000),
+            ),
+        )
 
     # The limiter's side, and its replies.
 
     def receive_request(self, request: PermitRequest) -> None:
         """Replies with a permit, or with when and from whom to request it again."""
-        now = monotonic()
-        rate = self._rates.get(request.endpoint)
-        if rate is None:
-            # The limit has ended, or this instance does not know it yet; if it still applies, the
-            # endpoint's response will state it.
-            self._permit_log.record_reply(request.endpoint, None, True)
-            self._reply(request, True, 0.0, self._instance)
+        endpoint, now = request.endpoint, monotonic()
+        if request.rate is not None:
+            evidence = LimitEvidence(request.rate, request.age_ms / 1000)
+            self._adopt(endpoint, evidence, request.sender)
+        limiter = self._limiter.choose(endpoint)
+        if self._stated.has_ended(endpoint):
+            self._reply(request, True, 0.0, limiter)
             return
-        limiter = self._limiter(request.endpoint)
         if limiter != self._instance:
             self._reply(request, False, WRONG_LIMITER_RETRY_AFTER, limiter)
             return
-        bucket = self._bucket(request.endpoint, rate, now)
-        granted = bucket.take(now)
-        self._permit_log.record_reply(request.endpoint, rate, granted)
-        self._reply(
-            request, granted, 0.0 if granted else bucket.seconds_until_permit(now), self._instance
-        )
+        rate = self._rates.get(endpoint)
+        granted = self._limiter.grant(endpoint, rate, now)
+        wait = 0.0 if granted else self._limiter.wait(endpoint, rate, now)
+        self._reply(request, granted, wait, self._instance)
 
     def _reply(self, request: PermitRequest, granted: bool, wait: float, limiter: str) -> None:
         reply = PermitReply(
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -378,11 +378,15 @@
         sender: The instance that has the request.
         endpoint: The endpoint.
         number: Number of the permit request.
+        rate: Limit that the sender knows of, in requests per second; None if it does not state it.
+        age_ms: Milliseconds since the last response that stated this limit arrived.
     """
 
     sender: str
     endpoint: str
     number: int
+    rate: float | None = None
+    age_ms: int = 0
 
 
 class PermitReply(msgspec.Struct, array_like=True, tag="permitted"):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -644,6 +644,8 @@
         leaving = self._notices.known_leaving()
         if leaving is not None:
             self._members.send(newcomer, leaving)
+        for limit in self._limits.known_limits():
+            self._members.send(newcomer, limit)
 
     def _own_lease_left(self) -> tuple[int, int]:
         """Returns the revision of this instance's lease and for how many milliseconds it holds."""
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -40,6 +40,7 @@
         answer_time: Seconds until an answer's head arrives; it is written just before.
         callers: Instances to which callers come; None for all.
         limiter: Returns the limiter of the endpoint, as the named instance sees it.
+        states_limits: Whether requests for permits state the limit; older builds don't.
         cut: Instances that no message reaches or leaves.
         deaf: Instances that miss notices of limits.
         arrivals: Time and sender of each request that reached the endpoint.
@@ -53,6 +54,7 @@
     callers: Collection[str] | None = None
     now: float = 1000.0
     limiter: Callable[[str], str] = lambda asking: "i0"
+    states_limits: bool = True
     cut: set[str] = field(default_factory=set)
     deaf: set[str] = field(default_factory=set)
     limits: dict[str, EndpointLimits] = field(default_factory=dict)
@@ -78,6 +80,8 @@
         )
 
     def _send(self, sender: str, name: str, message: Message) -> bool:
+        if isinstance(message, PermitRequest) and not self.states_limits:
+            message = PermitRequest(message.sender, message.endpoint, message.number)
         if (
             name in self.limits
             and not {sender, name} & self.cut
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -9,7 +9,15 @@
 from functools import partial
 
 import pytest
-from gateway_world import CallerResponse, World, configuration, route, until, world
+from gateway_world import (
+    CallerResponse,
+    World,
+    configuration,
+    route,
+    until,
+    until_true,
+    world,
+)
 from standins.replica import Replica, ReplicaFault
 from wigeonarch_core.endpoint_health import MIN_PAUSE
 from wigeonarch_core.permits import PERMIT_LIFETIME
@@ -301,3 +309,14 @@
     deployment.nodes[number].stop()
     await deployment.tasks[number]
     await deployment.add_node(number)
+
+
+async def test_instance_that_starts_is_told_of_the_limits() -> None:
+    async with world(nodes=2) as deployment:
+        desk = deployment.replicas[1]
+        desk.rate_limit = "1"
+        for node in range(2):
+            await deployment.wait_until_served("/ask/x", node=node)
+        await until_true(lambda: all(n._limits.is_limited(desk.name) for n in deployment.nodes))
+        newcomer = await deployment.add_node(2)
+        await until_true(lambda: newcomer._limits.is_limited(desk.name))
--- a/tests/test_limits_unknown.py
+++ b/tests/test_limits_unknown.py
@@ -97,3 +97,15 @@
     fleet.deaf = set()
     fleet.run(NOTICE_TIME, RATE)
     assert fleet.limits["i3"].any_limited
+
+
+@pytest.mark.parametrize("with_callers", [True, False], ids=["callers", "no_callers"])
+def test_limiter_that_nobody_tells_the_limit_keeps_it_nevertheless(
+    with_callers: bool, fleet: Fleet
+) -> None:
+    fleet.callers = {f"i{n}" for n in range(1, 7)} | ({"i0"} if with_callers else set())
+    fleet.states_limits = False
+    fleet.deaf = {"i0"}
+    since = make_limit_known(fleet)
+    fleet.run(15.0, 0.0)
+    assert fleet.most(since + 4.0) <= allowed(0.0)
