LIMIT: of limiters that hear each other only one grants permits

Callers saw: with two or three instances that take themselves for the limiter of an endpoint, up to 1.6 or 2.4 times the rate is granted together; 79 requests in 4 s where 53 are allowed. Cause: each instance determines the limiter by the heartbeats that it hears. Those differ while instances start (a newcomer hears few and is heard everywhere), stand still or change as delegates, and nothing told a limiter that another one grants, too. One that became limiter again began with the permits that its bucket had saved since. Ruled out: a lease for the role in the store. It costs calls for each limit, and in an outage nobody could take it over. Change: a limiter announces that it grants, with its first permit and once a second; who hears one that ranks before it stops, names it to those who ask, and forgets what it saved. Instances that just started are no limiters where there are others, as for quotas. The end of a role is announced, so the next one need not wait for 2.5 s. Limiters that don't hear each other still grant side by side; instances cut off are excused by the rule.

--- a/packages/wigeonarch-core/src/wigeonarch_core/stated_limits.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/stated_limits.py
@@ -72,15 +72,6 @@
         known = self._known.get(endpoint)
         return known.rate if known is not None and known.in_force else None
 
-    def has_ended(self, endpoint: str) -> bool:
-        """Tells whether an endpoint is known to have no limit any more."""
-        known = self._known.get(endpoint)
-        return known is not None and not known.in_force
-
-    def limited(self) -> list[str]:
-        """Returns the endpoints with a limit."""
-        return [endpoint for endpoint, known in self._known.items() if known.in_force]
-
     def record_named(self, endpoint: str, rate: float, at: float) -> None:
         """Records that an answer that arrived at a time stated a limit."""
         known = self._known.setdefault(endpoint, _Known())
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
@@ -23,7 +23,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -92,6 +92,7 @@
         self,
         instance: str,
         limiter: Callable[[str], str],
+        rank: Callable[[str, Sequence[str]], list[str]],
         send: Callable[[str, Message], bool],
         send_all: Callable[[Message], None],
         metrics: Metrics,
@@ -100,13 +101,14 @@
 
         Args:
             instance: Name of this instance.
-            limiter: Returns the instance that grants permits for an endpoint.
+            limiter: Returns the instance that grants permits for an endpoint, as this one sees it.
+            rank: Orders instances by their preference as an endpoint's limiter, alike everywhere.
             send: Sends a message to an instance.
             send_all: Sends a message to all instances.
             metrics: Counters.
         """
         self._instance = instance
-        self._limiter = Limiter(instance, limiter)
+        self._limiter = Limiter(instance, limiter, rank)
         self._send = send
         self._send_all = send_all
         self._metrics = metrics
@@ -143,6 +145,9 @@
 
         An end that this instance has told to all, and that turns out to be none, is taken back.
         """
+        self._limiter.note_announcement(
+            message.endpoint, message.sender, message.grants, monotonic()
+        )
         evidence = LimitEvidence(message.rate, message.age_ms / 1000)
         self._adopt(message.endpoint, evidence, message.sender)
 
@@ -172,15 +177,19 @@
         now = monotonic()
         self._limiter.write_log(now)
         self._stated.expire(now)
-        for endpoint in self._limiter.announcements_due(now):
-            if endpoint in self._rates:
-                self._send_all(self._update(endpoint))
+        self._announce(now)
         for endpoint, since in list(self._gone_since.items()):
             if is_known(endpoint):
                 del self._gone_since[endpoint]
             elif now - since >= GONE_ENDPOINT_TTL:
                 self.forget(endpoint)
 
+    def _announce(self, now: float) -> None:
+        """Tells all for which endpoints this instance grants permits, if that is due."""
+        for endpoint in self._limiter.announcements_due(now):
+            if endpoint in self._rates:
+                self._send_all(self._update(endpoint))
+
     def forget(self, endpoint: str) -> None:
         """Forgets the limit of an endpoint that restarted or is gone for good."""
         self._stated.forget(endpoint)
@@ -209,7 +218,11 @@
         evidence = self._stated.evidence(endpoint, monotonic())
         assert evidence is not None
         return RateLimitUpdate(
-            self._instance, endpoint, evidence.rate, math.ceil(evidence.age * 1000)
+            self._instance,
+            endpoint,
+            evidence.rate,
+            math.ceil(evidence.age * 1000),
+            self._limiter.is_announced(endpoint),
         )
 
     # Permits for requests of this instance.
@@ -257,7 +270,9 @@
     def _take_permit(self, endpoint: str, rate: float, now: float) -> bool:
         own = self._own.setdefault(endpoint, _OwnPermits())
         if self._limiter_of(endpoint, own, now) == self._instance:
-            return self._limiter.take(endpoint, rate, now)
+            taken = self._limiter.take(endpoint, rate, now)
+            self._announce(now)
+            return taken
         while own.permits:
             if now - own.permits.pop(0) < PERMIT_LIFETIME:
                 return True
@@ -265,7 +280,7 @@
 
     def _limiter_of(self, endpoint: str, own: _OwnPermits, now: float) -> str:
         name, until = own.hint
-        return name if name and now < until else self._limiter.choose(endpoint)
+        return name if name and now < until else self._limiter.choose(endpoint, now)
 
     def _request_permit(self, endpoint: str, limiter: str, own: _OwnPermits, now: float) -> None:
         if own.requested_at is not None and now - own.requested_at < REPLY_TIMEOUT:
@@ -296,15 +311,13 @@
         if request.rate is not None:
             evidence = LimitEvidence(request.rate, request.age_ms / 1000)
             self._adopt(endpoint, evidence, request.sender)
-        limiter = self._limiter.choose(endpoint)
-        if self._stated.has_ended(endpoint):
-            self._reply(request, True, 0.0, limiter)
-            return
+        limiter = self._limiter.choose(endpoint, now)
         if limiter != self._instance:
             self._reply(request, False, WRONG_LIMITER_RETRY_AFTER, limiter)
             return
         rate = self._rates.get(endpoint)
         granted = self._limiter.grant(endpoint, rate, now)
+        self._announce(now)
         wait = 0.0 if granted else self._limiter.wait(endpoint, rate, now)
         self._reply(request, granted, wait, self._instance)
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -352,12 +352,14 @@
         rate: Requests per second; None if the endpoint no longer states a limit.
         age_ms: Milliseconds since the last response that stated the limit arrived, or since the
             request was sent whose response stated none.
+        grants: Whether the sender grants permits for the endpoint.
     """
 
     sender: str
     endpoint: str
     rate: float | None
     age_ms: int = 0
+    grants: bool = False
 
 
 class LeavingEndpoints(msgspec.Struct, array_like=True, tag="leaving"):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -202,6 +202,7 @@
         self._limits = EndpointLimits(
             opts.instance,
             self._limiter,
+            self._members.roles.ranked_limiters,
             self._members.send,
             self._members.send_all,
             self._metrics,
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/roles.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/roles.py
@@ -201,9 +201,7 @@
         out where there are others, also by themselves, because they don't know which units others
         have granted.
         """
-        present = sorted(self._staying())
-        latest = monotonic() - PREFERRED_AFTER
-        settled = tuple(n for n in present if self._start_of(n) <= latest) or tuple(present)
+        settled = tuple(self._settled(sorted(self._staying())))
         if settled != self._ranked_instances:
             self._ranked_instances, self._coordinators = settled, {}
         if team not in self._coordinators:
@@ -214,14 +212,25 @@
         """Returns the instance that issues permits for an endpoint in an availability zone.
 
         It is an instance of that zone, if there is one, and one whose heartbeats reach the other
-        zones.
+        zones. Instances that just started are left out where there are others, also by themselves,
+        because they hear few peers yet and don't know which permits others have granted.
         """
         stay = {name for name in self._reachable() if not self._members[name].leaving}
         found = {name for name in stay if self._members[name].zone == zone}
         if zone == self._zone:
             found = set(self.delegates())
         names = found or stay | {self._me}
-        return ranked(LIMITER_HASH_KEY + endpoint, sorted(names))[0]
+        return self.ranked_limiters(endpoint, self._settled(names))[0]
+
+    @staticmethod
+    def ranked_limiters(endpoint: str, names: Collection[str]) -> list[str]:
+        """Returns instances by their preference as an endpoint's limiter."""
+        return ranked(LIMITER_HASH_KEY + endpoint, sorted(names))
+
+    def _settled(self, names: Collection[str]) -> list[str]:
+        """Returns the instances that did not just start; all of them if they all did."""
+        latest = monotonic() - PREFERRED_AFTER
+        return [name for name in names if self._start_of(name) <= latest] or list(names)
 
     def origin_holders(self, key: str) -> list[str]:
         """Returns the other instances that keep the origin of a stream, for its key."""
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -10,6 +10,7 @@
 from wigeonarch_gateway.messages import Message, PermitReply, PermitRequest, RateLimitUpdate
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.ports import EndpointRecord, EndpointState
+from wigeonarch_gateway.roles import Roles
 
 WINDOW = 4.0  # Seconds over which arrivals are counted.
 MAX_EXCESS = 1.5  # A window may hold this many times the limit,
@@ -74,6 +75,7 @@
         self.limits[name] = EndpointLimits(
             name,
             lambda endpoint: self.limiter(name),
+            Roles.ranked_limiters,
             lambda to, message: self._send(name, to, message),
             lambda message: self._send_all(name, message),
             Metrics(),
--- a/tests/test_gateway_members.py
+++ b/tests/test_gateway_members.py
@@ -160,3 +160,27 @@
         clock.now += 1.0
         members.receive_heartbeat(heartbeat("young"))
     assert members.roles.owner_candidates("a", include_self=True) == ["me", "young"]
+
+
+def test_instance_that_just_started_is_no_limiter_where_there_are_others(
+    members: Members, clock: Clock
+) -> None:
+    clock.now += PREFERRED_AFTER
+    for name in ("b", "c", "d"):
+        settled = heartbeat(name)
+        settled.uptime_ms = 60_000
+        members.receive_heartbeat(settled)
+    endpoints = [f"e{n}" for n in range(40)]
+    before = [members.roles.limiter(endpoint, "a") for endpoint in endpoints]
+    newcomer = heartbeat("n")
+    newcomer.uptime_ms = 500
+    members.receive_heartbeat(newcomer)
+    assert [members.roles.limiter(endpoint, "a") for endpoint in endpoints] == before
+    newcomer.uptime_ms = int(PREFERRED_AFTER * 1000)
+    members.receive_heartbeat(newcomer)
+    assert "n" in {members.roles.limiter(endpoint, "a") for endpoint in endpoints}
+
+
+def test_instances_that_all_just_started_have_a_limiter(members: Members) -> None:
+    members.receive_heartbeat(heartbeat("b"))
+    assert {members.roles.limiter(f"e{n}", "a") for n in range(40)} == {"me", "b"}
--- a/tests/test_limits_unknown.py
+++ b/tests/test_limits_unknown.py
@@ -41,8 +41,10 @@
     if how != "missed_the_notice":
         fleet.start(limiter)
         fleet.limiter = lambda asking: limiter
+    changed_at = fleet.now
     fleet.run(15.0, RATE)
     assert fleet.most(since, excused=[limiter]) <= allowed(RATE)
+    assert len([at for at, _ in fleet.arrivals if at >= changed_at]) >= 0.5 * RATE * 15.0
 
 
 @pytest.mark.parametrize("rate", [0.5, 2.5, 8.0])
@@ -109,3 +111,40 @@
     since = make_limit_known(fleet)
     fleet.run(15.0, 0.0)
     assert fleet.most(since + 4.0) <= allowed(0.0)
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_limit_is_kept_while_limiters_change_restart_and_miss_messages(
+    seed: int, fleet: Fleet
+) -> None:
+    draw = random.Random(seed)
+    rate = draw.choice([0.5, 1.2, 2.5, 8.0])
+    fleet.answer_time = draw.choice([0.0, 0.5, 3.0])
+    fleet.callers = {f"i{n}" for n in range(7) if draw.random() < 0.7} | {"i6"}
+    views = dict.fromkeys(fleet.limits, "i0")
+    fleet.limiter = lambda asking: views[asking]
+    fleet.run(NOTICE_TIME + 2 * fleet.answer_time + 2.0, rate)
+    since = fleet.now
+    fleet.lost = draw.choice([0.0, 0.05, 0.2])
+    restarted: set[str] = set()
+    for _ in range(8):
+        following = f"i{draw.randrange(7)}"
+        if draw.random() < 0.5:
+            restarted.add(following)
+            fleet.start(following)
+        # Each instance hears of the change at another moment.
+        for name in draw.sample(sorted(views), 7):
+            views[name] = following
+            fleet.run(draw.uniform(0.0, 0.3), rate)
+        fleet.run(draw.uniform(0.5, 4.0), rate)
+    assert fleet.most(since, excused=restarted) <= allowed(rate)
+    used = len([at for at, _ in fleet.arrivals if at >= since])
+    assert used >= 0.4 * rate * (fleet.now - since)
+
+
+def test_limiter_that_takes_over_again_has_no_permits_saved(fleet: Fleet) -> None:
+    fleet.run(5.0, RATE)
+    fleet.limiter = lambda asking: "i1"
+    fleet.run(5.0, RATE)
+    fleet.limiter = lambda asking: "i0"
+    assert fleet.limits["i0"].permit_wait("e1", fleet.now) > 1.0 / RATE
