--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/limiter.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limiter.py
@@ -1,9 +1,9 @@
 """Grants the permits of endpoints with a rate limit, while this instance is their limiter.
 
 All instances determine an endpoint's limiter by themselves, so several may take themselves for it
-while they hear different peers. A limiter therefore announces that it grants permits, at once when
-it begins and regularly while it does. Of limiters that hear each other only the one that ranks
-first goes on. That needs no agreement, since all rank alike.
+while they hear different peers. A limiter therefore announces that it grants permits, as soon as it
+does and regularly. Of limiters that hear each other only the one that ranks first goes on. That
+needs no agreement, since all rank alike.
 
 An instance that begins to grant permits starts with none saved, as another one may have granted
 some a moment ago. It need not know the limit: each request for a permit states what the requester
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
@@ -177,19 +177,15 @@
         now = monotonic()
         self._limiter.write_log(now)
         self._stated.expire(now)
-        self._announce(now)
+        for endpoint in self._limiter.announcements_due(now):
+            if endpoint in self._rates:
+                self._send_all(self._update(endpoint))
         for endpoint, since in list(self._gone_since.items()):
             if is_known(endpoint):
                 del self._gone_since[endpoint]
             elif now - since >= GONE_ENDPOINT_TTL:
                 self.forget(endpoint)
 
-    def _announce(self, now: float) -> None:
-        """Tells all for which endpoints this instance grants permits, if that is due."""
-        for endpoint in self._limiter.announcements_due(now):
-            if endpoint in self._rates:
-                self._send_all(self._update(endpoint))
-
     def forget(self, endpoint: str) -> None:
         """Forgets the limit of an endpoint that restarted or is gone for good."""
         self._stated.forget(endpoint)
@@ -270,9 +266,7 @@
     def _take_permit(self, endpoint: str, rate: float, now: float) -> bool:
         own = self._own.setdefault(endpoint, _OwnPermits())
         if self._limiter_of(endpoint, own, now) == self._instance:
-            taken = self._limiter.take(endpoint, rate, now)
-            self._announce(now)
-            return taken
+            return self._limiter.take(endpoint, rate, now)
         while own.permits:
             if now - own.permits.pop(0) < PERMIT_LIFETIME:
                 return True
@@ -317,7 +311,6 @@
             return
         rate = self._rates.get(endpoint)
         granted = self._limiter.grant(endpoint, rate, now)
-        self._announce(now)
         wait = 0.0 if granted else self._limiter.wait(endpoint, rate, now)
         self._reply(request, granted, wait, self._instance)
 
--- a/tests/test_limits_unknown.py
+++ b/tests/test_limits_unknown.py
@@ -7,6 +7,8 @@
 import pytest
 from limit_fleet import ENDPOINT, NOTICE_TIME, Fleet, allowed
 from wigeonarch_gateway import limits as module
+from wigeonarch_gateway.limiter import RIVAL_TTL
+from wigeonarch_gateway.roles import Roles
 
 RATE = 1.0
 ANSWER_TIMES = [0.0, 1.0, 2.0, 3.0]  # Seconds.
@@ -148,3 +150,13 @@
     fleet.run(5.0, RATE)
     fleet.limiter = lambda asking: "i0"
     assert fleet.limits["i0"].permit_wait("e1", fleet.now) > 1.0 / RATE
+
+
+def test_limiter_that_hands_over_is_not_waited_for(fleet: Fleet) -> None:
+    first, second = Roles.ranked_limiters("e1", ["i0", "i1"])
+    fleet.limiter = lambda asking: first
+    fleet.run(5.0, 8.0)
+    fleet.limiter = lambda asking: second
+    changed_at = fleet.now
+    fleet.run(0.7 * RIVAL_TTL, 8.0)
+    assert len([at for at, _ in fleet.arrivals if at >= changed_at]) >= 0.5 * 8.0 * 0.7 * RIVAL_TTL
