LIMIT: an endpoint that named a limit of 0 is asked now and then whether it has ended

Callers saw: an endpoint that named 0 requests a second got none ever again, though it had recovered. Cause: that a limit has ended shows only in answers, and no permit was granted at a rate of 0. Evidence: test_limit_of_zero_ends_once_the_endpoint_names_none failed on the commit before (the limit holds on after 11 s of answers without one).

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/limiter.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limiter.py
@@ -27,6 +27,9 @@
 # Rate, in requests per second, at which permits are granted while nobody knows the limit. It keeps
 # to the sum in `core.permits` whatever the limit is.
 CAUTIOUS_RATE: Final = 0.5
+# Rate, in requests per second, at which permits are granted at least, however low the limit is: that
+# it has ended shows only in answers.
+PROBE_RATE: Final = 0.125
 
 
 class Limiter:
@@ -98,7 +101,7 @@
         return granted
 
     def _bucket(self, endpoint: str, rate: float | None, now: float) -> PermitBucket:
-        rate = CAUTIOUS_RATE if rate is None else rate
+        rate = CAUTIOUS_RATE if rate is None else max(rate, PROBE_RATE)
         bucket = self._buckets.get(endpoint)
         if bucket is None:
             bucket = self._buckets[endpoint] = PermitBucket(rate, now)
--- a/tests/test_limits_unknown.py
+++ b/tests/test_limits_unknown.py
@@ -6,6 +6,7 @@
 
 import pytest
 from limit_fleet import ENDPOINT, NOTICE_TIME, Fleet, allowed
+from wigeonarch_core.permits import MAX_WAIT
 from wigeonarch_gateway import limits as module
 from wigeonarch_gateway.limiter import RIVAL_TTL
 from wigeonarch_gateway.roles import Roles
@@ -160,3 +161,12 @@
     changed_at = fleet.now
     fleet.run(0.7 * RIVAL_TTL, 8.0)
     assert len([at for at, _ in fleet.arrivals if at >= changed_at]) >= 0.5 * 8.0 * 0.7 * RIVAL_TTL
+
+
+def test_limit_of_zero_ends_once_the_endpoint_names_none(fleet: Fleet) -> None:
+    fleet.run(5.0, 0.0)
+    since = fleet.now
+    fleet.run(20.0, 0.0)
+    assert fleet.most(since) <= allowed(0.0)
+    fleet.run(MAX_WAIT + 1.0, None)
+    assert not any(limits.any_limited for limits in fleet.limits.values())
