LIMIT: a limit is kept when its endpoint restarts under its id

Callers saw: an endpoint in need that restarts under its id and names its limit again got far more requests than that until an answer of the new incarnation arrived. Cause: with the start of a new incarnation every instance forgot the limit at the same moment; not known was read as none. Evidence: test_limit_is_kept_when_its_endpoint_restarts_under_its_id failed: 57 of 60 requests at once where 11 are allowed. Ruled out: that the limit then never ends; the first answer without one ends it for all, also a limit of 0 (test_limit_of_a_restarted_endpoint_that_names_none_ends). Change: a restart is no end of a limit. The price: an endpoint that has recovered by its restart gets its first requests at the old rate, for one answer's time.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/limiter.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limiter.py
@@ -27,8 +27,8 @@
 # Rate, in requests per second, at which permits are granted while nobody knows the limit. It keeps
 # to the sum in `core.permits` whatever the limit is.
 CAUTIOUS_RATE: Final = 0.5
-# Rate, in requests per second, at which permits are granted at least, however low the limit is: that
-# it has ended shows only in answers.
+# Rate, in requests per second, at which permits are granted at least, however low the limit is:
+# that it has ended shows only in answers.
 PROBE_RATE: Final = 0.125
 
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
@@ -14,9 +14,9 @@
 is told of all limits, and limiters repeat theirs.
 
 A limit ends when a response to a request that was sent after the last response with the limit
-states none (see `core.stated_limits`), or when the endpoint restarts. An endpoint whose entry is
-missing for a moment still has its limit, so the limit is kept for a while after the endpoint seems
-gone.
+states none (see `core.stated_limits`). One that restarts under its id may name the limit again, so
+it is kept until an answer tells. An endpoint whose entry is missing for a moment still has its
+limit, so the limit is kept for a while after the endpoint seems gone.
 """
 
 from __future__ import annotations
@@ -187,7 +187,7 @@
                 self.forget(endpoint)
 
     def forget(self, endpoint: str) -> None:
-        """Forgets the limit of an endpoint that restarted or is gone for good."""
+        """Forgets the limit of an endpoint that is gone for good."""
         self._stated.forget(endpoint)
         self._told_ended.discard(endpoint)
         self._limiter.forget(endpoint)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -565,12 +565,14 @@
         self._suspects.endpoint_ended(endpoint)
 
     def _endpoint_restarted(self, record: EndpointRecord) -> None:
-        """Forgets what was known of an endpoint's last incarnation."""
+        """Forgets what was known of an endpoint's last incarnation.
+
+        Its rate limit holds until an answer states none: the next incarnation may name it again.
+        """
         self._pools.forget(record.endpoint)
         self._endpoint_health.forget(record.endpoint)
         self._reach.forget(record.endpoint)
         self._engine_latency.forget(record.endpoint)
-        self._limits.forget(record.endpoint)
         self._cooldowns.forget(record.endpoint)
         self._suspects.endpoint_ended(record.endpoint)
         self._streams.endpoint_restarted(record)
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -10,6 +10,7 @@
 
 import pytest
 from gateway_world import (
+    WAIT,
     CallerResponse,
     World,
     configuration,
@@ -320,3 +321,50 @@
         await until_true(lambda: all(n._limits.is_limited(desk.name) for n in deployment.nodes))
         newcomer = await deployment.add_node(2)
         await until_true(lambda: newcomer._limits.is_limited(desk.name))
+
+
+async def test_limit_is_kept_when_its_endpoint_restarts_under_its_id() -> None:
+    async with world(nodes=3) as deployment:
+        limited = Replica("desk", name="i-desk1", incarnation=1000)
+        await deployment.add_replica(limited)
+        await until(partial(all_know, deployment, 2))
+        await until(partial(both_used, deployment, limited, deployment.replicas[1]))
+        limited.rate_limit = "1"
+
+        async def limit_known() -> bool:
+            await both_used(deployment, limited, deployment.replicas[1])
+            return all(node._limits.is_limited(limited.name) for node in deployment.nodes)
+
+        await until(limit_known)
+        limited.restart()
+        await deployment.store.put("servers", limited.name, limited.record())
+        await until_true(
+            lambda: all(
+                node._endpoints.since_restart(limited.name) < WAIT for node in deployment.nodes
+            )
+        )
+        restarted_at = time.monotonic()
+        await asyncio.gather(*(deployment.send_request("/ask/x", node=n % 3) for n in range(60)))
+        assert most_arrivals(limited, restarted_at) <= MAX_EXCESS * 1.0 * WINDOW + MAX_EXTRA
+
+
+async def test_limit_of_a_restarted_endpoint_that_names_none_ends() -> None:
+    async with world(nodes=3) as deployment:
+        limited = Replica("desk", name="i-desk1", incarnation=1000, rate_limit="0")
+        await deployment.add_replica(limited)
+        await until(partial(all_know, deployment, 2))
+
+        async def limit_known() -> bool:
+            await both_used(deployment, limited, deployment.replicas[1])
+            return all(node._limits.is_limited(limited.name) for node in deployment.nodes)
+
+        await until(limit_known)
+        limited.rate_limit = ""
+        limited.restart()
+        await deployment.store.put("servers", limited.name, limited.record())
+
+        async def ended() -> bool:
+            await both_used(deployment, limited, deployment.replicas[1])
+            return not any(node._limits.is_limited(limited.name) for node in deployment.nodes)
+
+        await until(ended)
