--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -69,6 +69,8 @@
 # Share of the requested output length that a request is expected to use.
 EXPECTED_OUTPUT_SHARE: Final = 0.5
 
+MAX_LOGGED_PARTS: Final = 8  # Parts of a prompt that a log line names.
+
 
 def find_broken_end(framing: Framing, inside_event: bool, is_empty: bool) -> str:
     """Returns why a stream that ended in order has broken off; empty if it is complete.
@@ -264,6 +266,8 @@
                 content=job.content_key,
                 endpoint=record.endpoint,
                 how=str(exc),
+                parts=_logged_parts(job),
+                writing=job.writing_time(monotonic()),
             )
             return DispatchFailure.LOST
         except BaseException:
@@ -297,7 +301,7 @@
 
     def _begin_dispatch(self, job: Job, record: EndpointRecord) -> InFlightRequest:
         terms = job.terms
-        job.dispatched_at = monotonic()
+        job.dispatched_at, job.writing_since = monotonic(), 0.0
         adapter = self._selector.required_adapter(job) if terms.adapter else None
         kv_tokens = terms.prompt_tokens + EXPECTED_OUTPUT_SHARE * terms.output_tokens
         expected_first_token = self._expected_first_token(job, record) if terms.model else None
@@ -348,6 +352,7 @@
             software=record.software,
             running=running,
             waited=monotonic() - job.request.received,
+            parts=_logged_parts(job),
             **self._stream_fields(job),
         )
         judge = self._dialect.classify_response
@@ -481,6 +486,11 @@
         return None
 
 
+def _logged_parts(job: Job) -> str:
+    """Returns the ids of the shared parts of a request's prompt for a log line."""
+    return ",".join(job.terms.parts[:MAX_LOGGED_PARTS])
+
+
 def _log_failed_try(job: Job, name: str, failure: DispatchFailure) -> None:
     """Logs that an endpoint, or the peer to which a request was handed over, did not answer it."""
     log(
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
@@ -47,6 +47,7 @@
         spec: Specification of the service; None if the configuration has none.
         dispatch_count: Number of dispatches so far.
         dispatched_at: Time of the last dispatch.
+        writing_since: Time of the first event of the last dispatch; 0 before.
         may_have_run_on: Endpoints on which it may have run, in order of dispatch.
         refusal_count: Number of dispatches after which it certainly had not run.
         avoided_endpoints: Endpoints to which it should not be sent again.
@@ -77,6 +78,7 @@
     spec: ServiceSpec | None
     dispatch_count: int = 0
     dispatched_at: float = 0.0
+    writing_since: float = 0.0
     may_have_run_on: list[str] = field(default_factory=list)
     refusal_count: int = 0
     avoided_endpoints: set[str] = field(default_factory=set)
@@ -102,6 +104,11 @@
         else:
             self.first_event_at = now
         self.last_event_at = now
+        self.writing_since = self.writing_since or now
+
+    def writing_time(self, now: float) -> float | None:
+        """Returns the seconds since the last dispatch brought an event; None if it has not."""
+        return now - self.writing_since if self.writing_since else None
 
     @property
     def request_id(self) -> str:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
@@ -223,6 +223,8 @@
         prompt_tokens: Length of the prompt.
         output_tokens: Greatest length of the output.
         shared_tokens: Tokens of the prompt before its last part.
+        parts: Ids of the prompt's parts in order, without the last, which is specific to the
+            request; each only once.
         resumed: Whether the caller itself resumes a stream.
         resumes: Id of the caller's attempt that brought the first event of the resumed stream;
             empty if not stated.
@@ -236,6 +238,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     shared_tokens: int = 0
+    parts: tuple[str, ...] = ()
     resumed: bool = False
     resumes: str = ""
     tokens: int | None = None
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -23,6 +23,7 @@
 from wigeonarch_platform.settings import SettingsError, read_settings
 from wigeonarch_platform.store import WATCH_MARGIN
 
+PARTS_READ = tuple(f"{n:x}" for n in range(64))
 VALID_SETTINGS = {
     "node_name": "edge-1",
     "zone": "a",
@@ -185,6 +186,13 @@
         ({"x-token-counts": "many"}, "prompt_tokens", 0),
         ({"x-prefix-hash": "5c:800,91:410,e4:250"}, "shared_tokens", 1210),
         ({"x-prefix-hash": ""}, "shared_tokens", 0),
+        ({"x-prefix-hash": "5c:800,91:410,e4:250"}, "parts", ("5c", "91")),
+        ({"x-prefix-hash": "5C:800, 91 :410,5c:1,e4:250"}, "parts", ("5c", "91")),
+        ({"x-prefix-hash": "5c:800,91:410,5c:250"}, "parts", ("5c", "91")),
+        ({"x-prefix-hash": "e4:250"}, "parts", ()),
+        ({"x-prefix-hash": ",,:3,"}, "parts", ()),
+        ({"x-prefix-hash": f"{'a' * 65}:1,91:410,e4:250"}, "parts", ("91",)),
+        ({"x-prefix-hash": ",".join(f"{n:x}:1" for n in range(9000))}, "parts", PARTS_READ),
         ({"last-event-id": "4"}, "resumed", True),
         ({"last-event-id": "4", "resumes": "r1"}, "resumes", "r1"),
     ],
