--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -88,6 +88,11 @@
     peer: str = ""
     incarnation: int = 0
 
+    def shared_parts(self) -> set[str]:
+        """Returns the ids of all parts of its prompt but the last."""
+        parts = self.headers.get("x-prefix-hash", "").split(",")
+        return {part.partition(":")[0] for part in parts[:-1]}
+
 
 @dataclass
 class Replica:
@@ -171,6 +176,8 @@
     cooldowns: list[tuple[ReceivedRequest, float]] = field(default_factory=list)
     leaving_announced: list[ReceivedRequest] = field(default_factory=list)
     fatal_body: bytes = b""  # Body of a request that crashes it.
+    fatal_parts: frozenset[str] = frozenset()  # Parts of prompts that crash it, but for the last.
+    writes_before_crash: bool = False  # Whether such a crash comes after the head.
     crash_count: int = 0  # Number of such crashes.
     restart_delay: float = 0.3  # Seconds until it listens again.
     on_restarted: Callable[[], Awaitable[None]] | None = None
@@ -407,6 +414,14 @@
         self.executed.append(request)
         if self.fatal_body and request.body == self.fatal_body:
             await self._crash()
+        if self.fatal_parts & request.shared_parts():
+            if self.writes_before_crash:
+                head = {"X-Server-Stamp": self.name, "Content-Type": "text/event-stream"}
+                head["X-Request-Id"] = request.headers.get("x-request-id", "")
+                writer.write(_encode_head(200, head, None, chunked=True))
+                await writer.drain()
+                await asyncio.sleep(TOKEN_INTERVAL)
+            await self._crash()
         if adapter:
             self.use_counts[adapter] = self.use_counts.get(adapter, 0) + 1
         try:
--- /dev/null
+++ b/tests/test_gateway_fatal_parts.py
@@ -0,0 +1,177 @@
+"""Requests of which one part of the prompt crashes engines, no two alike, through all instances."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from functools import partial
+
+import pytest
+from gateway_world import World, until, world
+from standins.replica import Replica
+from wigeonarch_gateway.messages import CrashReport
+
+FATAL_PART = "fa7a1"
+SPARE_ENGINES = 3
+PATH = "/write/x"
+CRASHES_KNOWN = 5  # Crashes after which the part must be known.
+CONTACT = 3.0  # Seconds after the last of them within which all instances must know it.
+MAX_LATE = 3  # Requests with the part that may reach an engine after that.
+LEAST_SERVED = 0.9  # Share of sound requests that are to be served then.
+LOAD_TIME = 6.0  # Seconds of load after all must know.
+# Parts of the fatal requests and of the sound ones, each but for the last.
+PLACES = {
+    "first": ("fa7a1", "5c"),
+    "middle": ("5c,fa7a1", "5c"),
+    "fourth": ("5c,a0,b0,fa7a1", "5c,a0,b0"),
+}
+
+
+async def fragile_engines(deployment: World, writes_before_crash: bool = False) -> list[Replica]:
+    """Returns the deployment's engines and some more, which all crash on the fatal part."""
+    engines = [deployment.replicas[0]]
+    for number in range(SPARE_ENGINES):
+        engines.append(
+            await deployment.add_replica(Replica("llm", model="m", name=f"i-llm{number}"))
+        )
+    for engine in engines:
+        engine.incarnation = 1
+        engine.fatal_parts = frozenset({FATAL_PART})
+        engine.writes_before_crash = writes_before_crash
+        engine.on_restarted = partial(write_entry, deployment, engine)
+        await write_entry(deployment, engine)
+    for node in range(len(deployment.nodes)):
+        await deployment.wait_until_served(PATH, node=node)
+    return engines
+
+
+async def write_entry(deployment: World, engine: Replica) -> None:
+    """Writes an engine's entry into the store."""
+    await deployment.store.put("servers", engine.name, engine.record())
+
+
+def crash_count(engines: list[Replica]) -> int:
+    """Returns how often engines crashed."""
+    return sum(engine.crash_count for engine in engines)
+
+
+def fatal_arrivals(engines: list[Replica]) -> list[float]:
+    """Returns the times at which requests with the fatal part arrived at engines, in order."""
+    seen = [one for engine in engines for one in engine.received]
+    return sorted(one.at for one in seen if FATAL_PART in one.shared_parts())
+
+
+async def send(deployment: World, parts: str, number: int, node: int) -> int:
+    """Sends a request whose last part and body nobody else has; returns the status."""
+    prefix = ",".join(f"{part}:100" for part in [*parts.split(","), f"{number:x}0e"])
+    answer = await deployment.send_request(
+        PATH, b"%d" % number, node=node, X_Model="m", X_Prefix_Hash=prefix
+    )
+    return answer.status if answer.complete else 0
+
+
+async def send_until_crashes(
+    deployment: World, engines: list[Replica], parts: str, nodes: int, count: int = CRASHES_KNOWN
+) -> None:
+    """Sends fatal requests to instances in turn until engines crashed so often, or enough came."""
+    for number in range(400):
+        if crash_count(engines) >= count:
+            return
+        await send(deployment, parts, number, number % nodes)
+        await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize("writes", [False, True], ids=["before_the_head", "after_the_head"])
+@pytest.mark.parametrize("place", PLACES)
+async def test_requests_with_a_part_that_crashes_engines_are_sent_to_no_more_of_them(
+    place: str, writes: bool
+) -> None:
+    fatal, sound = PLACES[place]
+    async with world(nodes=3) as deployment:
+        engines = await fragile_engines(deployment, writes)
+        end = time.monotonic() + 2 * CONTACT + LOAD_TIME
+        answered: list[tuple[float, int]] = []
+        numbers = itertools.count(1)
+
+        async def load(parts: str, pause: float, answers: list[tuple[float, int]]) -> None:
+            while time.monotonic() < end:
+                number, sent = next(numbers), time.monotonic()
+                answers.append((sent, await send(deployment, parts, number, number % 3)))
+                await asyncio.sleep(pause)
+
+        await asyncio.gather(
+            *(load(fatal, 0.1, []) for _ in range(2)), *(load(sound, 0.04, answered) for _ in "ab")
+        )
+        crashes = fatal_arrivals(engines)
+        known_at = crashes[min(CRASHES_KNOWN, len(crashes)) - 1] + CONTACT
+        assert len([at for at in crashes if at > known_at]) <= MAX_LATE
+        late = [status for sent, status in answered if sent > known_at + CONTACT]
+        assert late.count(200) >= LEAST_SERVED * len(late) > 0
+
+
+async def is_refused_without_crash(
+    deployment: World, engines: list[Replica], number: int, node: int
+) -> bool:
+    """Sends a fatal request; tells whether it was refused and no engine crashed."""
+    before = crash_count(engines)
+    status = await send(deployment, PLACES["middle"][0], number, node)
+    return status == 503 and crash_count(engines) == before
+
+
+async def known_to_one(deployment: World, engines: list[Replica]) -> None:
+    """Sends fatal requests to the first instance until it refuses them."""
+    await send_until_crashes(deployment, engines, PLACES["middle"][0], 1)
+    await until(partial(is_refused_without_crash, deployment, engines, 1000, 0))
+
+
+async def test_instance_that_joins_later_knows_the_part() -> None:
+    async with world(nodes=1) as deployment:
+        engines = await fragile_engines(deployment)
+        await known_to_one(deployment, engines)
+        await deployment.add_node(1)
+        await deployment.wait_until_served(PATH, node=1)
+        await asyncio.sleep(CONTACT)
+        for number in range(5):
+            assert await is_refused_without_crash(deployment, engines, 2000 + number, 1)
+
+
+async def test_instance_that_missed_the_reports_knows_the_part() -> None:
+    async with world(nodes=2) as deployment:
+        engines = await fragile_engines(deployment)
+        links = deployment.nodes[1]._links
+        deliver = links._deliver
+        links._deliver = lambda m: None if isinstance(m, CrashReport) else deliver(m)
+        await known_to_one(deployment, engines)
+        await asyncio.sleep(CONTACT)
+        for number in range(5):
+            assert await is_refused_without_crash(deployment, engines, 2000 + number, 1)
+
+
+async def test_part_is_known_after_all_instances_have_started_again() -> None:
+    async with world(nodes=2) as deployment:
+        engines = await fragile_engines(deployment)
+        await known_to_one(deployment, engines)
+        for old_node in deployment.nodes:
+            old_node.stop()
+        await asyncio.gather(*deployment.tasks)
+        deployment.nodes.clear()
+        deployment.options.clear()
+        deployment.tasks.clear()
+        for number in (2, 3):
+            await deployment.add_node(number)
+        for node in (0, 1):
+            await deployment.wait_until_served(PATH, node=node)
+            for number in range(3):
+                refused = await is_refused_without_crash(deployment, engines, 2000 + number, node)
+                assert refused
+
+
+async def test_request_whose_last_part_is_the_fatal_one_is_served() -> None:
+    async with world(nodes=1) as deployment:
+        engines = await fragile_engines(deployment)
+        await known_to_one(deployment, engines)
+        answer = await deployment.send_request(
+            PATH, b"sound", X_Model="m", X_Prefix_Hash=f"5c:100,{FATAL_PART}:100"
+        )
+        assert answer.status == 200
