BUDGET: a part of a prompt under which engines crash is held back, whatever else its requests hold

Cause: a crash was remembered for the whole content of a request, and no two of these are alike. Class: what a request is known by was one thing, and what it shares with others was not known. Change: crashes are counted for each shared part of the prompt (never the last). A run that ended whole, or had written for half a second when its engine crashed, speaks for its parts. A part without such a run at that software version is held back after three crashes, one that has had one after six, one after the other and none between. Held for 20 s, then four times as long after each crash; between, one request in the whole deployment tries it, and one that lacks the part which explains its crashes at once. Told in the crash reports, to newcomers, and through leases, as requests are. Refused at once with the time left (part_held); the log names the part.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
@@ -44,6 +44,7 @@
         last_renewal: Time at which the lease was last seen to change, in seconds.
         ended_under: Requests that crashed several endpoints, as in `LeaseContent`.
         mixed: Services that have run several versions lately, as there.
+        ended_by_part: Parts of prompts that crashed several endpoints, as there.
     """
 
     revision: int
@@ -53,6 +54,7 @@
     last_renewal: float
     ended_under: list[tuple[str, list[str]]] = field(default_factory=list)
     mixed: dict[str, int] = field(default_factory=dict)
+    ended_by_part: list[tuple[str, str, list[str]]] = field(default_factory=list)
 
 
 class Directory:
@@ -89,6 +91,7 @@
                     last_renewal,
                     content.ended_under,
                     content.mixed,
+                    content.ended_by_part,
                 )
                 changed.append(entry)
             entry.revision = lease.revision
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
@@ -13,6 +13,7 @@
 from wigeonarch_core.cooldowns import Cooldowns
 from wigeonarch_core.endpoint_health import EndpointHealth
 from wigeonarch_core.engine_latency import EngineLatency, Wait
+from wigeonarch_core.fatal_parts import WRITING_TIME
 from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_gateway.jobs import Job
@@ -54,6 +55,23 @@
         """Returns the seconds for which a request stays quarantined; 0 if it may be sent."""
         return self._suspects.quarantine_left(job.content_key)
 
+    @property
+    def any_part_held(self) -> bool:
+        """Whether any part of a prompt is held back."""
+        return self._suspects.parts.any_held
+
+    def parts_hold_left(self, job: Job, record: EndpointRecord) -> float:
+        """Returns the seconds for which a request's parts are held back at an endpoint."""
+        return self._suspects.parts.hold_left(job.terms.parts, record.software)
+
+    def held_part(self, job: Job, record: EndpointRecord) -> str:
+        """Returns the first part of a request's prompt that is held back at an endpoint."""
+        return self._suspects.parts.held_part(job.terms.parts, record.software)
+
+    def admits_parts(self, job: Job, record: EndpointRecord) -> bool:
+        """Tells whether a request's parts allow that it is sent to an endpoint now."""
+        return self._suspects.parts.admit(job.terms.parts, record.software)
+
     # Questions of endpoint selection.
 
     def is_paused(self, record: EndpointRecord, now: float) -> bool:
@@ -141,27 +159,43 @@
         """Records a complete response that is not a stream."""
         self._health.record_answer(record.endpoint, failed)
         self._suspects.record_answered(job.content_key)
+        if not failed:
+            self._suspects.parts.record_run(job.terms.parts, record.software)
 
-    def record_stream_end(self, job: Job) -> None:
+    def record_stream_end(self, job: Job, record: EndpointRecord) -> None:
         """Records that a stream came to its end."""
         self._suspects.record_answered(job.content_key)
+        if job.writing_since:
+            self._suspects.parts.record_run(job.terms.parts, record.software)
 
     def record_connection_lost(self, job: Job, record: EndpointRecord) -> None:
         """Records that the connection was lost before the response was complete."""
         self._health.record_unreachable(record.endpoint, monotonic())
-        self._suspects.record_connection_lost(job.content_key, record, job.dispatched_at)
+        self._suspects.record_connection_lost(
+            job.content_key, record, job.dispatched_at, job.terms.parts, _wrote(job)
+        )
 
     def record_silence(self, job: Job, record: EndpointRecord) -> None:
         """Records that a dispatch was given up because no response came within its timeout."""
         self._health.record_unreachable(record.endpoint, monotonic())
-        self._suspects.record_abandoned(job.content_key, record, job.dispatched_at)
+        self._suspects.record_abandoned(
+            job.content_key, record, job.dispatched_at, job.terms.parts, _wrote(job)
+        )
 
     def record_abandoned(self, job: Job, record: EndpointRecord) -> None:
         """Records a dispatch that was given up: its caller disconnected or its deadline passed."""
         self._health.end_probe(record.endpoint)
-        self._suspects.record_abandoned(job.content_key, record, job.dispatched_at)
+        self._suspects.record_abandoned(
+            job.content_key, record, job.dispatched_at, job.terms.parts, _wrote(job)
+        )
 
     def record_end(self, wait: Wait | None) -> None:
         """Records that a dispatch is over, however it ended."""
         if wait is not None:
             self._latency.stop_waiting(wait)
+
+
+def _wrote(job: Job) -> bool:
+    """Tells whether the last dispatch had written for long enough to speak for its parts."""
+    written = job.writing_time(monotonic())
+    return written is not None and written >= WRITING_TIME
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -55,6 +55,7 @@
     NoEndpointReason.LIMITED: texts.LIMITED,
     NoEndpointReason.SOFTWARE_GONE: texts.SOFTWARE_GONE,
     NoEndpointReason.OUT_OF_REACH: texts.OUT_OF_REACH,
+    NoEndpointReason.PART_HELD: texts.PART_HELD,
 }
 # Pause before an engine that was believed to have an adapter and lacked it is tried again: in
 # seconds, at least, and as a share of the time that a load takes there.
@@ -250,7 +251,8 @@
         still_registered = self._endpoints.get(record.endpoint) is record or self._still_ready(
             record
         )
-        if not still_registered or not self._outcomes.take_permit(record):
+        is_allowed = still_registered and self._outcomes.admits_parts(job, record)
+        if not is_allowed or not self._outcomes.take_permit(record):
             self._pools.release_unused(record.endpoint, conn)
             return DispatchFailure.NOT_SENT
         in_flight = self._begin_dispatch(job, record)
@@ -480,7 +482,7 @@
         if blank_lines := job.splitter.take_partial():
             await job.response.write(blank_lines)
         self._pools.release(record.endpoint, conn)
-        self._outcomes.record_stream_end(job)
+        self._outcomes.record_stream_end(job, record)
         await job.response.finish()
         self._responder.record_responded(job, record.endpoint, head.status, stream_end)
         return None
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
@@ -31,6 +31,7 @@
     StoredObject,
     Unavailable,
 )
+from wigeonarch_gateway.suspect_parts import CrashesByPart
 from wigeonarch_gateway.suspects import CrashesByContent
 
 # Seconds without an answer to a renewal after which peers are asked for support. The store usually
@@ -61,15 +62,19 @@
 
 
 class CrashMemory(msgspec.Struct, frozen=True):
-    """Access to the requests that crashed several endpoints, which the lease object stores, too.
+    """Access to what crashed several endpoints, which the lease object stores, too.
 
     Attributes:
         crashes: Returns the requests and crashes to store.
         restore: Takes over those that the last incarnation's lease stored.
+        part_crashes: Returns the parts of prompts and crashes to store.
+        restore_parts: Takes over those that the last incarnation's lease stored.
     """
 
     crashes: Callable[[], CrashesByContent]
     restore: Callable[[CrashesByContent], None]
+    part_crashes: Callable[[], CrashesByPart] = list
+    restore_parts: Callable[[CrashesByPart], None] = lambda stored: None
 
 
 class OwnLease:
@@ -248,6 +253,7 @@
             self._renewal_count,
             self._crash_memory.crashes(),
             self._mixed_services(),
+            self._crash_memory.part_crashes(),
         )
         spec = content(lease)
         result: StoredObject | Absent | Conflict | Unavailable
@@ -274,4 +280,5 @@
             self._revision = result.revision
             lease = read_lease(result)
             self._crash_memory.restore(lease.ended_under if lease is not None else [])
+            self._crash_memory.restore_parts(lease.ended_by_part if lease is not None else [])
         return True
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -321,6 +321,26 @@
     units: int
 
 
+class PartReport(msgspec.Struct, array_like=True):
+    """Parts of prompts under which endpoints crashed, and those cleared of suspicion.
+
+    Attributes:
+        crashes: New crashes: part, version of the endpoint's software, incarnation of the endpoint,
+            and the milliseconds since the last request with the part was sent there.
+        cleared: Parts and software versions, with the crashes that no longer count against each
+            because of a run that speaks for it.
+        counted: Parts and software versions, with all crashes that the sender counts against each;
+            sent to an instance that may know of none of them.
+        tried: Parts that were held back and that a request of the sender tries now, so that no
+            other request is to.
+    """
+
+    crashes: list[tuple[str, str, str, int]]
+    cleared: list[tuple[str, str, list[str]]]
+    counted: list[tuple[str, str, list[str]]]
+    tried: list[str]
+
+
 class CrashReport(msgspec.Struct, array_like=True, tag="ends"):
     """Endpoints that crashed while running certain requests, and requests cleared of suspicion.
 
@@ -334,6 +354,7 @@
             instance that may know of none of them.
         retracted: Incarnations of endpoints that were reported to have crashed and that have
             answered since.
+        parts: The same for parts of prompts; None for nothing.
     """
 
     sender: str
@@ -341,6 +362,7 @@
     cleared: list[tuple[str, list[str]]]
     counted: list[tuple[str, list[str]]]
     retracted: list[str] = []
+    parts: PartReport | None = None
 
 
 class RateLimitUpdate(msgspec.Struct, array_like=True, tag="limit"):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
@@ -65,6 +65,11 @@
             "Requests that are held back, as endpoints ended under them",
             registry=reg,
         )
+        self.parts_held = Counter(
+            "wigeonarch_gateway_parts_held",
+            "Parts of prompts that are held back, as endpoints ended under requests with them",
+            registry=reg,
+        )
         self.permits = Counter(
             "wigeonarch_gateway_permits",
             "Permits for endpoints that name a limit, by outcome",
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -173,6 +173,8 @@
             CrashMemory(
                 lambda: self._suspects.crashes_to_store(),
                 lambda stored: self._suspects.adopt_stored_crashes(stored),
+                lambda: self._suspects.part_crashes_to_store(),
+                lambda stored: self._suspects.adopt_stored_parts(stored),
             ),
             lambda: self._streams.services_to_store(),
         )
@@ -543,6 +545,7 @@
     def _take_lease(self, entry: Entry) -> None:
         """Takes over what another instance stored in its lease."""
         self._suspects.adopt_stored_crashes(entry.ended_under)
+        self._suspects.adopt_stored_parts(entry.ended_by_part)
         self._streams.take_stored(entry.mixed)
 
     def _store_mixed_services(self) -> None:
@@ -644,6 +647,7 @@
         for endpoint, names in self._views.seen_adapters():
             self._members.send(newcomer, SeenAdapters(endpoint, names))
         self._members.send(newcomer, self._suspects.known_crashes())
+        self._members.send(newcomer, self._suspects.known_parts())
         leaving = self._notices.known_leaving()
         if leaving is not None:
             self._members.send(newcomer, leaving)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/object_contents.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/object_contents.py
@@ -25,6 +25,8 @@
         ended_under: Keys of requests that crashed several endpoints, and the crashed incarnations.
         mixed: Services whose endpoints have run several versions of their software lately, with the
             Unix time at which they last did, in milliseconds.
+        ended_by_part: Parts of prompts and software versions under which several endpoints crashed,
+            and the crashed incarnations.
     """
 
     address: str
@@ -33,6 +35,7 @@
     count: int = 0
     ended_under: list[tuple[str, list[str]]] = []
     mixed: dict[str, int] = {}
+    ended_by_part: list[tuple[str, str, list[str]]] = []
 
 
 class OwnerContent(msgspec.Struct):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
@@ -74,6 +74,7 @@
     OVERLOADED = "service_overloaded"  # The plain service receives more than it can do in time.
     LIMITED = "endpoints_limited"  # All endpoints have stated rate limits that are used up.
     SOFTWARE_GONE = "software_gone"  # No endpoint is left on which its stream can go on.
+    PART_HELD = "part_held"  # Endpoints have crashed under requests with a part of its prompt.
     OUT_OF_REACH = "out_of_reach"  # This instance reaches none; a peer may be able to help.
 
 
@@ -143,6 +144,8 @@
             now = monotonic()
             if self._is_out_of_reach(job):
                 return NoEndpointReason.OUT_OF_REACH
+            if self._parts_hold_left(job):
+                return NoEndpointReason.PART_HELD
             if job.origin is not None and not self._may_go_on(job):
                 return NoEndpointReason.SOFTWARE_GONE
             if job.terms.model and job.spec is not None and job.spec.engine is not None:
@@ -224,12 +227,30 @@
         self._times.record_answer(job.service, took, running, record.slots)
 
     def _ready(self, job: Job) -> list[EndpointRecord]:
-        """Returns the endpoints that take new requests and whose software fits the stream."""
+        """Returns the endpoints that take new requests and whose software fits the request.
+
+        A stream goes on only at the software that began it. A part of a prompt may be held back at
+        some software only.
+        """
+        ready = self._fitting(job)
+        if not self._outcomes.any_part_held:
+            return ready
+        return [record for record in ready if not self._outcomes.parts_hold_left(job, record)]
+
+    def _fitting(self, job: Job) -> list[EndpointRecord]:
+        """Returns the endpoints that take new requests and on which the stream may go on."""
         ready = self._endpoints.ready(job.service)
         if job.origin is None:
             return ready
         return [record for record in ready if software_of(record) == job.origin.software]
 
+    def _parts_hold_left(self, job: Job) -> float:
+        """Returns the seconds until no part of a prompt keeps it from all endpoints; 0 for now."""
+        if not self._outcomes.any_part_held:
+            return 0.0
+        holds = [self._outcomes.parts_hold_left(job, record) for record in self._fitting(job)]
+        return min(holds, default=0.0)
+
     def _may_go_on(self, job: Job) -> bool:
         """Tells whether there is an endpoint on which a stream with events can go on."""
         return any(record.endpoint not in job.may_have_run_on for record in self._ready(job))
@@ -270,6 +291,8 @@
 
     def retry_after(self, job: Job, reason: NoEndpointReason) -> float:
         """Returns the seconds after which a refused request should be retried."""
+        if reason is NoEndpointReason.PART_HELD:
+            return max(DEFAULT_RETRY_AFTER, self._parts_hold_left(job))
         if reason is not NoEndpointReason.LIMITED:
             return DEFAULT_RETRY_AFTER
         return max(DEFAULT_RETRY_AFTER, self._limit_wait(job, monotonic()))
@@ -371,7 +394,7 @@
     def log_fields(self, job: Job) -> LogFields:
         """Returns log fields that explain why a request was refused."""
         now = monotonic()
-        ready = self._ready(job)
+        ready = self._fitting(job)
         views = [self._views.get(record.endpoint) for record in ready]
         return {
             "route": job.route.name,
@@ -379,6 +402,7 @@
             "service": job.service,
             "adapter": job.terms.adapter,
             "ready": len(ready),
+            "held_part": next(filter(None, (self._outcomes.held_part(job, r) for r in ready)), ""),
             "limited": sum(self._outcomes.limit_wait(record, now) > 0.0 for record in ready),
             "shut": sum(self._outcomes.is_paused(record, now) for record in ready),
             "loadable": sum(view.can_request_load(now) for view in views),
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspects.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspects.py
@@ -12,6 +12,9 @@
 cut off from the others, and those that start later, read them. This costs the store no more than
 one early lease renewal.
 
+Parts of prompts are suspected in the same way, as a request may crash endpoints by a part that it
+shares with others (see `suspect_parts`).
+
 A crash counts once for each incarnation of an endpoint, and a complete response clears a request of
 all its crashes (see `core.fatal_requests`). An instance that has lost its way to the endpoints
 can't tell them from crashed ones. So a crash is retracted as soon as any instance has proof that
@@ -40,10 +43,11 @@
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.logs import log
 
-from wigeonarch_gateway.messages import CrashReport, Message
+from wigeonarch_gateway.messages import CrashReport, Message, PartReport
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.pools import ProbeResult
 from wigeonarch_gateway.ports import EndpointRecord
+from wigeonarch_gateway.suspect_parts import CrashesByPart, SuspectParts
 
 # Seconds for which crashes are collected into one message: an endpoint that crashes ends many runs
 # at once.
@@ -72,16 +76,26 @@
         crash_id: Id of the crash that it counts as if its endpoint is gone: the incarnation.
         dispatched_at: Time at which the request was sent, in seconds.
         abandoned_at: Time at which the run was given up, in seconds.
+        parts: Shared parts of its prompt.
+        software: Version of the endpoint's software.
+        wrote: Whether it had written for long enough to speak for its parts.
     """
 
     content_key: str
     crash_id: str
     dispatched_at: float
     abandoned_at: float
+    parts: tuple[str, ...] = ()
+    software: str = ""
+    wrote: bool = False
 
 
 class SuspectRequests:
-    """The requests that may have crashed endpoints."""
+    """The requests that may have crashed endpoints.
+
+    Attributes:
+        parts: The parts of prompts that may have.
+    """
 
     __slots__ = (
         "_abandoned",
@@ -97,6 +111,7 @@
         "_started",
         "_unsent",
         "_unsent_cleared",
+        "parts",
     )
 
     def __init__(
@@ -123,6 +138,7 @@
         self._metrics = metrics
         self._checks: dict[str, asyncio.Task[None]] = {}
         self._fatal_requests = FatalRequests()
+        self.parts = SuspectParts(self._send_parts, on_crashes_to_store, metrics)
         self._unsent: list[Crash] = []
         self._unsent_cleared: list[RequestCrashes] = []
         self._batch_timer: asyncio.TimerHandle | None = None
@@ -142,7 +158,12 @@
     # Runs of this instance.
 
     def record_connection_lost(
-        self, content_key: str, record: EndpointRecord, dispatched_at: float
+        self,
+        content_key: str,
+        record: EndpointRecord,
+        dispatched_at: float,
+        parts: tuple[str, ...] = (),
+        wrote: bool = False,
     ) -> None:
         """Records that the connection of a run was lost: its endpoint may have crashed.
 
@@ -150,8 +171,10 @@
             content_key: Key of the request's content.
             record: The endpoint.
             dispatched_at: Time at which the request was sent, in seconds.
+            parts: Shared parts of its prompt.
+            wrote: Whether it had written for long enough to speak for its parts.
         """
-        self.record_abandoned(content_key, record, dispatched_at)
+        self.record_abandoned(content_key, record, dispatched_at, parts, wrote)
         if record.endpoint not in self._checks:
             check = asyncio.create_task(self._probe_after_loss(record))
             self._checks[record.endpoint] = check
@@ -166,13 +189,26 @@
             self._abandoned.pop(record.endpoint, None)
 
     def record_abandoned(
-        self, content_key: str, record: EndpointRecord, dispatched_at: float
+        self,
+        content_key: str,
+        record: EndpointRecord,
+        dispatched_at: float,
+        parts: tuple[str, ...] = (),
+        wrote: bool = False,
     ) -> None:
         """Records a run that was given up before its outcome was known."""
+        if wrote:
+            self.parts.record_run(parts, record.software)
         runs = self._abandoned[record.endpoint]
         runs.append(
             _AbandonedRun(
-                content_key, crash_id(record.endpoint, record.born), dispatched_at, monotonic()
+                content_key,
+                crash_id(record.endpoint, record.born),
+                dispatched_at,
+                monotonic(),
+                parts,
+                record.software,
+                wrote,
             )
         )
         if len(runs) > MAX_ABANDONED_RUNS:
@@ -200,6 +236,7 @@
 
     def _retract(self, crash: str) -> None:
         self._reported_at.pop(crash, None)
+        self.parts.retract(crash)
         affected = self._fatal_requests.retract(crash)
         if affected:
             log("crash_retracted", endpoint=crash, requests=affected)
@@ -225,16 +262,33 @@
         Called when the endpoint is gone, has restarted, or does not listen any more.
         """
         now = monotonic()
-        for run in self._abandoned.pop(endpoint, ()):
-            if run.abandoned_at >= now - ABANDONED_RUN_TTL:
-                self._record_own_crash(
-                    Crash(run.content_key, run.crash_id, now - run.dispatched_at)
-                )
+        abandoned = self._abandoned.pop(endpoint, ())
+        recent = [run for run in abandoned if run.abandoned_at >= now - ABANDONED_RUN_TTL]
+        for run in recent:
+            self._record_own_crash(Crash(run.content_key, run.crash_id, now - run.dispatched_at))
+        for crash in dict.fromkeys((run.crash_id, run.software) for run in recent):
+            runs = [run for run in recent if (run.crash_id, run.software) == crash]
+            self._record_part_crashes(runs, *crash)
+
+    def _record_part_crashes(
+        self, runs: Sequence[_AbandonedRun], crash: str, software: str
+    ) -> None:
+        """Records a crash of an endpoint for the parts of the runs that it ended."""
+        cleared = {part for run in runs if run.wrote for part in run.parts}
+        now, ages = monotonic(), dict[str, float]()
+        for run in runs:
+            for part in run.parts:
+                ages[part] = min(ages.get(part, float("inf")), now - run.dispatched_at)
+        suspected = {part: age for part, age in ages.items() if part not in cleared}
+        if suspected:
+            self._note_reported(crash)
+            self.parts.record_crash(suspected, software, crash)
 
     def expire(self) -> None:
         """Forgets old requests and runs."""
         now = monotonic()
         self._fatal_requests.expire(now)
+        self.parts.expire()
         for endpoint, runs in list(self._abandoned.items()):
             while runs and runs[0].abandoned_at < now - ABANDONED_RUN_TTL:
                 runs.popleft()
@@ -308,24 +362,44 @@
             self._adopt_crashes(reported)
         for reported in _from_wire(message.cleared):
             self._fatal_requests.apply_clearance(reported)
+        if message.parts is not None:
+            for crash in dict.fromkeys(crash for _, _, crash, _ in message.parts.crashes):
+                self._note_reported(crash)
+            self.parts.receive(message.parts)
         for crash_retracted in message.retracted:
             self._retract(crash_retracted)
 
+    def _send_parts(self, report: PartReport) -> None:
+        self._send_all(CrashReport(self._instance, [], [], [], [], report))
+
     def known_crashes(self) -> CrashReport:
         """Returns a report for an instance that just started."""
-        return CrashReport(
-            self._instance, [], [], _to_wire(self._fatal_requests.most_crashes(1, MAX_PER_MESSAGE))
-        )
+        counted = _to_wire(self._fatal_requests.most_crashes(1, MAX_PER_MESSAGE))
+        return CrashReport(self._instance, [], [], counted)
+
+    def known_parts(self) -> CrashReport:
+        """Returns a report of parts for an instance that just started."""
+        return CrashReport(self._instance, [], [], [], [], self.parts.known_crashes())
 
     def crashes_to_store(self) -> CrashesByContent:
         """Returns the crashes that are stored in this instance's lease."""
         return _to_wire(self._fatal_requests.most_crashes(CRASHES_TO_STORE, MAX_STORED))
 
+    def part_crashes_to_store(self) -> CrashesByPart:
+        """Returns the crashes of parts that are stored in this instance's lease."""
+        return self.parts.crashes_to_store()
+
+    def adopt_stored_parts(self, stored: CrashesByPart) -> None:
+        """Takes over the crashes of parts in a lease, and reports the new ones to all."""
+        self.parts.adopt_stored(stored, tell=not self._is_starting())
+
+    def _is_starting(self) -> bool:
+        return monotonic() - self._started < STARTUP_PERIOD
+
     def adopt_stored_crashes(self, stored: CrashesByContent) -> None:
         """Takes over the crashes in a lease, and reports the new ones to the other instances."""
-        is_starting = monotonic() - self._started < STARTUP_PERIOD
         for reported in _from_wire(stored):
-            if self._adopt_crashes(reported) and not is_starting:
+            if self._adopt_crashes(reported) and not self._is_starting():
                 self._send_all(CrashReport(self._instance, [], [], _to_wire([reported])))
 
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -35,6 +35,7 @@
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     fake_clock = Clock()
     monkeypatch.setattr(module, "monotonic", fake_clock)
+    monkeypatch.setattr("wigeonarch_gateway.suspect_parts.monotonic", fake_clock)
     return fake_clock
 
 
@@ -259,3 +260,45 @@
     assert instance.suspects.crash_count("key") == 3
     other.suspects.adopt_stored_crashes(stored)
     assert other.suspects.crash_count("key") == 3
+
+
+async def test_parts_of_a_crash_are_reported_once_and_fit_into_datagrams(clock: Clock) -> None:
+    instance = Instance()
+    for number in range(64):
+        parts = ("5c1e07a2", f"{number:08x}", f"{number + 100:08x}")
+        instance.suspects.record_connection_lost(
+            f"{number:024x}", endpoint("e" * 40, 1_700_000_000_000), clock.now - 0.2, parts
+        )
+    await asyncio.sleep(2 * BATCH_DELAY)
+    reports = [message.parts for message in instance.messages if message.parts is not None]
+    reported = [part for report in reports for part, _, _, _ in report.crashes]
+    assert len(reported) == len(set(reported)) == 129
+    assert all(len(encode(message)) < MAX_MESSAGE_BYTES for message in instance.messages)
+
+
+async def test_run_that_wrote_speaks_for_its_parts_although_its_endpoint_crashed(
+    clock: Clock,
+) -> None:
+    instance = Instance()
+    for number in range(CRASHES_TO_QUARANTINE):
+        one = endpoint(f"e{number}")
+        instance.suspects.record_connection_lost("a", one, clock.now, ("5c", "fa"), wrote=False)
+        instance.suspects.record_connection_lost("b", one, clock.now, ("5c", "a0"), wrote=True)
+        await finish_probe()
+    assert instance.suspects.parts.held_part(["5c", "a0", "fa"], "") == "fa"
+
+
+async def test_one_that_tries_a_held_part_tells_the_others(clock: Clock) -> None:
+    first, second = Instance("first"), Instance("second")
+    for number in range(CRASHES_TO_QUARANTINE):
+        first.suspects.record_connection_lost("a", endpoint(f"e{number}"), clock.now, ("fa",))
+        await finish_probe()
+    for message in first.messages:
+        second.suspects.receive_report(message)
+    clock.now += first.suspects.parts.hold_left(["fa"], "") + 0.1
+    first.messages.clear()
+    assert first.suspects.parts.admit(["fa"], "")
+    assert not first.suspects.parts.admit(["fa"], "")
+    for message in first.messages:
+        second.suspects.receive_report(message)
+    assert not second.suspects.parts.admit(["fa"], "")
