--- a/packages/wigeonarch-core/src/wigeonarch_core/fatal_parts.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/fatal_parts.py
@@ -222,6 +222,10 @@
         """Returns the first part for which such a request may not be sent now; empty if none."""
         return next((p for p in parts if self._hold_of(p, parts, software, now)), "")
 
+    def held_for(self, part: str, now: float) -> float:
+        """Returns the seconds for which a part is held back where no other explains its crashes."""
+        return max(0.0, self._suspects[part].held_until - now) if part in self._held else 0.0
+
     def needs_trial(self, part: str, software: str) -> bool:
         """Tells whether a part was held back, so that one request at a time may try it."""
         return part in self._held and self._concerns(part, self._suspects[part], software)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspect_parts.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspect_parts.py
@@ -136,7 +136,7 @@
             part=part,
             software=software,
             ends=self._fatal_parts.crash_count(part),
-            held=self._fatal_parts.hold_left([part], software, monotonic()),
+            held=self._fatal_parts.held_for(part, monotonic()),
         )
         self._metrics.parts_held.inc()
 
--- a/tests/test_gateway_fatal_parts.py
+++ b/tests/test_gateway_fatal_parts.py
@@ -8,9 +8,12 @@
 from functools import partial
 
 import pytest
-from gateway_world import World, until, world
-from standins.replica import Replica
+from gateway_world import World, until, until_true, world
+from standins.replica import Replica, ReplicaFault
+from wigeonarch_core import fatal_parts
+from wigeonarch_gateway import dispatch_outcomes
 from wigeonarch_gateway.messages import CrashReport
+from wigeonarch_runtime.clock import monotonic
 
 FATAL_PART = "fa7a1"
 SPARE_ENGINES = 3
@@ -175,3 +178,87 @@
             PATH, b"sound", X_Model="m", X_Prefix_Hash=f"5c:100,{FATAL_PART}:100"
         )
         assert answer.status == 200
+
+
+async def test_one_request_at_a_time_tries_a_part_after_its_hold(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(fatal_parts, "HOLD", 1.0)
+    monkeypatch.setattr(fatal_parts, "HOLD_GROWTH", 100.0)
+    async with world(nodes=2) as deployment:
+        engines = await fragile_engines(deployment)
+        count = fatal_parts.CRASHES_OF_NEW_PART
+        await send_until_crashes(deployment, engines, PLACES["middle"][0], 2, count)
+        fatal = deployment.nodes[0]._suspects.parts._fatal_parts
+        await until_true(lambda: fatal.needs_trial(FATAL_PART, "v1"))
+        parts = PLACES["middle"][0].split(",")
+        await until_true(lambda: not fatal.hold_left(parts, "v1", monotonic()))
+        await until(partial(all_served, deployment))
+        crashes = crash_count(engines)
+        for number in range(10):
+            await send(deployment, PLACES["middle"][0], 3000 + number, number % 2)
+        assert crash_count(engines) == crashes + 1
+
+
+async def all_served(deployment: World) -> bool:
+    """Tells whether all instances serve requests without parts now."""
+    answers = [await deployment.send_request(PATH, node=n, X_Model="m") for n in (0, 1)]
+    return all(answer.status == 200 for answer in answers)
+
+
+async def test_single_crash_before_an_instance_joined_counts_there() -> None:
+    async with world(nodes=1) as deployment:
+        engines = await fragile_engines(deployment)
+        await send(deployment, PLACES["middle"][0], 1, 0)
+        assert crash_count(engines) == 1
+        first = deployment.nodes[0]._suspects.parts._fatal_parts
+        await until_true(lambda: first.crash_count(FATAL_PART) == 1)
+        await deployment.add_node(1)
+        newcomer = deployment.nodes[1]._suspects.parts._fatal_parts
+        await until_true(lambda: newcomer.crash_count(FATAL_PART) == 1)
+
+
+async def test_whole_answer_that_failed_does_not_speak_for_its_parts() -> None:
+    async with world(nodes=1) as deployment:
+        engines = await fragile_engines(deployment)
+        await send_until_crashes(deployment, engines, PLACES["middle"][0], 1, 2)
+        found = deployment.nodes[0]._suspects.parts._fatal_parts
+        await until_true(lambda: found.crash_count(FATAL_PART) == 2)
+        for engine in engines:
+            engine.fatal_parts, engine.fault = frozenset(), ReplicaFault.ERROR
+        await until(partial(is_failed, deployment))
+        assert found.crash_count(FATAL_PART) == 2
+
+
+async def is_failed(deployment: World) -> bool:
+    """Sends a request with the fatal part; tells whether an engine answered that it failed."""
+    return await send(deployment, PLACES["middle"][0], 4000, 0) == 500
+
+
+async def test_events_of_an_earlier_dispatch_do_not_speak_for_parts(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(dispatch_outcomes, "WRITING_TIME", 0.0)
+    async with world(nodes=1) as deployment:
+        first = deployment.replicas[0]
+        first.fault = ReplicaFault.CUT
+        await deployment.wait_until_served("/ask/x")
+        second = await deployment.add_replica(Replica("llm", model="m", name="i-llm2"))
+        found = deployment.nodes[0]._suspects.parts._fatal_parts
+        numbers = itertools.count()
+
+        async def crashed_after_events() -> bool:
+            """Sends a request with a part of its own; tells whether both engines began it."""
+            part = f"fa{next(numbers):x}"
+            second.fatal_parts = frozenset({part})
+            prefix = f"5c:100,{part}:100,0e:100"
+            await deployment.send_request("/draft/x", X_Model="m", X_Prefix_Hash=prefix)
+            begun = [one.executed[-1:] for one in (first, second)]
+            if not all(seen and part in seen[0].shared_parts() for seen in begun):
+                return False
+            if begun[0][0].at > begun[1][0].at:
+                return False
+            await until_true(lambda: found.crash_count(part) == 1)
+            return True
+
+        await until(crashed_after_events)
--- a/tests/test_lease_memory.py
+++ b/tests/test_lease_memory.py
@@ -11,10 +11,12 @@
 from gateway_world import HOLDING, until
 from standins.store import StoreStandIn
 from wigeonarch_gateway.leasing import CrashMemory, Identity, OwnLease
+from wigeonarch_gateway.suspect_parts import CrashesByPart
 from wigeonarch_gateway.suspects import CrashesByContent
 from wigeonarch_platform.store import Store
 
 CRASHES: CrashesByContent = [("x", ["e1@1", "e2@1"])]
+PART_CRASHES: CrashesByPart = [("5c", "v1", ["e1@1", "e2@1"])]
 
 
 @dataclass
@@ -23,6 +25,8 @@
 
     crashes: CrashesByContent = field(default_factory=list)
     restored: CrashesByContent = field(default_factory=list)
+    parts: CrashesByPart = field(default_factory=list)
+    restored_parts: CrashesByPart = field(default_factory=list)
 
 
 @asynccontextmanager
@@ -38,7 +42,12 @@
         lambda: ["edge-1"],
         lambda: needed,
         _no_listed_revision,
-        CrashMemory(lambda: memory.crashes, memory.restored.extend),
+        CrashMemory(
+            lambda: memory.crashes,
+            memory.restored.extend,
+            lambda: memory.parts,
+            memory.restored_parts.extend,
+        ),
     )
     task = asyncio.create_task(found.keep_renewed())
     try:
@@ -81,7 +90,7 @@
 
 
 async def test_the_next_incarnation_restores_them_before_it_writes() -> None:
-    store, memory, next_memory = StoreStandIn(), Memory(CRASHES), Memory()
+    store, memory, next_memory = StoreStandIn(), Memory(CRASHES, parts=PART_CRASHES), Memory()
     await store.start()
     async with keep_lease(store, memory, "first", True):
 
@@ -92,7 +101,7 @@
     async with keep_lease(store, next_memory, "second", True):
 
         async def restored() -> bool:
-            return next_memory.restored == CRASHES
+            return next_memory.restored == CRASHES and next_memory.restored_parts == PART_CRASHES
 
         await until(restored)
     await store.stop()
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -286,6 +286,19 @@
         instance.suspects.record_connection_lost("b", one, clock.now, ("5c", "a0"), wrote=True)
         await finish_probe()
     assert instance.suspects.parts.held_part(["5c", "a0", "fa"], "") == "fa"
+    assert instance.suspects.parts._fatal_parts.crash_count("5c") == 0
+
+
+async def test_retracted_crash_no_longer_counts_against_parts(clock: Clock) -> None:
+    instance = Instance()
+    one = endpoint("e1")
+    instance.suspects.record_connection_lost("a", one, clock.now, ("fa",))
+    await finish_probe()
+    found = instance.suspects.parts._fatal_parts
+    assert found.crash_count("fa") == 1
+    clock.now += 1.0
+    instance.suspects.record_head(one, clock.now, clock.now - 10.0)
+    assert found.crash_count("fa") == 0
 
 
 async def test_one_that_tries_a_held_part_tells_the_others(clock: Clock) -> None:
