--- a/tests/test_gateway_fatal_parts.py
+++ b/tests/test_gateway_fatal_parts.py
@@ -195,9 +195,11 @@
         await until_true(lambda: not fatal.hold_left(parts, "v1", monotonic()))
         await until(partial(all_served, deployment))
         crashes = crash_count(engines)
-        for number in range(10):
-            await send(deployment, PLACES["middle"][0], 3000 + number, number % 2)
+        at_once = (send(deployment, PLACES["middle"][0], 3000 + n, 0) for n in range(10))
+        assert sorted(await asyncio.gather(*at_once))[:2] == [502, 503]
         assert crash_count(engines) == crashes + 1
+        for node in (0, 1, 0, 1):
+            assert await send(deployment, PLACES["middle"][0], 4000 + node, node) == 503
 
 
 async def all_served(deployment: World) -> bool:
