--- a/tests/soak.py
+++ b/tests/soak.py
@@ -25,12 +25,14 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 import aiohttp
 from gateway_world import HOST, configuration
 from ports import free_port
 from soak_endpoints import FATAL_BODY, EndpointChecks
+from soak_parts import PartChecks
 from soak_teams import SETTINGS, UNLIMITED_TEAM, Teams
 from soak_versions import StreamChecks
 from standins.proxy import ConnectionMode, Proxy
@@ -136,6 +138,7 @@
         teams: Authenticates requests and checks quotas; None if the deployment has no teams.
         endpoint_checks: Makes engines crash and endpoints limit requests, and checks how gateways
             react; None to do neither.
+        part_checks: Sends requests that crash engines by a part of their prompts; None without.
         stream_checks: Takes up streams of several software versions; None if there is one.
     """
 
@@ -152,6 +155,7 @@
     all_faults: bool = False
     teams: Teams | None = None
     endpoint_checks: EndpointChecks | None = None
+    part_checks: PartChecks | None = None
     stream_checks: StreamChecks | None = None
 
     async def start(self, gateways: int) -> None:
@@ -165,6 +169,8 @@
             await self._add_replica(Replica("desk", name=f"i-desk{number}"))
         if self.endpoint_checks is not None:
             self.endpoint_checks.prepare(self.replicas, self._write_entry)
+        if self.part_checks is not None:
+            self.part_checks.prepare(self.replicas)
         if self.stream_checks is not None:
             self.stream_checks.prepare(self.replicas)
             for replica in self.replicas:
@@ -229,6 +235,29 @@
                 )
                 await asyncio.sleep(rng.uniform(0.1, 0.6))
 
+    async def send_parts(self) -> None:
+        """Sends requests with the fatal part, and sound ones beside, until the soak ends."""
+        assert self.part_checks is not None
+        async with aiohttp.ClientSession(auto_decompress=False) as session:
+            await self.part_checks.send_requests(
+                partial(self._send_part, session, None), lambda: self.stopping
+            )
+
+    async def _send_part(
+        self,
+        session: aiohttp.ClientSession,
+        gateway: Gateway | None,
+        request_id: str,
+        body: bytes,
+        prefix: str,
+    ) -> bool:
+        """Sends a request with parts of a prompt; returns whether it was served."""
+        assert self.part_checks is not None
+        await self._send_request(
+            session, request_id, "/write/x", self.part_checks.rng, gateway, "", body, prefix
+        )
+        return self.responses[request_id].status == 200
+
     async def _send_request(
         self,
         session: aiohttp.ClientSession,
@@ -238,8 +267,11 @@
         gateway: Gateway | None = None,
         team: str = "",
         body: bytes = b"",
+        prefix: str = "",
     ) -> None:
         headers = {"Host": HOST, "X-Request-Id": request_id, "X-Deadline-Ms": "3000"}
+        if prefix:
+            headers["X-Prefix-Hash"] = prefix
         if path in ("/write/x", "/draft/x"):
             headers["X-Model"] = f"m/a{min(int(rng.paretovariate(0.8)), 12)}"
             headers["X-Token-Counts"] = "100,20"
@@ -461,8 +493,19 @@
                 for path in ("/ask/x", "/write/x"):
                     if not await self._serves(session, gateway, path):
                         failures.append(f"RECOVERY: edge-{gateway.number} does not serve {path}")
+                if self.part_checks is not None and not await self._serves_parts(session, gateway):
+                    failures.append(f"RECOVERY: edge-{gateway.number} serves no sound part")
         return failures
 
+    async def _serves_parts(self, session: aiohttp.ClientSession, gateway: Gateway) -> bool:
+        assert self.part_checks is not None
+        send = partial(self._send_part, session, gateway)
+        for _ in range(40):
+            if await self.part_checks.serves_sound_requests(send):
+                return True
+            await asyncio.sleep(0.25)
+        return False
+
     async def _serves(self, session: aiohttp.ClientSession, gateway: Gateway, path: str) -> bool:
         for attempt in range(40):
             request_id = f"end-{gateway.number}-{path[1]}-{attempt}"
@@ -498,6 +541,9 @@
             violations += self.teams.violations(self.replicas, self.folder)
         if self.endpoint_checks is not None:
             violations += self.endpoint_checks.violations(self.replicas)
+        if self.part_checks is not None and self.endpoint_checks is not None:
+            is_settled = self.endpoint_checks.is_from_settled_gateway
+            violations += self.part_checks.violations(self.replicas, is_settled)
         if self.stream_checks is not None:
             violations += self.stream_checks.violations()
         return violations
@@ -562,18 +608,22 @@
     teams: bool = False,
     endpoint_checks: bool = False,
     versions: bool = False,
+    parts: bool = False,
 ) -> tuple[Soak, list[str]]:
     """Runs one seed; returns the soak and the violated invariants."""
     with tempfile.TemporaryDirectory(prefix="soak-") as name:
         soak = Soak(random.Random(seed), Path(name), all_faults=all_faults)
         soak.teams = Teams(random.Random(seed)) if teams else None
         soak.endpoint_checks = EndpointChecks(random.Random(seed)) if endpoint_checks else None
+        soak.part_checks = PartChecks(random.Random(seed)) if parts else None
         soak.stream_checks = StreamChecks(random.Random(seed)) if versions else None
         await soak.start(gateways)
         tasks = [asyncio.create_task(soak.send_requests(number)) for number in range(callers)]
         if soak.endpoint_checks is not None:
             tasks.append(asyncio.create_task(soak.send_fatal_requests()))
             tasks.append(asyncio.create_task(soak.endpoint_checks.vary_rate_limit(seconds)))
+        if soak.part_checks is not None:
+            tasks.append(asyncio.create_task(soak.send_parts()))
         if soak.stream_checks is not None:
             addresses = [gateway.front_address for gateway in soak.gateways]
             tasks += [
@@ -608,11 +658,15 @@
     parser.add_argument("--teams", action="store_true", help="callers authenticate as teams")
     parser.add_argument("--needs", action="store_true", help="endpoints crash and limit requests")
     parser.add_argument("--versions", action="store_true", help="several software versions serve")
+    parser.add_argument(
+        "--parts", action="store_true", help="with --needs: parts of prompts crash engines, too"
+    )
     args = parser.parse_args()
     failed = 0
     for seed in range(args.seed, args.seed + args.seeds):
         options = (args.seconds, args.gateways, args.callers)
-        coroutine = run(seed, *options, args.all_faults, args.teams, args.needs, args.versions)
+        kinds = (args.all_faults, args.teams, args.needs, args.versions, args.parts)
+        coroutine = run(seed, *options, *kinds)
         soak, violations = asyncio.run(coroutine)
         statuses = Counter(response.status for response in soak.responses.values())
         print(f"seed={seed} requests={len(soak.responses)} statuses={dict(statuses)}", flush=True)
--- a/tests/soak_endpoints.py
+++ b/tests/soak_endpoints.py
@@ -119,7 +119,7 @@
         late = [
             request
             for request in fatal_requests
-            if request.at > quarantined_at and self._is_from_settled_gateway(request)
+            if request.at > quarantined_at and self.is_from_settled_gateway(request)
         ]
         if len(late) <= MAX_LATE_FATAL_REQUESTS:
             return []
@@ -136,7 +136,7 @@
                 one for one in self.limited_replica.received if limit.begin <= one.at < limit.end
             ]
             counted = [one for one in arrived if one.at >= limit.begin + SETTLE_SECONDS]
-            arrival_times = [one.at for one in counted if self._is_from_settled_gateway(one)]
+            arrival_times = [one.at for one in counted if self.is_from_settled_gateway(one)]
             max_count = max(
                 (sum(at <= t < at + WINDOW_SECONDS for t in arrival_times) for at in arrival_times),
                 default=0,
@@ -147,7 +147,7 @@
                 )
         return violations
 
-    def _is_from_settled_gateway(self, request: ReceivedRequest) -> bool:
+    def is_from_settled_gateway(self, request: ReceivedRequest) -> bool:
         """Returns whether the sender had been undisturbed for `SETTLE_SECONDS`."""
         since = request.at - SETTLE_SECONDS
         return all(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -90,6 +90,21 @@
     assert not violations
 
 
+# The same, with requests of which one part of the prompt crashes engines.
+PART_SEEDS = [(13000, 8.0)]
+
+
+@pytest.mark.timeout(240)
+@pytest.mark.parametrize(("seed", "seconds"), PART_SEEDS)
+async def test_parts_that_crash_engines_are_sent_to_no_more_of_them(
+    seed: int, seconds: float
+) -> None:
+    _, violations = await soak.run(
+        seed, seconds, 3, 4, all_faults=True, endpoint_checks=True, parts=True
+    )
+    assert not violations
+
+
 # With several software versions side by side, and callers that take their streams up again.
 VERSIONS_SEEDS = [(11000, 8.0)]
 
