--- a/tests/test_gateway_fatal_parts.py
+++ b/tests/test_gateway_fatal_parts.py
@@ -8,6 +8,7 @@
 from functools import partial
 
 import pytest
+from crashing_engines import PATH, add_crashing_engines, crash_count
 from gateway_world import World, until, until_true, world
 from standins.replica import Replica, ReplicaFault
 from wigeonarch_core import fatal_parts
@@ -16,8 +17,6 @@
 from wigeonarch_runtime.clock import monotonic
 
 FATAL_PART = "fa7a1"
-SPARE_ENGINES = 3
-PATH = "/write/x"
 CRASHES_KNOWN = 5  # Crashes after which the part must be known.
 CONTACT = 3.0  # Seconds after the last of them within which all instances must know it.
 MAX_LATE = 3  # Requests with the part that may reach an engine after that.
@@ -33,30 +32,12 @@
 
 async def fragile_engines(deployment: World, writes_before_crash: bool = False) -> list[Replica]:
     """Returns the deployment's engines and some more, which all crash on the fatal part."""
-    engines = [deployment.replicas[0]]
-    for number in range(SPARE_ENGINES):
-        engines.append(
-            await deployment.add_replica(Replica("llm", model="m", name=f"i-llm{number}"))
-        )
-    for engine in engines:
-        engine.incarnation = 1
+
+    def prepare(engine: Replica) -> None:
         engine.fatal_parts = frozenset({FATAL_PART})
         engine.writes_before_crash = writes_before_crash
-        engine.on_restarted = partial(write_entry, deployment, engine)
-        await write_entry(deployment, engine)
-    for node in range(len(deployment.nodes)):
-        await deployment.wait_until_served(PATH, node=node)
-    return engines
-
-
-async def write_entry(deployment: World, engine: Replica) -> None:
-    """Writes an engine's entry into the store."""
-    await deployment.store.put("servers", engine.name, engine.record())
-
 
-def crash_count(engines: list[Replica]) -> int:
-    """Returns how often engines crashed."""
-    return sum(engine.crash_count for engine in engines)
+    return await add_crashing_engines(deployment, prepare)
 
 
 def fatal_arrivals(engines: list[Replica]) -> list[float]:
--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -8,6 +8,7 @@
 from functools import partial
 
 import pytest
+from crashing_engines import PATH, add_crashing_engines, crash_count
 from gateway_world import HOST, World, until, world
 from standins.replica import Replica, ReplicaFault
 from wigeonarch_core.content_key import content_key
@@ -15,38 +16,18 @@
 from wigeonarch_gateway.suspects import BATCH_DELAY
 
 FATAL_BODY = b"ends whoever runs it"
-SPARE_ENGINES = 3
 CRASHES_TO_QUARANTINE = 3  # Endpoints that may crash before the request is quarantined.
 MAX_EXTRA_CRASHES = 3  # Endpoints that may crash after that, by dispatches that were under way.
-PATH = "/write/x"
 FATAL_KEY = content_key("POST", HOST, PATH, FATAL_BODY)
 
 
 async def fragile_engines(deployment: World) -> list[Replica]:
     """Returns the deployment's engines and some more, which all crash on the fatal request."""
-    engines = [deployment.replicas[0]]
-    for number in range(SPARE_ENGINES):
-        engines.append(
-            await deployment.add_replica(Replica("llm", model="m", name=f"i-llm{number}"))
-        )
-    for engine in engines:
-        engine.incarnation = 1
-        engine.fatal_body = FATAL_BODY
-        engine.on_restarted = partial(write_entry, deployment, engine)
-        await write_entry(deployment, engine)
-    for node in range(len(deployment.nodes)):
-        await deployment.wait_until_served(PATH, node=node)
-    return engines
-
-
-async def write_entry(deployment: World, engine: Replica) -> None:
-    """Writes an engine's entry into the store."""
-    await deployment.store.put("servers", engine.name, engine.record())
 
+    def prepare(engine: Replica) -> None:
+        engine.fatal_body = FATAL_BODY
 
-def crash_count(engines: list[Replica]) -> int:
-    """Returns how often engines crashed."""
-    return sum(engine.crash_count for engine in engines)
+    return await add_crashing_engines(deployment, prepare)
 
 
 async def send_until_quarantined(
