BUDGET: crashes of a part that has had a run are not stored or told as if it had not

Cause: while a zone was cut off, three engines were taken for crashed under the first part of a route. The instance that saw them knew runs of the part and held nothing, but stored the crashes in its lease; the next run cleared them, the lease was not written again before the fault, and all instances took them over as those of a part that never ran. Ruled out: rewriting each lease when a part is cleared; it is late by the renewal, and many would write. Change: crashes at a version where a part has had a run are stored, and told to newcomers, only if the part is held there; they ask for no early renewal either.

--- a/packages/wigeonarch-core/src/wigeonarch_core/fatal_parts.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/fatal_parts.py
@@ -236,27 +236,39 @@
         if suspect is not None:
             suspect.trial_until = now + TRIAL_TIME
 
+    def is_to_be_told(self, part: str, software: str) -> bool:
+        """Tells whether others are to take over the crashes of a part at a software version.
+
+        Those at a version where it has had a run are not, unless it is held back there: who takes
+        them over may not know of that run, or not learn that the next one cleared the part.
+        """
+        suspect = self._suspects.get(part)
+        return suspect is not None and self._concerns(part, suspect, software)
+
     def crash_count(self, part: str) -> int:
         """Returns how many crashes count against a part."""
         suspect = self._suspects.get(part)
         return 0 if suspect is None else len(suspect.counted())
 
     def most_crashes(self, min_crashes: int, limit: int) -> list[PartCrashes]:
-        """Returns the parts with the most crashes, the latest first among equals.
+        """Returns the parts to be told with the most crashes, the latest first among equals.
 
         Args:
             min_crashes: Least number of crashes of a part that is returned.
             limit: Greatest number of parts and software versions that are returned.
         """
-        found = [(p, s, len(s.counted())) for p, s in self._suspects.items()]
-        found = [(part, s, count) for part, s, count in found if count >= min_crashes]
-        found.sort(key=lambda each: (each[2], each[1].last_crash_at), reverse=True)
-        return [
-            PartCrashes(part, software, frozenset(version.counted))
-            for part, suspect, _ in found[:limit]
-            for software, version in suspect.versions.items()
-            if version.counted
-        ][:limit]
+        found = []
+        for part, suspect in self._suspects.items():
+            told = [
+                PartCrashes(part, software, frozenset(version.counted))
+                for software, version in suspect.versions.items()
+                if version.counted and self._concerns(part, suspect, software)
+            ]
+            count = sum(len(each.crash_ids) for each in told)
+            if count >= min_crashes:
+                found.append((count, suspect.last_crash_at, told))
+        found.sort(key=lambda each: each[:2], reverse=True)
+        return [each for _, _, told in found[:limit] for each in told][:limit]
 
     def expire(self, now: float) -> None:
         """Forgets parts whose hold and last crash are long past, and runs that are."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspect_parts.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspect_parts.py
@@ -110,8 +110,8 @@
         ]
         for some in _slices(reports):
             self._send(PartReport(some, [], [], []))
-        counts = (self._fatal_parts.crash_count(crash.part) for crash in new)
-        if any(count >= CRASHES_TO_STORE for count in counts):
+        told = (crash for crash in new if self._fatal_parts.is_to_be_told(crash.part, software))
+        if any(self._fatal_parts.crash_count(crash.part) >= CRASHES_TO_STORE for crash in told):
             self._on_crashes_to_store()
 
     def _record(self, crash: PartCrash) -> bool:
--- a/tests/test_fatal_parts.py
+++ b/tests/test_fatal_parts.py
@@ -211,3 +211,18 @@
     assert not parts.any_held
     assert not parts._suspects
     assert not parts._known
+
+
+def test_crashes_of_a_part_that_has_run_are_not_stored_or_told_as_if_it_had_not() -> None:
+    parts = FatalParts()
+    parts.record_run("sound", "v1", 0.0)
+    for number in range(CRASHES_OF_KNOWN_PART - 1):
+        crash(parts, "sound", number, 1.0 + number)
+    crash(parts, "sound", 1, 9.0, "v2")
+    crash(parts, "new", 1, 9.0)
+    assert {(each.part, each.software) for each in parts.most_crashes(1, 9)} == {
+        ("sound", "v2"),
+        ("new", "v1"),
+    }
+    crash(parts, "sound", 100, 20.0)
+    assert ("sound", "v1") in {(each.part, each.software) for each in parts.most_crashes(1, 9)}
