--- a/tests/test_gateway_messages.py
+++ b/tests/test_gateway_messages.py
@@ -12,8 +12,11 @@
     MAX_DECOMPRESSED_BYTES,
     MIN_COMPRESSED_BYTES,
     CompressedFrame,
+    CrashReport,
     FollowRequest,
     Message,
+    PermitRequest,
+    RateLimitUpdate,
     Relay,
     StoreUpdate,
     UpdateUnavailable,
@@ -66,3 +69,20 @@
 async def test_each_kind_of_message_has_a_receiver() -> None:
     async with world() as found:
         assert set(found.nodes[0]._receivers) == set(get_args(Message))
+
+
+@pytest.mark.parametrize(
+    ("fields", "message"),
+    [
+        (["limit", "a", "e", 1.5], RateLimitUpdate("a", "e", 1.5)),
+        (["limit", "a", "e", None], RateLimitUpdate("a", "e", None)),
+        (["permit", "a", "e", 7], PermitRequest("a", "e", 7)),
+        (["ends", "a", [["k", "e@1", 5]], [], []], CrashReport("a", [("k", "e@1", 5)], [], [])),
+    ],
+)
+def test_messages_of_other_builds_with_fewer_or_more_fields_are_read(
+    fields: list[object], message: Message
+) -> None:
+    assert decode(msgspec.msgpack.encode(fields)) == message
+    whole = msgspec.msgpack.decode(encode(message))
+    assert decode(msgspec.msgpack.encode([*whole, "a field to come"])) == message
