--- a/tests/test_gateway_software_versions.py
+++ b/tests/test_gateway_software_versions.py
@@ -38,6 +38,7 @@
     take_up,
     until_preferred,
 )
+from wigeonarch_gateway.engineviews import EngineViews
 from wigeonarch_gateway.node import Node
 
 BREAKS_AT_ONCE = ResponseEnd(Framing.CHUNKS, Ending.CLOSED, 0)
@@ -189,6 +190,27 @@
         assert float(answer.headers["retry-after"]) > 0.0
 
 
+async def test_stream_that_can_not_go_on_is_not_held_until_an_endpoint_may_come(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with world(nodes=2) as deployment:
+        first = await place_first_engine(deployment, "b")
+        other = await add_engine(deployment, "i-other", NEW)
+        left = await begin_at(deployment, first, other)
+        await remove_engine(deployment, first)
+        await until_preferred(deployment, other, 1)
+        waits: list[tuple[object, ...]] = []
+        wait = EngineViews.wait_for_change
+
+        async def note_wait(self: EngineViews, *args: Any) -> None:
+            waits.append(args)
+            await wait(self, *args)
+
+        monkeypatch.setattr(EngineViews, "wait_for_change", note_wait)
+        assert (await take_up(deployment, left, 1)).status == 503
+        assert waits == []
+
+
 # Many streams.
 
 
