BUDGET: an instance that stands still after a first event does not speak for the fatal part

Callers saw: nothing yet, found by reading. A run that had written for 0.5 s when its engine crashed speaks for its parts, and clears them for all. The time was taken up to the loss. An instance that stands still between the first event and the end of the connection, for a moment that others are not touched by, would so clear the part that crashes engines, and make it one that has had a run. Evidence: test_standstill_after_the_first_event_does_not_speak_for_parts failed ([True] for [False]). Change: the time from the first to the last event of the dispatch counts. It is never longer than before, so that fewer runs speak for their parts; one that ended whole is not touched. Before and after: [True] -> [False].

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
@@ -197,5 +197,4 @@
 
 def _wrote(job: Job) -> bool:
     """Tells whether the last dispatch had written for long enough to speak for its parts."""
-    written = job.writing_time(monotonic())
-    return written is not None and written >= WRITING_TIME
+    return job.writing_time is not None and job.writing_time >= WRITING_TIME
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -269,7 +269,7 @@
                 endpoint=record.endpoint,
                 how=str(exc),
                 parts=_logged_parts(job),
-                writing=job.writing_time(monotonic()),
+                writing=job.writing_time,
             )
             return DispatchFailure.LOST
         except BaseException:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
@@ -106,9 +106,13 @@
         self.last_event_at = now
         self.writing_since = self.writing_since or now
 
-    def writing_time(self, now: float) -> float | None:
-        """Returns the seconds since the last dispatch brought an event; None if it has not."""
-        return now - self.writing_since if self.writing_since else None
+    @property
+    def writing_time(self) -> float | None:
+        """Returns the seconds from the first to the last event of the last dispatch, if any came.
+
+        The time since the last event does not count: this process may have stood still.
+        """
+        return self.last_event_at - self.writing_since if self.writing_since else None
 
     @property
     def request_id(self) -> str:
--- a/tests/test_gateway_fatal_parts.py
+++ b/tests/test_gateway_fatal_parts.py
@@ -6,6 +6,7 @@
 import itertools
 import time
 from functools import partial
+from typing import Any
 
 import pytest
 from crashing_engines import PATH, add_crashing_engines, crash_count
@@ -13,12 +14,15 @@
 from standins.replica import Replica, ReplicaFault
 from wigeonarch_core import fatal_parts
 from wigeonarch_gateway import dispatch_outcomes
+from wigeonarch_gateway.jobs import Job
 from wigeonarch_gateway.messages import CrashReport
+from wigeonarch_gateway.suspects import SuspectRequests
 from wigeonarch_runtime.clock import monotonic
 
 FATAL_PART = "fa7a1"
 CRASHES_KNOWN = 5  # Crashes after which the part must be known.
 CONTACT = 3.0  # Seconds after the last of them within which all instances must know it.
+EVENTS_BEFORE_CUT = 3  # Events that an engine sends before it cuts a stream.
 MAX_LATE = 3  # Requests with the part that may reach an engine after that.
 LEAST_SERVED = 0.9  # Share of sound requests that are to be served then.
 LOAD_TIME = 6.0  # Seconds of load after all must know.
@@ -245,3 +249,35 @@
             return True
 
         await until(crashed_after_events)
+
+
+async def test_standstill_after_the_first_event_does_not_speak_for_parts(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(dispatch_outcomes, "WRITING_TIME", 0.2)
+    async with world(nodes=1) as deployment:
+        engine = deployment.replicas[0]
+        engine.fault = ReplicaFault.CUT
+        lose = SuspectRequests.record_connection_lost
+        wrote: list[bool] = []
+
+        def note_lost(self: SuspectRequests, *args: Any) -> None:
+            wrote.append(args[-1])
+            lose(self, *args)
+
+        monkeypatch.setattr(SuspectRequests, "record_connection_lost", note_lost)
+        record_events = Job.record_events
+
+        def record_and_stand_still(job: Job, now: float) -> None:
+            record_events(job, now)
+            if job.splitter.count >= EVENTS_BEFORE_CUT:
+                time.sleep(0.3)
+
+        monkeypatch.setattr(Job, "record_events", record_and_stand_still)
+
+        async def lost_after_events() -> bool:
+            await send(deployment, "5c", 1, 0)
+            return bool(wrote)
+
+        await until(lost_after_events)
+        assert wrote == [False] * len(wrote)
