Selection split into candidates, plain services and engines

One module of 412 lines chose endpoints for both kinds of services and knew what keeps a request from an endpoint. Four modules of one job each stand in its place; decisions, constants and log lines are the same.

--- /dev/null
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
@@ -0,0 +1,198 @@
+"""Selects the engine for a generation: the best one now, or the one that will have its adapter."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+from wigeonarch_core.engine_choice import (
+    EngineChoice,
+    EngineState,
+    choose_engine_after_load_request,
+)
+from wigeonarch_core.engine_places import AdapterKey
+from wigeonarch_runtime.logs import log
+
+from wigeonarch_gateway.candidates import Candidates
+from wigeonarch_gateway.catalogue import Catalogue
+from wigeonarch_gateway.dispatch_outcomes import DispatchOutcomes
+from wigeonarch_gateway.endpoints import EndpointRegistry
+from wigeonarch_gateway.engineviews import EngineViews
+from wigeonarch_gateway.jobs import Job
+from wigeonarch_gateway.load_requests import LoadRequests
+from wigeonarch_gateway.ports import EndpointRecord
+from wigeonarch_gateway.traffic import InFlightTracker
+
+# Longest wait for a requested load before another engine is asked, as a multiple of the time that
+# the engine takes for a load that must be fetched.
+LOAD_WAIT_FACTOR: Final = 1.8
+# The same in seconds, at least: within that a load request that was lost is repeated.
+MIN_LOAD_WAIT: Final = 0.2
+# Share of the heartbeat interval up to which random jitter is added to expected waiting times.
+JITTER_SHARE: Final = 0.25
+# Share of the latency objective for which a prompt is held back while its engine reads others. It
+# costs the request nothing, and streams on that engine pause for less long.
+PROMPT_DELAY_SHARE: Final = 0.3
+# Least and greatest seconds between attempts while a load is awaited and no update comes.
+MIN_LOAD_POLL_INTERVAL: Final = 0.004
+MAX_LOAD_POLL_INTERVAL: Final = 0.1
+TIMER_SLACK: Final = 0.002  # Seconds added to a timer, so that it does not fire early.
+
+
+class EngineSelector:
+    """Selects engines for generations."""
+
+    __slots__ = (
+        "_candidates",
+        "_catalogue",
+        "_endpoints",
+        "_load_requests",
+        "_outcomes",
+        "_peer_lag",
+        "_traffic",
+        "_views",
+        "_zone",
+    )
+
+    def __init__(
+        self,
+        candidates: Candidates,
+        catalogue: Catalogue,
+        endpoints: EndpointRegistry,
+        views: EngineViews,
+        traffic: InFlightTracker,
+        outcomes: DispatchOutcomes,
+        load_requests: LoadRequests,
+        zone: str,
+        peer_lag: Callable[[], float],
+    ) -> None:
+        """Creates a selector.
+
+        Args:
+            candidates: The endpoints that may take a request now.
+            catalogue: Configuration and adapter versions in force.
+            endpoints: The known endpoints.
+            views: What is known of engines.
+            traffic: Requests in flight at each endpoint.
+            outcomes: What dispatches showed of endpoints.
+            load_requests: Sends load requests to the owners of engines.
+            zone: Availability zone of this instance.
+            peer_lag: Returns the age of what other instances reported, in seconds.
+        """
+        self._candidates = candidates
+        self._catalogue = catalogue
+        self._endpoints = endpoints
+        self._views = views
+        self._traffic = traffic
+        self._outcomes = outcomes
+        self._load_requests = load_requests
+        self._zone = zone
+        self._peer_lag = peer_lag
+
+    def load_poll_interval(self, job: Job, now: float) -> float:
+        """Returns the seconds after which a requested load may be done, if no update comes."""
+        left = self._views.get(job.load_requested_from).loading_left(
+            self.required_adapter(job), now
+        )
+        if left is None:
+            return MAX_LOAD_POLL_INTERVAL
+        return max(MIN_LOAD_POLL_INTERVAL, min(MAX_LOAD_POLL_INTERVAL, left + TIMER_SLACK))
+
+    @staticmethod
+    def may_delay_prompt(job: Job, choice: EngineChoice | None, now: float) -> bool:
+        """Tells whether a request should and may let an engine read the prompts of others first."""
+        if choice is None or not choice.crowded:
+            return False
+        return now - job.request.received < PROMPT_DELAY_SHARE * job.route.objective
+
+    def engine_or_load(
+        self, job: Job, choice: EngineChoice | None, now: float
+    ) -> EndpointRecord | None:
+        """Returns the chosen engine if the request can be sent there; else requests the load."""
+        if choice is None:
+            return None
+        if not choice.load:
+            return self._endpoints.get(choice.endpoint)
+        if choice.endpoint != job.load_requested_from:
+            self._log_load_request(job, choice, now)
+            job.load_requested_from = choice.endpoint
+            job.load_requested_at = now
+        self._load_requests.request_load(
+            choice.endpoint, self.required_adapter(job), job.priority, missing=False
+        )
+        return None
+
+    def _log_load_request(self, job: Job, choice: EngineChoice, now: float) -> None:
+        view = self._views.get(choice.endpoint)
+        log(
+            "adapter_awaited",
+            request=job.request_id,
+            endpoint=choice.endpoint,
+            adapter=job.terms.adapter,
+            expected=choice.expected,
+            holder=view.owner,
+            heard=now - view.last_update,
+            free=view.free_places,
+            loading=len(view.loading),
+            before=job.load_requested_from,
+            waited=now - job.request.received,
+        )
+
+    def choose(self, job: Job, now: float) -> EngineChoice | None:
+        """Returns the best engine for a request, or None when none can run it."""
+        key = self.required_adapter(job)
+        states = [
+            self._engine_state(record, job, key, now)
+            for record in self._candidates.usable(job, now)
+        ]
+        usable = [state for state in states if state is not None]
+        load_time = (
+            self._views.get(job.load_requested_from).load_time if job.load_requested_from else 0.0
+        )
+        max_load_wait = max(MIN_LOAD_WAIT, LOAD_WAIT_FACTOR * load_time)
+        keep_waiting = now - job.load_requested_at < max_load_wait
+        max_jitter = JITTER_SHARE * self._peer_lag()
+        return choose_engine_after_load_request(
+            usable,
+            job.terms.prompt_tokens,
+            job.load_requested_from,
+            keep_waiting,
+            lambda: random.uniform(0.0, max_jitter),
+        )
+
+    def required_adapter(self, job: Job) -> AdapterKey:
+        """Returns the adapter that a request needs, in the newest known version."""
+        terms = job.terms
+        version = self._catalogue.version(terms.model, terms.adapter) if terms.adapter else 0
+        return AdapterKey(terms.model, terms.adapter, version)
+
+    def _engine_state(
+        self, record: EndpointRecord, job: Job, key: AdapterKey, now: float
+    ) -> EngineState | None:
+        view = self._views.get(record.endpoint)
+        if key.model not in view.models:
+            return None
+        load = self._traffic.load_at(record.endpoint)
+        engine = job.spec.engine if job.spec else None
+        return EngineState(
+            endpoint=record.endpoint,
+            same_zone=record.zone == self._zone,
+            holds=not key.adapter or view.can_serve(key, now),
+            loading_left=view.loading_left(key, now),
+            warm=view.is_warm(key),
+            replaces=view.replaces(key),
+            loadable=view.can_request_load(now),
+            free_places=view.free_places,
+            loading=len(view.loading),
+            waiting_tokens=load.waiting_tokens,
+            running=load.running,
+            batch=engine.batch if engine else record.slots,
+            kv_tokens=load.kv_tokens,
+            kv_total=engine.kv_tokens if engine else 0,
+            failing=self._outcomes.failure_share(record),
+            load_time=view.load_time,
+            slowness=self._outcomes.slowness(record, now),
+            recent_tokens=load.recent_tokens,
+            largest_pause=job.route.largest_pause,
+        )
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -40,8 +40,9 @@
     ResponseHead,
     Verdict,
 )
+from wigeonarch_gateway.refusal_reasons import NoEndpointReason
 from wigeonarch_gateway.responder import Responder, end_to_end_headers
-from wigeonarch_gateway.selection import EndpointSelector, LogFields, NoEndpointReason
+from wigeonarch_gateway.selection import EndpointSelector, LogFields
 from wigeonarch_gateway.stream_origins import StreamOrigins, Unresumable
 from wigeonarch_gateway.traffic import InFlightRequest, InFlightTracker
 
