Engines: a copy in use is not unloaded, and an engine that waits for its requests is left alone

Cause: an owner ordered the unload of a copy that a request of another availability zone used. The engine then accepts no order until that request ends. Why it did not know the use: (1) the heartbeat that a delegate sends for its zone states no uses and cleared those that the same delegate had stated; (2) a use by an instance of another zone counts only with its next heartbeat, up to 1 s later.

Ruled out: engines that are away (their orders are answered), full engines (free places 1 to 5).

Change: a copy used within 1.2 s counts as in use; a heartbeat for a whole zone clears nothing; after an accepted unload that has to wait the engine gets no orders, its report is read every 0.4 s, and all instances are told that it takes no loads meanwhile. The stand-in engine waits as the protocol says.

Before: on the code before, with the stand-in of this commit, 3 of the 11 cases fail in what they check (a copy used just now is chosen, twice; the engine gets orders 202, 202, 409), 5 by names that it lacks. After: all pass.

--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_places.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_places.py
@@ -26,6 +26,11 @@
 MAX_LOAD_DELAY: Final = 0.5
 # Seconds that a copy stays after its load, as the request that needs it is still on its way.
 MIN_RESIDENCE: Final = 0.4
+# Seconds after a use was noted within which the instance that uses the copy reports it as in use,
+# for as long as the use lasts. Until then the copy counts as in use.
+USE_REPORTED_WITHIN: Final = 1.2
+# Seconds after which an unload that was accepted counts as lost if the copy is still held.
+MAX_UNLOAD_TIME: Final = 13.0
 
 
 AdapterName = tuple[str, str]
@@ -57,6 +62,7 @@
 
     LOADING = "loading"
     READY = "ready"
+    UNLOADING = "unloading"  # As soon as the requests that use it have ended.
 
 
 @dataclass(slots=True)
@@ -65,7 +71,7 @@
 
     Attributes:
         version: Version of the copy; 0 if unknown.
-        state: Whether the copy is being loaded or can be used.
+        state: Whether the copy is being loaded, can be used, or is being unloaded.
         since: Time of the last state change, in seconds.
         ready_at: Time from which the copy is expected to be usable, in seconds.
     """
@@ -107,7 +113,9 @@
     def holds(self, key: AdapterKey) -> bool:
         """Tells whether a matching copy is loaded or being loaded."""
         place = self._places.get(key.name)
-        return place is not None and satisfies(place.version, key.version)
+        if place is None or place.state is PlaceState.UNLOADING:
+            return False
+        return satisfies(place.version, key.version)
 
     def is_ready(self, key: AdapterKey, now: float) -> bool:
         """Tells whether a matching copy can be used."""
@@ -157,7 +165,7 @@
     def choose_victim(
         self, protected: Collection[AdapterName], outdated: Collection[AdapterName], now: float
     ) -> AdapterKey | None:
-        """Returns the copy to evict, or None if all copies are in use or were loaded just now.
+        """Returns the copy to evict, or None if all copies may be in use or were loaded just now.
 
         Outdated copies go first, then those of the adapters that are used least.
 
@@ -172,6 +180,7 @@
             for name, place in self._places.items()
             if place.state is PlaceState.READY
             and name not in protected
+            and not self._may_be_in_use(name, now)
             and now - place.since > MIN_RESIDENCE
         ]
         if not idle:
@@ -181,8 +190,27 @@
 
     def evictable_count(self, in_use: Collection[AdapterName], now: float) -> int:
         """Returns the number of places that are empty or hold an adapter not in use."""
-        ready = [key for key in self.ready_copies(now) if key.name not in in_use]
-        return self.free_count() + len(ready)
+        idle = [
+            key
+            for key in self.ready_copies(now)
+            if key.name not in in_use and not self._may_be_in_use(key.name, now)
+        ]
+        return self.free_count() + len(idle)
+
+    def begin_unload(self, name: AdapterName, now: float) -> None:
+        """Notes that the engine unloads a copy once the requests that use it have ended."""
+        place = self._places.get(name)
+        if place is not None:
+            place.state = PlaceState.UNLOADING
+            place.since = now
+
+    def is_unloading(self, now: float) -> bool:
+        """Tells whether the engine waits for requests to end before it unloads their adapter."""
+        for place in self._places.values():
+            if place.state is PlaceState.UNLOADING and now - place.since > MAX_UNLOAD_TIME:
+                place.state = PlaceState.READY
+                place.since = now
+        return any(place.state is PlaceState.UNLOADING for place in self._places.values())
 
     def begin_load(self, key: AdapterKey, now: float, duration: float) -> None:
         """Notes that the engine accepted a load that takes about `duration` seconds."""
@@ -207,7 +235,9 @@
         """
         self._complete_loads(now)
         place = self._places.get(name)
-        if place is None or now - place.ready_at > MAX_LOAD_DELAY:
+        if place is None or place.state is PlaceState.UNLOADING:
+            return False
+        if now - place.ready_at > MAX_LOAD_DELAY:
             return False
         place.state = PlaceState.LOADING
         place.ready_at = now + delay
@@ -227,7 +257,7 @@
             del self._places[name]
         for name, key in held.items():
             place = self._places.get(name)
-            if place is None or place.state is not PlaceState.READY:
+            if place is None or place.state is PlaceState.LOADING:
                 self.mark_ready(key, now)
             else:
                 place.version = key.version
@@ -235,6 +265,10 @@
             if name not in self._places:
                 self.begin_load(key, now, 0.0)
 
+    def _may_be_in_use(self, name: AdapterName, now: float) -> bool:
+        """Tells whether a copy was used so lately that nobody had to report the use yet."""
+        return now - self._used_at.get(name, float("-inf")) < USE_REPORTED_WITHIN
+
     def _eviction_rank(self, name: AdapterName, now: float) -> tuple[float, float, AdapterName]:
         return self._rates.rate(name, now), self._used_at.get(name, 0.0), name
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_controller.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_controller.py
@@ -54,6 +54,9 @@
 # all places are full crashes the engine. Late orders can't pile up unnoticed: after one has taken
 # effect, the next order given here is refused for its number, and the report is read.
 PLACES_FOR_LATE_ORDERS: Final = 2
+# Seconds between reports while the engine waits for requests to end before it unloads an adapter,
+# in which it accepts no other order.
+UNLOAD_POLL_INTERVAL: Final = 0.4
 # Seconds between reports while a base model is loaded, which takes seconds.
 MODEL_POLL_INTERVAL: Final = 0.4
 MAX_REPORT_LAG: Final = 0.8  # Seconds after which a report shows all orders answered before.
@@ -310,6 +313,8 @@
             if not await self._read_report(record):
                 return REPORT_LAG
             self._publish_update()
+        if self._places.is_unloading(now):
+            return max(TIMER_SLACK, self._report_due - now)
         if self._missing_model() is not None:
             return await self._load_model(record)
         return await self._serve_load_requests(record)
@@ -378,7 +383,11 @@
             return True
         if result is OrderResult.STARTED:
             # It ends when the requests that use the adapter have completed; a report will show it.
-            self._report_due = monotonic() + REPORT_LAG
+            now = monotonic()
+            self._places.begin_unload(victim.name, now)
+            self._report_due = now + REPORT_LAG
+            log("unload_waits", endpoint=self._endpoint, adapter=victim.adapter)
+            self._publish_update()
         return False
 
     async def _load(self, record: EndpointRecord, key: AdapterKey) -> bool:
@@ -461,6 +470,11 @@
         """Tells whether the engine accepts calls from this instance now."""
         return not self._context.cooldown_left(self._endpoint)
 
+    def _accepts_orders(self, now: float) -> bool:
+        """Tells whether the engine would carry out a load now."""
+        is_free = self._sequence is not None and not self._places.is_unloading(now)
+        return is_free and self._accepts_calls()
+
     def _may_order(self, fence: int) -> bool:
         return self._authority.fence() == fence and self._accepts_calls()
 
@@ -538,9 +552,15 @@
         self._models = {model.model for model in report.models}
         self._places.adopt_report(held, report.pending, now)
         self._executing_order = report.busy
-        self._report_due = now + (MODEL_POLL_INTERVAL if report.busy else REPORT_INTERVAL)
+        self._report_due = now + self._next_report_in(report, now)
         return True
 
+    def _next_report_in(self, report: EngineReport, now: float) -> float:
+        """Returns the seconds after which the next report is due."""
+        if report.busy:
+            return MODEL_POLL_INTERVAL
+        return UNLOAD_POLL_INTERVAL if self._places.is_unloading(now) else REPORT_INTERVAL
+
     def _publish_cooldown(self) -> None:
         """Publishes once for each cooldown that no loads are accepted, so that nobody waits."""
         if not self._cooldown_published:
@@ -579,7 +599,7 @@
                 if key.model in index
             ],
             free_places=self._places.evictable_count(in_use, now),
-            accepts_loads=bool(fence) and self._sequence is not None and self._accepts_calls(),
+            accepts_loads=bool(fence) and self._accepts_orders(now),
             born=self._born,
             load_ms=int(self._context.load_times.base_seconds * 1000),
         )
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -263,10 +263,6 @@
         started = before is None or before.incarnation != heartbeat.incarnation
         if not self._is_represented(heartbeat.zone):
             self._log_peer(heartbeat, before, now)
-        in_use = {
-            use.endpoint: [(model, adapter) for model, adapter, _ in use.adapters]
-            for use in heartbeat.adapters_in_use
-        }
         self._members[heartbeat.sender] = Member(
             heartbeat.sender,
             heartbeat.incarnation,
@@ -276,7 +272,7 @@
             left > 0.0,
             now if started or before is None else before.first_heartbeat,
             now,
-            in_use,
+            self._known_uses(heartbeat, before),
             store_contact_of(heartbeat, now),
             now - heartbeat.uptime_ms / 1000,
             frozenset(heartbeat.lost_services),
@@ -286,6 +282,18 @@
         if started and self._informs_newcomer(heartbeat.sender):
             self._on_started(heartbeat.sender)
 
+    def _known_uses(
+        self, heartbeat: Heartbeat, before: Member | None
+    ) -> dict[str, list[AdapterName]]:
+        """Returns the adapters that a heartbeat's sender uses, as far as it is known now."""
+        is_known = before is not None and before.incarnation == heartbeat.incarnation
+        if before is not None and is_known and not heartbeat.states_uses:
+            return before.adapters_in_use
+        return {
+            use.endpoint: [(model, adapter) for model, adapter, _ in use.adapters]
+            for use in heartbeat.adapters_in_use
+        }
+
     def _log_peer(self, heartbeat: Heartbeat, before: Member | None, now: float) -> None:
         """Logs the heartbeat of an instance that just started or was unreachable."""
         peer = heartbeat.sender
@@ -377,7 +385,9 @@
         if delegates[0] == self._opts.instance:
             nearby = [n for n in self.reachable() if self._members[n].zone == self._opts.zone]
             loads = self._traffic.combined_load_report(nearby)
-        self._send_relayed(self._relays(), encode(self._make_heartbeat(loads, [])))
+        heartbeat = self._make_heartbeat(loads, [])
+        heartbeat.states_uses = False
+        self._send_relayed(self._relays(), encode(heartbeat))
 
     def _make_heartbeat(self, loads: list[EndpointLoad], in_use: list[AdaptersInUse]) -> Heartbeat:
         contact, now = self._store_contact.contact(), monotonic()
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -58,6 +58,8 @@
         store_answered_ms: Milliseconds since the store's last answer to the sender.
         uptime_ms: Milliseconds since the sender started.
         lost_services: Services of which the sender reaches no endpoint.
+        states_uses: Whether `adapters_in_use` is complete for the receiver; False for a heartbeat
+            that goes to many and states none.
     """
 
     sender: str
@@ -73,6 +75,7 @@
     store_answered_ms: int = 0
     uptime_ms: int = 0
     lost_services: list[str] = []
+    states_uses: bool = True
 
 
 class EngineUpdate(msgspec.Struct, array_like=True, tag="places"):
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -125,6 +125,7 @@
         model_time: Duration of a model load, in seconds.
         model_missing: Whether the model is not loaded.
         replacing_adapter: Adapter whose new version waits for requests on the old one.
+        unloading_adapter: Adapter whose unload waits for the requests that use it.
         connection_count: Number of connections accepted.
         control_requests: Monotonic time and peer of each order and request for a report.
         rejections: Monotonic time and peer of each rejected request.
@@ -162,6 +163,7 @@
     model_time: float = 0.5
     model_missing: bool = False
     loading_model: bool = False
+    unloading_adapter: str = ""
     replacing_adapter: str = ""
     connection_count: int = 0
     address: str = ""
@@ -224,7 +226,7 @@
         self.sequence = 0
         self.loaded.clear()
         self._pending.clear()
-        self.replacing_adapter = ""
+        self.replacing_adapter = self.unloading_adapter = ""
 
     async def _crash(self) -> None:
         """Closes all connections, which cancels the calling task too, and starts again later."""
@@ -319,7 +321,8 @@
     def _execute_order(self, body: dict[str, Any]) -> int:
         if body.get("expect", self.sequence) != self.sequence:
             return 409
-        if self.replacing_adapter and body.get("adapter") != self.replacing_adapter:
+        waiting_order = self.replacing_adapter or self.unloading_adapter
+        if waiting_order and body.get("adapter") != waiting_order:
             return 409
         name = body.get("adapter", "")
         if not name:
@@ -327,12 +330,9 @@
         if self.model_missing:
             return 421
         if body["op"] == "unload":
-            if name not in self.loaded:
-                return 200
-            self.sequence += 1
-            self.evicted_in_use += bool(self.use_counts.get(name))
-            del self.loaded[name]
-            return 200
+            return self._unload_adapter(name)
+        if self.unloading_adapter:
+            return 409
         version = body.get("version") or self.newest_versions.get(name, 1)
         if self.loaded.get(name) == version:
             return 200
@@ -351,6 +351,28 @@
         self._spawn(self._load_adapter(name, version))
         return 202
 
+    def _unload_adapter(self, name: str) -> int:
+        """Unloads an adapter, or waits for its requests; a repeated order changes nothing."""
+        if name not in self.loaded:
+            return 200
+        if self.unloading_adapter:
+            return 202
+        self.sequence += 1
+        if not self.use_counts.get(name):
+            del self.loaded[name]
+            return 200
+        self.evicted_in_use += 1
+        self.unloading_adapter = name
+        self._spawn(self._unload_when_idle(name))
+        return 202
+
+    async def _unload_when_idle(self, name: str) -> None:
+        """Waits for the requests that use an adapter; other orders are refused meanwhile."""
+        while self.use_counts.get(name):  # noqa: ASYNC110 - polling keeps the stand-in simple.
+            await asyncio.sleep(TOKEN_INTERVAL)
+        self.loaded.pop(name, None)
+        self.unloading_adapter = ""
+
     def _load_model(self) -> int:
         """Starts to load the model; a repeated order leaves `sequence` unchanged."""
         if not self.loading_model:
