--- a/tests/test_limits_unknown.py
+++ b/tests/test_limits_unknown.py
@@ -5,10 +5,10 @@
 import random
 
 import pytest
-from limit_fleet import ENDPOINT, NOTICE_TIME, Fleet, allowed
-from wigeonarch_core.permits import MAX_WAIT
+from limit_fleet import ENDPOINT, NOTICE_TIME, WINDOW, Fleet, allowed
+from wigeonarch_core.permits import MAX_WAIT, PERMIT_LIFETIME
 from wigeonarch_gateway import limits as module
-from wigeonarch_gateway.limiter import RIVAL_TTL
+from wigeonarch_gateway.limiter import RIVAL_TTL, Limiter
 from wigeonarch_gateway.roles import Roles
 
 RATE = 1.0
@@ -170,3 +170,18 @@
     assert fleet.most(since) <= allowed(0.0)
     fleet.run(MAX_WAIT + 1.0, None)
     assert not any(limits.any_limited for limits in fleet.limits.values())
+
+
+@pytest.mark.parametrize("limit", [0.0, 0.5, 1.0])
+@pytest.mark.parametrize("seed", range(5))
+def test_permits_under_an_unknown_limit_keep_to_the_lowest(limit: float, seed: int) -> None:
+    draw = random.Random(seed)
+    limiter = Limiter("me", lambda endpoint: "me", lambda endpoint, names: sorted(names))
+    arrivals: list[float] = []
+    now = 0.0
+    while now < 60.0:
+        now += draw.choice((0.001, 0.01, 0.3, 3.0)) * draw.random()
+        if limiter.grant(ENDPOINT.endpoint, None, now):
+            arrivals.append(now + PERMIT_LIFETIME * draw.random())
+    most = max(sum(at <= t < at + WINDOW for t in arrivals) for at in arrivals)
+    assert most <= allowed(limit)
