Engines: the load of a base model that did not begin gives its permit back, and owners share the rate

An owner that ordered the load at the address of the engine's former incarnation was told "misdirected" and had used up its permit for 5 s (six of eight, orders at 7.07 to 7.42 s, the next at 12.47 s). And the rate was shared by all 89 instances, though only owners begin loads: one each in 5 s, so that the owner of four engines needed 15 s for the last. Ruled out: late claims (7.3 to 8.2 s).

Change: a permit whose order surely had no effect is given back; the rate is shared by the instances that may own engines within a window: in large zones the delegates and one more set of them.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -117,6 +117,10 @@
         """Tells whether a zone is large enough to be represented by delegates."""
         return self._sizes[zone] > LARGE_ZONE
 
+    def zone_sizes(self) -> Mapping[str, int]:
+        """Returns the number of instances in each zone."""
+        return self._sizes
+
     def relay_addresses(
         self, own_zone: str, leaving: Collection[str], now: float
     ) -> dict[str, list[str]]:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_controller.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_controller.py
@@ -139,6 +139,7 @@
         loads_in_progress: Returns the number of loads in progress on all engines.
         was_loaded_before: Tells whether an engine is known to have had an adapter loaded.
         may_load_model: Acquires a permit to begin the load of a base model; False if there is none.
+        give_back_model_load: Gives the permit back, because the load did not begin and never will.
         since_restart: Returns the seconds since an endpoint was seen to restart under its id.
         on_notice: Handles what an endpoint states about itself in a response.
         cooldown_left: Returns the seconds for which an endpoint wants no calls from this instance.
@@ -156,6 +157,7 @@
     loads_in_progress: Callable[[], int]
     was_loaded_before: Callable[[str, AdapterKey], bool]
     may_load_model: Callable[[], bool]
+    give_back_model_load: Callable[[], None]
     since_restart: Callable[[str], float]
     on_notice: Callable[[EndpointRecord, Notice], None]
     cooldown_left: Callable[[str], float]
@@ -421,6 +423,8 @@
             # No order is given until a report shows the model, or that no order is being executed.
             self._executing_order = True
             self._report_due = monotonic() + max(MAX_REPORT_LAG, model.load_time)
+        elif result is not OrderResult.UNKNOWN:
+            self._context.give_back_model_load()
         return MODEL_POLL_INTERVAL
 
     def _missing_model(self) -> ModelSpec | None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/model_load_permits.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/model_load_permits.py
@@ -1,6 +1,8 @@
 """Limits the loads of base models that an instance begins to its share of the allowed rate.
 
-The weight store allows a rate of loads over all engines, which all instances share equally.
+The weight store allows a rate of loads over all engines. Only owners of engines begin loads, so the
+rate is shared equally by the instances that may own engines. A load that certainly did not begin
+gives its permit back.
 """
 
 from __future__ import annotations
@@ -16,28 +18,33 @@
 class ModelLoadPermits:
     """Permits for this instance to begin loads of base models."""
 
-    __slots__ = ("_begun_at", "_instance_count", "_rates")
+    __slots__ = ("_begun_at", "_owner_count", "_rates")
 
     def __init__(
-        self, rates: Callable[[], Iterable[float]], instance_count: Callable[[], int]
+        self, rates: Callable[[], Iterable[float]], owner_count: Callable[[], int]
     ) -> None:
         """Creates the permits; none is in use yet.
 
         Args:
             rates: Returns, for each engine, the loads per second that its service allows over all
                 engines.
-            instance_count: Returns the number of instances that share the rate.
+            owner_count: Returns the number of instances that may begin loads within a window.
         """
         self._rates = rates
-        self._instance_count = instance_count
+        self._owner_count = owner_count
         self._begun_at: list[float] = []
 
     def acquire(self) -> bool:
         """Acquires a permit to begin a load now; returns whether there is one."""
         now = monotonic()
         self._begun_at = [at for at in self._begun_at if now - at < WINDOW]
-        share = min(self._rates(), default=0.0) * WINDOW / self._instance_count()
+        share = min(self._rates(), default=0.0) * WINDOW / self._owner_count()
         if len(self._begun_at) >= max(1.0, share):
             return False
         self._begun_at.append(now)
         return True
+
+    def give_back(self) -> None:
+        """Gives back the last permit, because its load did not begin and never will."""
+        if self._begun_at:
+            self._begun_at.pop()
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -235,7 +235,7 @@
         self._store_updates.register_handlers(self._sharing)
         self._model_load_permits = ModelLoadPermits(
             lambda: (spec.loads_per_second for _, spec in self._known_engines()),
-            self._members.roles.instance_count,
+            self._members.roles.owner_count,
         )
         self._engine_ownership = EngineOwnership(
             opts.instance,
@@ -688,6 +688,7 @@
             self._views.loads_in_progress,
             lambda endpoint, key: self._views.get(endpoint).is_warm(key),
             self._model_load_permits.acquire,
+            self._model_load_permits.give_back,
             self._endpoints.since_restart,
             lambda record, notice: self._notices.note(record, notice),
             lambda endpoint: self._cooldowns.remaining(endpoint, monotonic()),
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/roles.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/roles.py
@@ -30,6 +30,8 @@
 ZONE_EMPTY_AFTER: Final = 15.0
 MIN_DELEGATES: Final = 3  # Least number of delegates of a large zone, so that two can fail at once.
 INSTANCES_PER_DELEGATE: Final = 16  # Instances of a large zone per delegate.
+# Sets of delegates of a large zone that may own its engines within some seconds: one and the next.
+DELEGATE_GENERATIONS: Final = 2
 # Seconds without an answer of the store, according to its heartbeats, after which a delegate is
 # ranked last among the possible watchers. One that follows another watcher stays below this.
 STORE_LOST_AFTER: Final = 5.0
@@ -164,7 +166,7 @@
         if len(present) <= LARGE_ZONE:
             return sorted(present)
         names = self._long_known(present, COMMON_START_TIME) or present
-        most = max(MIN_DELEGATES, math.ceil(len(present) / INSTANCES_PER_DELEGATE))
+        most = _delegates_in_zone(len(present))
         return ranked(DELEGATES_HASH_KEY, sorted(names))[:most]
 
     def watchers(self) -> list[str]:
@@ -270,6 +272,10 @@
         present = self._directory.present_instances(monotonic())
         return len({self._me, *present, *self._reachable()})
 
+    def owner_count(self) -> int:
+        """Returns how many instances may own engines within some seconds, this one included."""
+        return possible_owner_count(self._directory.zone_sizes(), self.instance_count())
+
     def store_contacts(self, zone: str) -> list[Contact]:
         """Returns the store contacts of the instances that would share a store outage of a zone.
 
@@ -284,3 +290,29 @@
         if nearby or zone == self._zone:
             return nearby
         return [contact for _, contact in reported]
+
+
+def _delegates_in_zone(size: int) -> int:
+    """Returns the number of delegates of a zone with so many instances."""
+    if size <= LARGE_ZONE:
+        return size
+    return max(MIN_DELEGATES, math.ceil(size / INSTANCES_PER_DELEGATE))
+
+
+def _owners_in_zone(size: int) -> int:
+    """Returns how many instances of a zone may own engines within some seconds."""
+    return min(size, DELEGATE_GENERATIONS * _delegates_in_zone(size))
+
+
+def possible_owner_count(zone_sizes: Mapping[str, int], instances: int) -> int:
+    """Returns how many instances may own engines within some seconds.
+
+    In a large zone these are its delegates, and those that replace them meanwhile. Instances whose
+    zone is not known yet count each.
+
+    Args:
+        zone_sizes: Number of known instances in each zone.
+        instances: Number of all instances.
+    """
+    unplaced = max(0, instances - sum(zone_sizes.values()))
+    return max(1, unplaced + sum(_owners_in_zone(size) for size in zone_sizes.values()))
