Engines: loads asked for at once are spread by each adapter's own order of engines

Cause: of 199 requests that needed a load in seconds 18 to 21, groups of three to six asked the same engine within 0.15 s, from different instances: all see the same costs until the owner tells of the loads. An engine loads four at a time, the rest waited behind and moved on after 0.5 s, in a group again. Evidence: adapter_awaited and order lines; 86 of 199 were ordered at the engine asked first. Ruled out: the weight store (24 loads on their way, 48 go at full speed); full engines. Change: each adapter has its own order of engines by rendezvous hash, which costs up to 0.3 s (a load's duration); owners tell how many loads wait, which count as those in progress do.

--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -52,6 +52,11 @@
 # fill up evenly.
 NO_PLACE_COST: Final = 1.0  # Seconds of waiting, when no place is free.
 SCARCE_PLACES: Final = 4  # Free places below which the cost applies.
+# Cost of a load at an engine that the adapter prefers least, in seconds of waiting. Owners tell of
+# loads after they began, so instances that only looked at costs would all ask the same engine until
+# then. With preferences of its own for each adapter they ask different engines for different
+# adapters, and the same one for the same adapter.
+LOAD_SPREAD_COST: Final = 0.3
 
 
 class EngineState(msgspec.Struct, frozen=True):
@@ -68,6 +73,8 @@
         loadable: Whether its owner can be asked for a load.
         free_places: Places for adapters that are empty or hold an unused adapter.
         loading: Number of adapters being loaded.
+        waiting_loads: Loads that were requested from its owner and have not begun.
+        load_rank: How little the adapter prefers this engine for its load, from 0 to 1.
         waiting_tokens: Prompt tokens sent to it whose requests have no first token yet.
         running: Requests sent to it that have not ended.
         batch: Requests that it can run at the same time.
@@ -99,6 +106,8 @@
     slowness: float = 1.0
     recent_tokens: float = 0.0
     largest_pause: float = 0.0
+    waiting_loads: int = 0
+    load_rank: float = 0.0
 
 
 class EngineChoice(msgspec.Struct, frozen=True):
@@ -209,8 +218,10 @@
             load = state.load_time * (WARM_LOAD / COLD_LOAD if state.warm else 1.0)
             cost = WARM_LOAD_COST if state.warm else COLD_LOAD_COST
             cost += REPLACE_COST if state.replaces else 0.0
-            # A new load waits for those in progress, of which `MAX_CONCURRENT_LOADS` run at a time.
-            load += state.load_time * (state.loading // MAX_CONCURRENT_LOADS)
+            # A new load waits for those before it, of which `MAX_CONCURRENT_LOADS` run at a time.
+            ahead = state.loading + state.waiting_loads
+            load += state.load_time * (ahead // MAX_CONCURRENT_LOADS)
+            cost += LOAD_SPREAD_COST * state.load_rank
             shortage = max(0, SCARCE_PLACES - state.free_places) / SCARCE_PLACES
             cost += NO_PLACE_COST * shortage * shortage
     prefill = state.slowness * (state.waiting_tokens + prompt_tokens) / PREFILL_RATE
--- a/packages/wigeonarch-core/src/wigeonarch_core/rendezvous.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/rendezvous.py
@@ -13,6 +13,7 @@
 import xxhash
 
 KEY_SEPARATOR: Final = "\x00"
+SCORES: Final = 2.0**64  # Number of possible scores.
 
 
 def score(key: str, member: str) -> int:
@@ -20,6 +21,11 @@
     return xxhash.xxh3_64_intdigest(f"{key}{KEY_SEPARATOR}{member}".encode())
 
 
+def aversion(key: str, member: str) -> float:
+    """Returns how little a member is preferred for a key: uniform in [0, 1], 0 for the most."""
+    return 1.0 - score(key, member) / SCORES
+
+
 def ranked(key: str, members: Sequence[str]) -> list[str]:
     """Returns the members in their order of preference for a key."""
     return sorted(members, key=lambda member: (-score(key, member), member))
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_controller.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_controller.py
@@ -606,6 +606,7 @@
             accepts_loads=bool(fence) and self._accepts_orders(now),
             born=self._born,
             load_ms=int(self._context.load_times.base_seconds * 1000),
+            waiting_loads=len(self._load_requests),
         )
         if self._update_fence:
             self._context.publish(update)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
@@ -12,6 +12,7 @@
     choose_engine_after_load_request,
 )
 from wigeonarch_core.engine_places import AdapterKey
+from wigeonarch_core.rendezvous import aversion
 from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.candidates import Candidates
@@ -173,18 +174,21 @@
         view = self._views.get(record.endpoint)
         if key.model not in view.models:
             return None
+        holds = not key.adapter or view.can_serve(key, now)
         load = self._traffic.load_at(record.endpoint)
         engine = job.spec.engine if job.spec else None
         return EngineState(
             endpoint=record.endpoint,
             same_zone=record.zone == self._zone,
-            holds=not key.adapter or view.can_serve(key, now),
+            holds=holds,
             loading_left=view.loading_left(key, now),
             warm=view.is_warm(key),
             replaces=view.replaces(key),
             loadable=view.can_request_load(now),
             free_places=view.free_places,
             loading=len(view.loading),
+            waiting_loads=view.waiting_loads,
+            load_rank=0.0 if holds else aversion(key.adapter, record.endpoint),
             waiting_tokens=load.waiting_tokens,
             running=load.running,
             batch=engine.batch if engine else record.slots,
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
@@ -50,6 +50,7 @@
             since.
         born: Start time of the engine's incarnation; 0 if unknown.
         load_time: Seconds that a load takes which must be fetched while few others are in progress.
+        waiting_loads: Loads that were requested from the owner and had not begun.
     """
 
     owner: str = ""
@@ -67,6 +68,7 @@
     last_reported: tuple[list[str], list[tuple[int, str, int]]] | None = None
     born: int = 0
     load_time: float = COLD_LOAD
+    waiting_loads: int = 0
 
     def adapter_names(self) -> set[AdapterName]:
         """Returns the adapters that are loaded or being loaded."""
@@ -169,6 +171,7 @@
         view.free_places = update.free_places
         view.accepts_loads = update.accepts_loads
         view.load_time = update.load_ms / 1000 or COLD_LOAD
+        view.waiting_loads = update.waiting_loads
         self.wake(update.endpoint)
 
     def _take_places(self, view: EngineView, update: EngineUpdate, now: float) -> None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -94,6 +94,7 @@
         born: Start time of the engine's incarnation that this describes; 0 if unknown.
         load_ms: Milliseconds that a load takes which must be fetched while few others are in
             progress; 0 if unknown.
+        waiting_loads: Loads that were requested and have not begun.
     """
 
     sender: str
@@ -107,6 +108,7 @@
     accepts_loads: bool
     born: int = 0
     load_ms: int = 0
+    waiting_loads: int = 0
 
 
 class LoadRequest(msgspec.Struct, array_like=True, tag="wish"):
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from typing import Any
+
 import pytest
 from engine_states import IDLE
 from msgspec.structs import replace
@@ -10,6 +13,7 @@
     choose_engine,
     choose_engine_after_load_request,
 )
+from wigeonarch_core.rendezvous import aversion
 from wigeonarch_core.service_choice import ServiceState, choose_endpoint
 
 HOLDS = replace(IDLE, endpoint="holds", holds=True)
@@ -111,3 +115,46 @@
 )
 def test_choice_of_a_plain_endpoint(states: list[ServiceState], expected: str | None) -> None:
     assert choose_endpoint(states) == expected
+
+
+def engines_seen_alike(count: int) -> list[EngineState]:
+    return [replace(COLD, endpoint=f"e{number}") for number in range(count)]
+
+
+def ask_for_load(adapter: str, engines: list[EngineState]) -> str:
+    ranked = [replace(e, load_rank=aversion(adapter, e.endpoint)) for e in engines]
+    choice = choose_engine(ranked, 1000)
+    assert choice is not None
+    return choice.endpoint
+
+
+def test_loads_asked_for_before_owners_tell_of_them_are_spread_over_engines() -> None:
+    engines = engines_seen_alike(10)
+    asked = Counter(ask_for_load(f"a{number}", engines) for number in range(40))
+    assert len(asked) == len(engines)
+    assert max(asked.values()) <= 3 * 40 / len(engines)
+
+
+def test_instances_that_need_one_adapter_ask_one_engine_for_it() -> None:
+    engines = engines_seen_alike(10)
+    assert len({ask_for_load("a1", engines) for _ in range(20)}) == 1
+
+
+@pytest.mark.parametrize(
+    ("more", "chosen"),
+    [
+        ({"waiting_loads": 8}, "other"),  # Two loads' time behind others.
+        ({"free_places": 0}, "other"),
+        ({"running": 70}, "other"),
+        ({"warm": True}, "preferred"),
+        ({}, "preferred"),
+    ],
+)
+def test_preferred_engine_is_asked_unless_it_is_far_behind(
+    more: dict[str, Any], chosen: str
+) -> None:
+    preferred = replace(COLD, endpoint="preferred", **more)
+    other = replace(COLD, endpoint="other", load_rank=0.9)
+    choice = choose_engine([preferred, other], 1000)
+    assert choice is not None
+    assert choice.endpoint == chosen
