Endpoints of uneven pace: evidence shared by heartbeats, used by both choices

What callers saw: streams paused too long at slow engines, requests queued at slow plain endpoints. Change: core.endpoint_pace, two more fields of EndpointLoad, pace in both choices, log and gauge.

--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -5,15 +5,23 @@
 zone, recent failures and other costs are added as seconds of waiting. Copies of a popular adapter
 spread without a rule of their own: as soon as the queue of the engine that holds the adapter costs
 more than a load elsewhere, the load is chosen.
+
+Where engines differ in pace, all of an engine's times are those at its pace. A slow one also makes
+streams pause for too long when it processes several prompts at once, which others bear. Each stream
+that this is expected to make late costs what a late response costs, so a slow engine gets prompts
+one at a time. Where all engines have about the same pace, it plays no part.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
 import msgspec
+from msgspec.structs import replace
 
+from wigeonarch_core.endpoint_pace import settled_all
 from wigeonarch_core.load_time import COLD_LOAD, WARM_LOAD
 
 # Adapters that one engine loads at the same time; engines refuse more.
@@ -40,6 +48,18 @@
 MAX_STALL_FACTOR: Final = 4.0  # Greatest multiple of `STALL_COST` per stream.
 # Stall ratio of the recent prompts above which the next prompt is held back.
 CROWDED_STALL_RATIO: Final = 0.6
+# Cost of a stream that pauses for too long, in seconds of waiting: nine tenths of what a response
+# in time is worth, of which a load from the weight store costs a third.
+LATE_STREAM_COST: Final = 0.8
+# Seconds between two events of a stream at the usual pace, without prompts between them.
+EVENT_TIME: Final = 0.06
+# Longest pause at the usual pace as a share of the longest allowed one: engines process prompts in
+# chunks, so that a pause does not grow with the number of prompts.
+USUAL_PAUSE_SHARE: Final = 0.9
+# Expected pauses, as shares of the longest allowed one, at which no stream is late and all are.
+SAFE_PAUSE_SHARE: Final = 0.85
+LATE_PAUSE_SHARE: Final = 1.15
+TYPICAL_PROMPT: Final = 1_500.0  # Tokens of a prompt that another instance may send.
 # An engine whose KV cache is nearly full preempts requests, which then start again.
 KV_CACHE_FULL: Final = 0.88  # Share of the cache from which the cost applies.
 KV_CACHE_FULL_COST: Final = 2.0  # Seconds of waiting.
@@ -78,6 +98,7 @@
         slowness: How many times as long as usual it takes until first tokens; 1 if not far slower.
         recent_tokens: Prompt tokens sent to it lately, by all instances.
         largest_pause: Longest allowed pause between events of a stream, in seconds; 0 if unlimited.
+        pace: How many times as long as the usual engine of its service it takes for each step.
     """
 
     endpoint: str
@@ -99,6 +120,15 @@
     slowness: float = 1.0
     recent_tokens: float = 0.0
     largest_pause: float = 0.0
+    pace: float = 1.0
+
+    @property
+    def delay(self) -> float:
+        """Returns how many times as long as usual it takes for work of any kind."""
+        # Slow first tokens and slow steps may have one cause, which counts once.
+        if self.slowness > 1.0 and self.pace > 1.0:
+            return max(self.slowness, self.pace)
+        return self.slowness * self.pace
 
 
 class EngineChoice(msgspec.Struct, frozen=True):
@@ -129,7 +159,12 @@
             a lag; without randomness, all instances would send to the same engine until the next
             update.
     """
-    states = list(states)
+    return _choose(_settle(states), prompt_tokens, draw)
+
+
+def _choose(
+    states: Sequence[EngineState], prompt_tokens: int, draw: Callable[[], float]
+) -> EngineChoice | None:
     least_costs = _least_stall_costs(states, prompt_tokens)
     expected = [
         (choice, state)
@@ -144,6 +179,16 @@
     return min(alike, key=lambda choice: choice.expected + draw())
 
 
+def _settle(states: Iterable[EngineState]) -> list[EngineState]:
+    """Returns the states with the paces that count for the choice."""
+    states = list(states)
+    settle = settled_all([state.pace for state in states])
+    return [
+        state if state.pace == settle(state.pace) else replace(state, pace=settle(state.pace))
+        for state in states
+    ]
+
+
 def _cost_class(state: EngineState) -> tuple[bool, bool, bool, bool]:
     """Returns what a send to an engine costs besides waiting.
 
@@ -172,12 +217,11 @@
         keep_waiting: Whether it was asked so recently that the request should wait for it.
         draw: As for `choose_engine`.
     """
+    states = _settle(states)
     if not loading_engine:
-        return choose_engine(states, prompt_tokens, draw)
+        return _choose(states, prompt_tokens, draw)
     preferred = [s for s in states if s.holds or (s.endpoint == loading_engine) is keep_waiting]
-    return choose_engine(preferred, prompt_tokens, draw) or choose_engine(
-        states, prompt_tokens, draw
-    )
+    return _choose(preferred, prompt_tokens, draw) or _choose(states, prompt_tokens, draw)
 
 
 def _least_stall_costs(
@@ -213,12 +257,12 @@
             load += state.load_time * (state.loading // MAX_CONCURRENT_LOADS)
             shortage = max(0, SCARCE_PLACES - state.free_places) / SCARCE_PLACES
             cost += NO_PLACE_COST * shortage * shortage
-    prefill = state.slowness * (state.waiting_tokens + prompt_tokens) / PREFILL_RATE
-    wait = max(load + state.slowness * prompt_tokens / PREFILL_RATE, prefill)
+    prefill = state.delay * (state.waiting_tokens + prompt_tokens) / PREFILL_RATE
+    wait = max(load + state.delay * prompt_tokens / PREFILL_RATE, prefill)
     # Running requests slow down each step while prompts are processed in chunks.
-    wait += state.slowness * STEP_TIME_PER_REQUEST * state.running
+    wait += state.delay * STEP_TIME_PER_REQUEST * state.running
     # Requests that exceed the batch wait until others end.
-    wait += state.slowness * TYPICAL_RUN_TIME * batch_excess(state.running, state.batch)
+    wait += state.delay * TYPICAL_RUN_TIME * batch_excess(state.running, state.batch)
     cost += SLOWNESS_COST * (state.slowness - 1.0)
     if not state.same_zone:
         wait += CROSS_ZONE_COST
@@ -226,8 +270,48 @@
         wait += KV_CACHE_FULL_COST
     wait += cost + FAILURE_COST * state.failing
     wait += _stall_cost(state, prompt_tokens) - least_stall_cost
-    crowded = state.running > 0 and stall_ratio(state, 0) > CROWDED_STALL_RATIO
-    return EngineChoice(state.endpoint, not state.holds, wait, crowded)
+    wait += LATE_STREAM_COST * _late_streams(state, prompt_tokens)
+    return EngineChoice(state.endpoint, not state.holds, wait, _is_crowded(state, prompt_tokens))
+
+
+def _is_crowded(state: EngineState, prompt_tokens: int) -> bool:
+    """Tells whether another prompt sent now would make streams pause for too long."""
+    if state.running == 0:
+        return False
+    if stall_ratio(state, 0) > CROWDED_STALL_RATIO:
+        return True
+    # An engine that one prompt alone makes pause is not better later.
+    alone = _late_share(state, prompt_tokens)
+    return _late_share(state, state.recent_tokens + prompt_tokens) > alone
+
+
+def _late_streams(state: EngineState, prompt_tokens: int) -> float:
+    """Returns how many streams a slow engine's pauses are expected to make late, if one more runs.
+
+    Prompts that other instances send at the same time are not known yet. They are expected at the
+    rate at which the running requests must have come.
+    """
+    window = state.pace * EVENT_TIME
+    meets = 1.0 - math.exp(-state.running / TYPICAL_RUN_TIME * window)
+    tokens = state.recent_tokens + prompt_tokens
+    late = _late_share(state, tokens)
+    late_if_met = _late_share(state, tokens + TYPICAL_PROMPT)
+    others = state.running * (late + meets * (late_if_met - late))
+    # Further prompts come while the request's own stream runs: about as many as requests run now.
+    per_prompt = _late_share(state, TYPICAL_PROMPT)
+    per_prompt += meets * (_late_share(state, 2 * TYPICAL_PROMPT) - per_prompt)
+    own = 1.0 - (1.0 - min(1.0, per_prompt)) ** state.running
+    return others + own
+
+
+def _late_share(state: EngineState, tokens: float) -> float:
+    """Returns the share of a slow engine's streams that a pause for so many tokens makes late."""
+    if state.pace <= 1.0 or not state.largest_pause:
+        return 0.0
+    usual = min(EVENT_TIME + tokens / PREFILL_RATE, USUAL_PAUSE_SHARE * state.largest_pause)
+    share = state.pace * usual / state.largest_pause
+    ramp = (share - SAFE_PAUSE_SHARE) / (LATE_PAUSE_SHARE - SAFE_PAUSE_SHARE)
+    return min(1.0, max(0.0, ramp))
 
 
 def batch_excess(running: int, batch: int) -> float:
@@ -256,7 +340,8 @@
     """Returns the prefill time of the recent prompts and this one, per longest allowed pause."""
     if not state.largest_pause:
         return 0.0
-    return (state.recent_tokens + prompt_tokens) / PREFILL_RATE / state.largest_pause
+    seconds = state.pace * (state.recent_tokens + prompt_tokens) / PREFILL_RATE
+    return seconds / state.largest_pause
 
 
 def _stall_cost(state: EngineState, prompt_tokens: int) -> float:
--- a/packages/wigeonarch-core/src/wigeonarch_core/service_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/service_choice.py
@@ -8,6 +8,10 @@
 the endpoints. That is nearly uniform for a long lag, and means the least busy endpoint for a short
 one.
 
+What is levelled is the expected time of a request, in multiples of the usual service time: the
+requests before it and its own, each as long as the pace of the endpoint says. So an endpoint of
+which the requests take four times as long gets some only when the queues elsewhere are as long.
+
 An endpoint in the instance's own availability zone gets requests up to a limit before others do. An
 endpoint with a higher share of failures counts as busier.
 
@@ -22,10 +26,13 @@
 from typing import Final
 
 import msgspec
+from msgspec.structs import replace
+
+from wigeonarch_core.endpoint_pace import settled_all
 
-# Cost of sending a request to another availability zone, in running requests per slot.
+# Cost of sending a request to another availability zone, in usual service times.
 CROSS_ZONE_COST: Final = 0.35
-# Cost of a failure share of 1, in running requests per slot.
+# Cost of a failure share of 1, in usual service times.
 FAILURE_COST: Final = 4.0
 # Requests per slot up to which an endpoint of the own zone gets all requests of this instance.
 LOCAL_LOAD_LIMIT: Final = 0.85
@@ -42,6 +49,7 @@
         slots: Requests that it can run at the same time.
         running: Requests sent to it that have not ended.
         failing: Recent share of failures, from 0 to 1.
+        pace: How many times as long as usual a request takes there.
     """
 
     endpoint: str
@@ -49,6 +57,7 @@
     slots: int
     running: int
     failing: float
+    pace: float = 1.0
 
 
 def choose_endpoint(
@@ -65,11 +74,11 @@
         service_time: Seconds that a request takes; None if unknown.
         draw: Uniform in [0, 1); drawn if not given.
     """
-    found = sorted(states, key=lambda state: (_load_level(state), state.endpoint))
+    found = sorted(_settle(states), key=lambda state: (_load_level(state), state.endpoint))
     if not found:
         return None
     near = next((state for state in found if state.same_zone), None)
-    if near is not None and _load_level(near) + 1 / max(1, near.slots) <= LOCAL_LOAD_LIMIT:
+    if near is not None and _is_light(near):
         return near.endpoint
     in_progress = sum(state.running for state in found)
     arrivals = in_progress * (
@@ -84,15 +93,37 @@
     return found[0].endpoint
 
 
+def _settle(states: Iterable[ServiceState]) -> list[ServiceState]:
+    """Returns the states with the paces that count for the choice."""
+    states = list(states)
+    settle = settled_all([state.pace for state in states])
+    return [
+        state if state.pace == settle(state.pace) else replace(state, pace=settle(state.pace))
+        for state in states
+    ]
+
+
+def _is_light(state: ServiceState) -> bool:
+    """Tells whether an endpoint of the own zone is to get a request without regard to others."""
+    load = max(_load_level(state), state.running / max(1, state.slots))
+    return load + 1 / max(1, state.slots) <= LOCAL_LOAD_LIMIT
+
+
 def _load_level(state: ServiceState) -> float:
-    """Returns the load of an endpoint in requests per slot, including zone and failure costs."""
+    """Returns by how much a request's expected time exceeds the usual service time.
+
+    It is in multiples of the usual service time, and includes zone and failure costs. At the usual
+    pace it is the number of running requests per slot.
+    """
     zone = 0.0 if state.same_zone else CROSS_ZONE_COST
-    return state.running / max(1, state.slots) + zone + FAILURE_COST * state.failing
+    own = state.pace - 1.0
+    queue = state.pace * state.running / max(1, state.slots)
+    return queue + zone + FAILURE_COST * state.failing + own
 
 
 def _levelling_arrivals(states: Sequence[ServiceState], arrivals: float) -> list[float]:
     """Returns how many of the arrivals each endpoint should get; `states` is in order of load."""
-    slots = [max(1, state.slots) for state in states]
+    slots = [max(1, state.slots) / state.pace for state in states]
     levels = [_load_level(state) for state in states]
     filled = total = 0.0
     level = levels[0]
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
@@ -142,9 +142,11 @@
     def choose(self, job: Job, now: float) -> EngineChoice | None:
         """Returns the best engine for a request, or None when none can run it."""
         key = self.required_adapter(job)
+        records = self._candidates.usable(job, now)
+        peers = [record.endpoint for record in self._endpoints.ready(job.service)]
+        paces = self._traffic.paces.ratios({*peers, *(r.endpoint for r in records)}, now)
         states = [
-            self._engine_state(record, job, key, now)
-            for record in self._candidates.usable(job, now)
+            self._engine_state(record, job, key, now, paces[record.endpoint]) for record in records
         ]
         usable = [state for state in states if state is not None]
         load_time = (
@@ -168,7 +170,7 @@
         return AdapterKey(terms.model, terms.adapter, version)
 
     def _engine_state(
-        self, record: EndpointRecord, job: Job, key: AdapterKey, now: float
+        self, record: EndpointRecord, job: Job, key: AdapterKey, now: float, pace: float
     ) -> EngineState | None:
         view = self._views.get(record.endpoint)
         if key.model not in view.models:
@@ -195,4 +197,5 @@
             slowness=self._outcomes.slowness(record, now),
             recent_tokens=load.recent_tokens,
             largest_pause=job.route.largest_pause,
+            pace=pace,
         )
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -11,6 +11,7 @@
 import asyncio
 from typing import Final
 
+from wigeonarch_core.endpoint_pace import GAPS_PER_SAMPLE, EventGaps, expected_gaps
 from wigeonarch_core.engine_choice import expected_first_token
 from wigeonarch_core.retry_window import RetryWindow
 from wigeonarch_runtime.clock import monotonic
@@ -354,6 +355,7 @@
             version=in_flight.adapter.version if in_flight.adapter else 0,
             software=record.software,
             running=running,
+            pace=self._pace(record),
             waited=monotonic() - job.request.received,
             parts=_logged_parts(job),
             **self._stream_fields(job),
@@ -384,9 +386,15 @@
         if head.is_event_stream and verdict is Verdict.ANSWER:
             return await self._forward_stream(job, record, conn, in_flight, head)
         if not job.terms.model:
-            self._selector.record_response_time(job, record, monotonic() - sent_at, running)
+            took, is_sound = monotonic() - sent_at, verdict is Verdict.ANSWER
+            self._selector.record_response_time(job, record, took, running, is_sound)
         return await self._forward_whole(job, record, conn, head, verdict)
 
+    def _pace(self, record: EndpointRecord) -> float:
+        """Returns how many times as long as the usual endpoint of its service one takes."""
+        peers = [peer.endpoint for peer in self._endpoints.ready(record.service)]
+        return self._traffic.paces.ratio(record.endpoint, peers, monotonic())
+
     @staticmethod
     def _stream_fields(job: Job) -> LogFields:
         """Returns log fields that tell which stream a dispatch resumes; none for a new one."""
@@ -462,20 +470,26 @@
     ) -> DispatchFailure | None:
         job.splitter.discard_partial()
         events_before = job.splitter.count
+        gaps = EventGaps()
         if not job.response.started:
             await job.response.start(head.status, end_to_end_headers(head))
         while True:
             data = await conn.read()
             if not data:
                 break
+            count_before = job.splitter.count
             events = job.splitter.feed(data)
+            self._record_gap(job, record, gaps.note(job.splitter.count - count_before, monotonic()))
             if in_flight.unread_tokens and events:
                 self._traffic.first_token(in_flight)
                 self._outcomes.record_first_token(record, in_flight.first_token_wait)
             if events:
                 self._streams.record_begun(job, record)
                 job.record_events(monotonic())
+                written_from = monotonic()
                 await job.response.write(events)
+                gaps.note_write(monotonic() - written_from)
+        self._record_gap(job, record, gaps.typical())
         stream_end: LogFields = {"framing": conn.framing.value}
         is_empty = job.splitter.count == events_before
         if reason := find_broken_end(conn.framing, job.splitter.inside_event, is_empty):
@@ -488,6 +502,13 @@
         self._responder.record_responded(job, record.endpoint, head.status, stream_end)
         return None
 
+    def _record_gap(self, job: Job, record: EndpointRecord, gap: float | None) -> None:
+        """Records the typical time between two events of a stream of an engine, if it is known."""
+        if gap is None or not job.terms.model:
+            return
+        running = self._traffic.load_at(record.endpoint).running
+        self._traffic.record_pace(record.endpoint, GAPS_PER_SAMPLE * gap, expected_gaps(running))
+
 
 def _logged_parts(job: Job) -> str:
     """Returns the ids of the shared parts of a request's prompt for a log line."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -282,7 +282,8 @@
             frozenset(heartbeat.lost_services),
         )
         self.discovery.note_address(heartbeat.address, heartbeat.zone)
-        self._traffic.receive_loads(heartbeat.sender, heartbeat.loads)
+        is_near = heartbeat.zone == self._opts.zone
+        self._traffic.receive_loads(heartbeat.sender, heartbeat.loads, is_near)
         if started and self._informs_newcomer(heartbeat.sender):
             self._on_started(heartbeat.sender)
 
@@ -338,19 +339,22 @@
 
     def _send_heartbeat_round(self) -> None:
         """Sends one heartbeat to each instance that should get one from this instance."""
-        loads = self._traffic.own_load_report()
+        addresses = self.discovery.addresses()
+        represented = self._represented_zones()
+        receivers = sum(self.discovery.zone(address) not in represented for address in addresses)
+        loads = self._traffic.own_load_report(receivers)
         plain = encode(self._make_heartbeat(loads, []))
-        owners = {self._owner_of(load.endpoint) for load in loads}
+        used = [load.endpoint for load in loads if load.running]
+        owners = {self._owner_of(endpoint) for endpoint in used}
         names = {member.address: member.name for member in self._members.values()}
-        represented = self._represented_zones()
-        for address in self.discovery.addresses():
+        for address in addresses:
             far = self.discovery.zone(address) in represented
             is_owner = names.get(address) in owners
             if far and not is_owner:
                 continue
             frame = plain
             if is_owner:
-                in_use = self._adapters_in_use_at(names[address], [load.endpoint for load in loads])
+                in_use = self._adapters_in_use_at(names[address], used)
                 frame = encode(self._make_heartbeat([] if far else loads, in_use))
             self._socket.send_frame(address, frame)
         if represented:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -24,6 +24,9 @@
         waiting_tokens: Prompt tokens of requests that have not received a first token yet.
         kv_tokens: Tokens that the requests may occupy in the KV cache.
         recent_tokens: Recently sent prompt tokens, weighted by age as in `traffic.Load`.
+        pace_observed_ms: Milliseconds that samples of the endpoint's pace took since the sender's
+            last heartbeat.
+        pace_expected_ms: Milliseconds that they were expected to take; 0 without new samples.
     """
 
     endpoint: str
@@ -31,6 +34,8 @@
     waiting_tokens: int
     kv_tokens: int
     recent_tokens: int = 0
+    pace_observed_ms: int = 0
+    pace_expected_ms: int = 0
 
 
 class AdaptersInUse(msgspec.Struct, array_like=True):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
@@ -106,6 +106,12 @@
         self.log_lines_dropped = Gauge(
             "wigeonarch_gateway_log_lines_dropped", "Log lines that nobody took", registry=reg
         )
+        self.endpoint_pace = Gauge(
+            "wigeonarch_gateway_endpoint_pace",
+            "How many times as long as the usual endpoint of its service each endpoint takes",
+            ["endpoint"],
+            registry=reg,
+        )
         self.first_byte = Histogram(
             "wigeonarch_gateway_first_byte_seconds",
             "Time to the first byte of the answer",
@@ -133,6 +139,12 @@
             registry=reg,
         )
 
+    def set_paces(self, paces: Mapping[str, float]) -> None:
+        """Sets the gauges of the endpoints' paces; endpoints that are gone have none."""
+        self.endpoint_pace.clear()
+        for endpoint, pace in paces.items():
+            self.endpoint_pace.labels(endpoint).set(pace)
+
     def set_quotas(self, teams: Iterable[Team]) -> None:
         """Sets the gauges to the quotas of a configuration, for at most `MAX_TEAM_LABELS` teams."""
         self.quota_rate.clear()
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -505,6 +505,16 @@
                 table_in_metrics = table
                 self._update_configuration_metrics(table)
 
+    def _paces(self) -> dict[str, float]:
+        """Returns the pace of each endpoint among those of its service."""
+        services: dict[str, list[str]] = {}
+        for record in self._endpoints.all():
+            services.setdefault(record.service, []).append(record.endpoint)
+        now, found = monotonic(), dict[str, float]()
+        for endpoints in services.values():
+            found |= self._traffic.paces.ratios(endpoints, now)
+        return found
+
     def _update_configuration_metrics(self, table: RoutingTable) -> None:
         self._metrics.configuration.set(table.version)
         self._metrics.set_quotas(table.teams.all() if table.teams is not None else ())
@@ -565,6 +575,7 @@
         self._endpoint_health.forget(endpoint)
         self._reach.forget(endpoint)
         self._engine_latency.forget(endpoint)
+        self._traffic.forget_pace(endpoint)
         self._suspects.endpoint_ended(endpoint)
 
     def _endpoint_restarted(self, record: EndpointRecord) -> None:
@@ -576,6 +587,7 @@
         self._endpoint_health.forget(record.endpoint)
         self._reach.forget(record.endpoint)
         self._engine_latency.forget(record.endpoint)
+        self._traffic.forget_pace(record.endpoint)
         self._cooldowns.forget(record.endpoint)
         self._suspects.endpoint_ended(record.endpoint)
         self._streams.endpoint_restarted(record)
@@ -710,4 +722,5 @@
         return (200, b"ready\n") if ready else (503, b"not ready\n")
 
     def _metrics_page(self) -> tuple[int, bytes]:
+        self._metrics.set_paces(self._paces())
         return 200, self._metrics.text()
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/plain_selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/plain_selection.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from wigeonarch_core.endpoint_pace import ANSWER_EXPECTED
 from wigeonarch_core.service_choice import ServiceState, choose_endpoint
 from wigeonarch_core.service_load import ServiceTimes, admitted_share
 
@@ -78,9 +79,10 @@
         ):
             return None
         service_time = self._times.estimate(job.service)
-        chosen = choose_endpoint(
-            [self._service_state(r) for r in records], self._peer_lag(), service_time
-        )
+        peers = [record.endpoint for record in self._endpoints.ready(job.service)]
+        paces = self._traffic.paces.ratios({*peers, *(r.endpoint for r in records)}, now)
+        states = [self._service_state(r, paces[r.endpoint]) for r in records]
+        chosen = choose_endpoint(states, self._peer_lag(), service_time)
         record = self._endpoints.get(chosen) if chosen else None
         if record is None or job.dispatch_count:
             return record
@@ -88,17 +90,18 @@
         sent_part = admitted_share(running, record.slots, service_time, job.route.objective)
         return record if random.random() < sent_part else NoEndpointReason.OVERLOADED
 
-    def _service_state(self, record: EndpointRecord) -> ServiceState:
+    def _service_state(self, record: EndpointRecord, pace: float) -> ServiceState:
         return ServiceState(
             record.endpoint,
             record.zone == self._zone,
             record.slots,
             self._traffic.load_at(record.endpoint).running,
             self._outcomes.failure_share(record),
+            pace,
         )
 
     def record_response_time(
-        self, job: Job, record: EndpointRecord, took: float, running: int
+        self, job: Job, record: EndpointRecord, took: float, running: int, is_sound: bool
     ) -> None:
         """Records how long a request took at an endpoint.
 
@@ -107,5 +110,8 @@
             record: The endpoint.
             took: Seconds from the dispatch to the head of the response.
             running: Requests that were in flight at the endpoint when this one was dispatched.
+            is_sound: Whether the response was no failure, which ends quickly at any pace.
         """
+        if is_sound and running <= record.slots:
+            self._traffic.record_pace(record.endpoint, took, ANSWER_EXPECTED)
         self._times.record_answer(job.service, took, running, record.slots)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
@@ -143,7 +143,7 @@
         await self._views.wait_for_change(interval, job.load_requested_from)
 
     def record_response_time(
-        self, job: Job, record: EndpointRecord, took: float, running: int
+        self, job: Job, record: EndpointRecord, took: float, running: int, is_sound: bool
     ) -> None:
         """Records how long a request took at an endpoint of a plain service.
 
@@ -152,8 +152,9 @@
             record: The endpoint.
             took: Seconds from the dispatch to the head of the response.
             running: Requests that were in flight at the endpoint when this one was dispatched.
+            is_sound: Whether the response was no failure.
         """
-        self._plain.record_response_time(job, record, took, running)
+        self._plain.record_response_time(job, record, took, running, is_sound)
 
     def required_adapter(self, job: Job) -> AdapterKey:
         """Returns the adapter that a request needs, in the newest known version."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/traffic.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/traffic.py
@@ -2,6 +2,8 @@
 
 Totals are updated whenever a heartbeat arrives, so a query costs the same however many instances
 there are.
+
+The paces of endpoints are learned beside it, as reports carry what each instance newly measured.
 """
 
 from __future__ import annotations
@@ -12,11 +14,13 @@
 from dataclasses import dataclass
 from typing import Final
 
+from wigeonarch_core.endpoint_pace import EndpointPaces, PaceSums
 from wigeonarch_core.engine_latency import Wait
 from wigeonarch_core.engine_places import AdapterKey
 from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_gateway.messages import EndpointLoad
+from wigeonarch_gateway.pace_news import PaceNews
 
 # Time constant, in seconds, with which recently sent prompt tokens decay. It is about the longest
 # pause that streams may have while an engine reads prompts between their tokens; known objectives
@@ -72,11 +76,27 @@
 
 
 class InFlightTracker:
-    """Tracks the requests in flight at all endpoints."""
+    """Tracks the requests in flight at all endpoints.
+
+    Attributes:
+        paces: What this instance and others measured of the endpoints' paces.
+    """
 
-    __slots__ = ("_adapter_uses", "_own_loads", "_peer_loads", "_peer_totals", "_recent_prompts")
+    __slots__ = (
+        "_adapter_uses",
+        "_own_loads",
+        "_own_news",
+        "_peer_loads",
+        "_peer_totals",
+        "_recent_prompts",
+        "_zone_news",
+        "paces",
+    )
 
     def __init__(self) -> None:
+        self.paces = EndpointPaces()
+        self._own_news = PaceNews()
+        self._zone_news = PaceNews()
         self._own_loads: dict[str, Load] = {}
         self._adapter_uses: dict[str, Counter[AdapterKey]] = {}
         self._peer_loads: dict[str, list[EndpointLoad]] = {}
@@ -122,8 +142,30 @@
             if not uses:
                 del self._adapter_uses[in_flight.endpoint]
 
-    def receive_loads(self, sender: str, loads: list[EndpointLoad]) -> None:
-        """Takes over the loads that another instance reports."""
+    def record_pace(self, endpoint: str, observed: float, expected: float) -> None:
+        """Records a sample of an endpoint's pace, in seconds; the next reports will include it."""
+        now = monotonic()
+        self.paces.add(endpoint, observed, expected, now)
+        self._own_news.add(endpoint, observed, expected, now)
+        self._zone_news.add(endpoint, observed, expected, now)
+
+    def forget_pace(self, endpoint: str) -> None:
+        """Forgets the pace of an endpoint that no longer exists or has restarted."""
+        self.paces.forget(endpoint, monotonic())
+        self._own_news.forget(endpoint)
+        self._zone_news.forget(endpoint)
+
+    def receive_loads(
+        self, sender: str, loads: list[EndpointLoad], represents: bool = False
+    ) -> None:
+        """Takes over the loads that another instance reports.
+
+        Args:
+            sender: The other instance.
+            loads: What it reports.
+            represents: Whether this instance reports for the sender to other zones.
+        """
+        self._receive_paces(loads, represents)
         before = self._peer_loads.get(sender)
         if before == loads:
             return
@@ -132,6 +174,16 @@
         self._peer_loads[sender] = loads
         self._add_peer_loads(loads, 1)
 
+    def _receive_paces(self, loads: list[EndpointLoad], represents: bool) -> None:
+        now = monotonic()
+        for share in loads:
+            if share.pace_expected_ms <= 0:
+                continue
+            observed, expected = share.pace_observed_ms / 1000, share.pace_expected_ms / 1000
+            self.paces.add_reported(share.endpoint, observed, expected, now)
+            if represents:
+                self._zone_news.add(share.endpoint, observed, expected, now)
+
     def forget_instance(self, sender: str) -> bool:
         """Forgets an instance that sends no heartbeats any more; returns whether it was known."""
         if sender not in self._peer_loads:
@@ -165,20 +217,32 @@
             if not total.running:
                 del self._peer_totals[share.endpoint]
 
-    def own_load_report(self) -> list[EndpointLoad]:
-        """Returns this instance's load at each endpoint, for its heartbeats."""
+    def own_load_report(self, receivers: int = 1) -> list[EndpointLoad]:
+        """Returns this instance's load at each endpoint, for its heartbeats.
+
+        What it measured of paces since the last report is part of one report only.
+
+        Args:
+            receivers: Number of instances to which the report goes, which bounds its length.
+        """
         now = monotonic()
+        self.paces.drop_faded(now)
+        self._zone_news.drop_faded(now)
         recent = {endpoint: self._recent_tokens(endpoint, now) for endpoint in self._recent_prompts}
         self._recent_prompts = {
             name: (tokens, now) for name, tokens in recent.items() if tokens >= 1.0
         }
+        news = self._own_news.take(receivers, now)
         return [
-            _endpoint_load(endpoint, load, recent.get(endpoint, 0.0))
+            _endpoint_load(endpoint, load, recent.get(endpoint, 0.0), news.pop(endpoint, None))
             for endpoint, load in self._own_loads.items()
-        ]
+        ] + [_endpoint_load(endpoint, NO_LOAD, 0.0, sums) for endpoint, sums in news.items()]
 
     def combined_load_report(self, senders: Iterable[str]) -> list[EndpointLoad]:
-        """Returns the loads of this instance and of some others, added up."""
+        """Returns the loads of this instance and of some others, added up.
+
+        What they measured of paces is part of one such report only.
+        """
         sums = {endpoint: Load() for endpoint in self._own_loads}
         for endpoint, load in self._own_loads.items():
             sums[endpoint].add(load)
@@ -186,8 +250,11 @@
             for share in self._peer_loads.get(sender, ()):
                 sums.setdefault(share.endpoint, Load()).add(share)
         now = monotonic()
+        news = self._zone_news.take(1, now)
+        for endpoint in news:
+            sums.setdefault(endpoint, Load())
         return [
-            _endpoint_load(endpoint, load, self._recent_tokens(endpoint, now))
+            _endpoint_load(endpoint, load, self._recent_tokens(endpoint, now), news.get(endpoint))
             for endpoint, load in sums.items()
         ]
 
@@ -196,7 +263,13 @@
         return list(self._adapter_uses.get(endpoint, ()))
 
 
-def _endpoint_load(endpoint: str, load: Load, own_recent: float) -> EndpointLoad:
+def _endpoint_load(
+    endpoint: str, load: Load, own_recent: float, pace: PaceSums | None
+) -> EndpointLoad:
     recent = int(load.recent_tokens + own_recent)
     tokens = (int(load.waiting_tokens), int(load.kv_tokens), recent)
-    return EndpointLoad(endpoint, load.running, *tokens)
+    report = EndpointLoad(endpoint, load.running, *tokens)
+    if pace is not None:
+        report.pace_observed_ms = round(pace.observed * 1000)
+        report.pace_expected_ms = round(pace.expected * 1000)
+    return report
