--- a/packages/wigeonarch-core/src/wigeonarch_core/endpoint_pace.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/endpoint_pace.py
@@ -6,7 +6,7 @@
 Only the quotient counts, relative to the median over the endpoints of the service, so what is
 expected may be off by a common factor.
 
-Evidence is limited to that of some ten samples, fades within seconds, and is weighed against a
+Evidence is limited, fades within seconds, and is weighed against a
 prior at the usual pace. So a change shows soon, and an endpoint that was slow gets a few requests
 again. An error is harmless: the pace only affects which endpoint is chosen, never whether a request
 runs. Failures and refusals are no samples, as they end quickly on an endpoint of any pace.
@@ -15,13 +15,13 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
-EVIDENCE_HALF_LIFE: Final = 1.5  # Seconds, with no newer evidence.
+EVIDENCE_HALF_LIFE: Final = 2.0  # Seconds, with no newer evidence.
 # Expected seconds at which an endpoint's evidence is full; older evidence gives way to newer.
-FULL_EVIDENCE: Final = 1.6
+FULL_EVIDENCE: Final = 20.0
 # Expected seconds of the prior assumption that an endpoint has the usual pace.
 PRIOR_EVIDENCE: Final = 0.2
 # Expected seconds below which evidence says nothing of what is usual, and is dropped.
@@ -191,16 +191,17 @@
     return GAPS_PER_SAMPLE * EVENT_EXPECTED * share
 
 
-def settled(ratio: float) -> float:
-    """Returns a ratio for a choice: 1 if it differs from the usual pace by no more than noise."""
-    return 1.0 if 1.0 / EVEN_RATIO <= ratio <= EVEN_RATIO else ratio
+def settled(ratios: Sequence[float], noise: float = EVEN_RATIO) -> list[float]:
+    """Returns the ratios for a choice: 1 for those that differ by no more than noise.
 
-
-def settled_all(ratios: list[float]) -> Callable[[float], float]:
-    """Returns what turns ratios into those for a choice: 1 for all where all are about equal."""
+    Args:
+        ratios: Ratios of the endpoints among which to choose.
+        noise: Factor up to which a ratio counts as the usual pace. If all are within `EVEN_RATIO`
+            of each other, each does.
+    """
     if len(ratios) > 1 and max(ratios) <= EVEN_RATIO * min(ratios):
-        return lambda ratio: 1.0
-    return settled
+        return [1.0] * len(ratios)
+    return [1.0 if 1.0 / noise <= ratio <= noise else ratio for ratio in ratios]
 
 
 def _weighed_ratio(sums: PaceSums | None, usual: float, now: float) -> float:
--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -21,7 +21,7 @@
 import msgspec
 from msgspec.structs import replace
 
-from wigeonarch_core.endpoint_pace import settled_all
+from wigeonarch_core.endpoint_pace import settled
 from wigeonarch_core.load_time import COLD_LOAD, WARM_LOAD
 
 # Adapters that one engine loads at the same time; engines refuse more.
@@ -182,10 +182,10 @@
 def _settle(states: Iterable[EngineState]) -> list[EngineState]:
     """Returns the states with the paces that count for the choice."""
     states = list(states)
-    settle = settled_all([state.pace for state in states])
+    paces = settled([state.pace for state in states])
     return [
-        state if state.pace == settle(state.pace) else replace(state, pace=settle(state.pace))
-        for state in states
+        state if state.pace == pace else replace(state, pace=pace)
+        for state, pace in zip(states, paces, strict=True)
     ]
 
 
--- a/packages/wigeonarch-core/src/wigeonarch_core/service_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/service_choice.py
@@ -28,7 +28,7 @@
 import msgspec
 from msgspec.structs import replace
 
-from wigeonarch_core.endpoint_pace import settled_all
+from wigeonarch_core.endpoint_pace import settled
 
 # Cost of sending a request to another availability zone, in usual service times.
 CROSS_ZONE_COST: Final = 0.35
@@ -36,6 +36,9 @@
 FAILURE_COST: Final = 4.0
 # Requests per slot up to which an endpoint of the own zone gets all requests of this instance.
 LOCAL_LOAD_LIMIT: Final = 0.85
+# Factor up to which an endpoint's pace counts as usual. Endpoints that are slow for less than a
+# second look so for longer, and their queues alone send requests elsewhere.
+PACE_NOISE: Final = 1.8
 # Arrivals during the lag per running request, while the service time is unknown.
 DEFAULT_ARRIVALS: Final = 1.0
 
@@ -96,10 +99,10 @@
 def _settle(states: Iterable[ServiceState]) -> list[ServiceState]:
     """Returns the states with the paces that count for the choice."""
     states = list(states)
-    settle = settled_all([state.pace for state in states])
+    paces = settled([state.pace for state in states], PACE_NOISE)
     return [
-        state if state.pace == settle(state.pace) else replace(state, pace=settle(state.pace))
-        for state in states
+        state if state.pace == pace else replace(state, pace=pace)
+        for state, pace in zip(states, paces, strict=True)
     ]
 
 
