--- a/packages/wigeonarch-core/src/wigeonarch_core/service_load.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/service_load.py
@@ -1,38 +1,35 @@
-"""Load shedding for plain services: which share of the requests an overloaded endpoint still gets.
+"""Service times of plain services, learned from the responses of their endpoints.
 
-An endpoint of a plain service queues the requests that it can't run at once. If it gets slightly
-more requests than it can serve, its queue fills up and stays full, and then every request waits for
-the whole queue: all are late, though most could be on time. So a part of the requests is refused
-before it is sent, large enough to keep the queue short enough for the rest. Which requests are
-refused is random: instances learn of each other's requests late, and would otherwise all refuse or
-all send.
-
-This helps a plain service that lost an endpoint, or whose callers send bursts and retry. The
-service time of a request is learned from requests that did not have to wait.
+They tell how many requests a second the endpoints can finish and how long a queue takes, which
+`service_admission` and `service_choice` need. Requests that did not have to wait tell most. While
+there are none, as after a restart under overload or when endpoints became slower than is known,
+the time is worked out from those that waited, by their place in the queue.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Final
 
-# Share of the latency objective that an endpoint's queue may take. The rest allows for requests
-# that take longer than usual, and for requests of other instances that are not known yet.
-QUEUE_SHARE: Final = 0.5
-ANSWER_WEIGHT: Final = 0.1  # Of one response: about the last ten count.
-MIN_ANSWERS: Final = 5  # Responses before which nothing is refused.
+# Responses in a row to requests that waited, after which they change an estimate too.
+MAX_UNCONFIRMED: Final = 100
+# Weights of one response by whether it took longer or shorter than estimated. Requests that seemed
+# to find a free place may have waited behind others that were not known yet.
+LONGER_WEIGHT: Final = 0.02
+SHORTER_WEIGHT: Final = 0.2
+MIN_ANSWERS: Final = 5  # Responses before which an estimate is used.
 
 
 class ServiceTimes:
-    """Service times of each service, learned from requests that did not wait in a queue."""
+    """Service times of each service, learned from the responses to its requests."""
 
-    __slots__ = ("_answers", "_times")
+    __slots__ = ("_estimates",)
 
     def __init__(self) -> None:
-        self._times: dict[str, float] = {}
-        self._answers: dict[str, int] = {}
+        self._estimates: dict[str, _Estimate] = {}
 
     def record_answer(self, service: str, took: float, running: int, slots: int) -> None:
-        """Notes a response; it is ignored if its request had to wait.
+        """Notes a response.
 
         Args:
             service: The service.
@@ -40,29 +37,34 @@
             running: Requests that the endpoint had when this one was sent, itself included.
             slots: Requests that the endpoint can run at the same time.
         """
-        if running > slots:
+        has_waited = running > slots
+        # The endpoint finished that many requests until this one's end, in `slots` at a time.
+        value = took * slots / running if has_waited else took
+        estimate = self._estimates.setdefault(service, _Estimate(value))
+        estimate.unconfirmed = estimate.unconfirmed + 1 if has_waited else 0
+        is_known = estimate.answers >= MIN_ANSWERS
+        if has_waited and is_known and estimate.unconfirmed <= MAX_UNCONFIRMED:
             return
-        before = self._times.get(service, took)
-        self._times[service] = before + ANSWER_WEIGHT * (took - before)
-        self._answers[service] = self._answers.get(service, 0) + 1
+        weight = LONGER_WEIGHT if value > estimate.value else SHORTER_WEIGHT
+        estimate.value += weight * (value - estimate.value)
+        estimate.answers += 1
 
     def estimate(self, service: str) -> float | None:
         """Returns the seconds that a request takes without waiting; None while unknown."""
-        if self._answers.get(service, 0) < MIN_ANSWERS:
-            return None
-        return self._times[service]
+        found = self._estimates.get(service)
+        return found.value if found is not None and found.answers >= MIN_ANSWERS else None
 
 
-def admitted_share(running: int, slots: int, service_time: float | None, objective: float) -> float:
-    """Returns the part of the requests that should be sent to an endpoint, from 0 to 1.
+@dataclass(slots=True)
+class _Estimate:
+    """An estimate of a service time.
 
-    Args:
-        running: Requests at the endpoint, including those that wait.
-        slots: Requests that it can run at the same time.
-        service_time: Seconds that a request takes without waiting; None if unknown.
-        objective: Latency objective of the response, in seconds.
+    Attributes:
+        value: Seconds.
+        answers: Responses from which it was learned.
+        unconfirmed: Responses in a row to requests that waited.
     """
-    if service_time is None or service_time <= 0.0 or running < slots:
-        return 1.0
-    target = max(slots, slots * QUEUE_SHARE * objective / service_time)
-    return min(1.0, target / (running + 1))
+
+    value: float
+    answers: int = 0
+    unconfirmed: int = 0
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from wigeonarch_core.routes import Route, RouteKind, ServiceSpec
+from wigeonarch_core.service_admission import Refusal
 from wigeonarch_core.stream_origins import Origin
 from wigeonarch_core.teams import Team
 
@@ -66,6 +67,9 @@
         peers_tried: Peers to which it was handed over.
         origin: What began the stream of which the caller has events; None if it has none.
         origin_recorded: Whether that was recorded for this attempt.
+        is_counted: Whether it was counted in what the plain service is asked for.
+        is_admitted: Whether the plain service was found to have room for its kind.
+        overload: Why it was refused by the overloaded plain service; None if it was not.
     """
 
     request: CallerRequest
@@ -96,6 +100,9 @@
     peers_tried: list[str] = field(default_factory=list)
     origin: Origin | None = None
     origin_recorded: bool = False
+    is_counted: bool = False
+    is_admitted: bool = False
+    overload: Refusal | None = None
 
     def record_events(self, now: float) -> None:
         """Records that events were forwarded to the caller."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -27,6 +27,7 @@
     LeaseSupportRequest,
     Message,
     Relay,
+    ServiceDemand,
     encode,
 )
 from wigeonarch_gateway.metrics import Metrics
@@ -283,6 +284,7 @@
         )
         self.discovery.note_address(heartbeat.address, heartbeat.zone)
         self._traffic.receive_loads(heartbeat.sender, heartbeat.loads)
+        self._traffic.demands.receive(heartbeat.sender, heartbeat.demands)
         if started and self._informs_newcomer(heartbeat.sender):
             self._on_started(heartbeat.sender)
 
@@ -339,7 +341,8 @@
     def _send_heartbeat_round(self) -> None:
         """Sends one heartbeat to each instance that should get one from this instance."""
         loads = self._traffic.own_load_report()
-        plain = encode(self._make_heartbeat(loads, []))
+        demands = self._traffic.demands.own_report(monotonic())
+        plain = encode(self._make_heartbeat(loads, demands, []))
         owners = {self._owner_of(load.endpoint) for load in loads}
         names = {member.address: member.name for member in self._members.values()}
         represented = self._represented_zones()
@@ -351,7 +354,8 @@
             frame = plain
             if is_owner:
                 in_use = self._adapters_in_use_at(names[address], [load.endpoint for load in loads])
-                frame = encode(self._make_heartbeat([] if far else loads, in_use))
+                near_loads, near_demands = ([], []) if far else (loads, demands)
+                frame = encode(self._make_heartbeat(near_loads, near_demands, in_use))
             self._socket.send_frame(address, frame)
         if represented:
             self._send_heartbeat_to_zones()
@@ -374,12 +378,19 @@
         if self._opts.instance not in delegates:
             return
         loads: list[EndpointLoad] = []
+        demands: list[ServiceDemand] = []
         if delegates[0] == self._opts.instance:
             nearby = [n for n in self.reachable() if self._members[n].zone == self._opts.zone]
             loads = self._traffic.combined_load_report(nearby)
-        self._send_relayed(self._relays(), encode(self._make_heartbeat(loads, [])))
+            demands = self._traffic.demands.combined_report(nearby, monotonic())
+        self._send_relayed(self._relays(), encode(self._make_heartbeat(loads, demands, [])))
 
-    def _make_heartbeat(self, loads: list[EndpointLoad], in_use: list[AdaptersInUse]) -> Heartbeat:
+    def _make_heartbeat(
+        self,
+        loads: list[EndpointLoad],
+        demands: list[ServiceDemand],
+        in_use: list[AdaptersInUse],
+    ) -> Heartbeat:
         contact, now = self._store_contact.contact(), monotonic()
         return Heartbeat(
             self._opts.instance,
@@ -394,6 +405,7 @@
             0 if contact is None else int((now - contact.until) * 1000),
             int((now - self._started) * 1000),
             self._lost_services(),
+            demands,
         )
 
     def _adapters_in_use_at(self, owner: str, endpoints: list[str]) -> list[AdaptersInUse]:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -40,6 +40,21 @@
     adapters: list[Adapter]
 
 
+class ServiceDemand(msgspec.Struct, array_like=True):
+    """What callers ask the sender for of one plain service that is busy.
+
+    Attributes:
+        service: The service.
+        time_ms: Milliseconds that its requests take without waiting; 0 if unknown.
+        kinds: For each kind of request its rank, the key of its team, and tenths of requests a
+            second.
+    """
+
+    service: str
+    time_ms: int = 0
+    kinds: list[tuple[int, int, int]] = []
+
+
 class Heartbeat(msgspec.Struct, array_like=True, tag="beat"):
     """Periodic sign of life of an instance, with its lease and its load.
 
@@ -58,6 +73,7 @@
         store_answered_ms: Milliseconds since the store's last answer to the sender.
         uptime_ms: Milliseconds since the sender started.
         lost_services: Services of which the sender reaches no endpoint.
+        demands: What the sender is asked for of busy plain services.
     """
 
     sender: str
@@ -73,6 +89,7 @@
     store_answered_ms: int = 0
     uptime_ms: int = 0
     lost_services: list[str] = []
+    demands: list[ServiceDemand] = []
 
 
 class EngineUpdate(msgspec.Struct, array_like=True, tag="places"):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
@@ -31,6 +31,12 @@
         self.refusals = Counter(
             "wigeonarch_gateway_refusals", "Requests not run, by reason", ["reason"], registry=reg
         )
+        self.service_refusals = Counter(
+            "wigeonarch_gateway_service_refusals",
+            "Requests that overloaded plain services did not take, by service and reason",
+            ["service", "reason"],
+            registry=reg,
+        )
         self._labeled_teams: set[str] = set()
         self.quota_units = Counter(
             "wigeonarch_gateway_quota_units",
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -277,6 +277,7 @@
             lambda: self._members.heartbeat_interval(),
             lambda job: self._peer_forwarder.is_needed(job),
             self._streams.is_settled,
+            self._metrics,
         )
         self._quota_ledger = QuotaLedger(
             opts.quotas, monotonic(), random.randrange(FIRST_NUMBER_BOUND)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/plain_selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/plain_selection.py
@@ -3,16 +3,29 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
+from wigeonarch_core.service_admission import (
+    BUSY_SHARE,
+    AdmissionRequest,
+    Clock,
+    Decision,
+    EndpointRoom,
+    Refusal,
+    ServiceAdmission,
+    ServiceLoad,
+)
 from wigeonarch_core.service_choice import ServiceState, choose_endpoint
-from wigeonarch_core.service_load import ServiceTimes, admitted_share
+from wigeonarch_core.service_demand import NO_TEAM, Kind, team_key
+from wigeonarch_core.service_load import ServiceTimes
+from wigeonarch_runtime.clock import unix_time
 
 from wigeonarch_gateway.candidates import Candidates
 from wigeonarch_gateway.dispatch_outcomes import DispatchOutcomes
 from wigeonarch_gateway.endpoints import EndpointRegistry
 from wigeonarch_gateway.jobs import Job
+from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.ports import EndpointRecord
 from wigeonarch_gateway.refusal_reasons import NoEndpointReason
 from wigeonarch_gateway.traffic import InFlightTracker
@@ -26,8 +39,11 @@
     """Selects endpoints of plain services."""
 
     __slots__ = (
+        "_admissions",
         "_candidates",
+        "_demands",
         "_endpoints",
+        "_metrics",
         "_outcomes",
         "_peer_lag",
         "_times",
@@ -43,6 +59,7 @@
         outcomes: DispatchOutcomes,
         zone: str,
         peer_lag: Callable[[], float],
+        metrics: Metrics,
     ) -> None:
         """Creates a selector.
 
@@ -53,6 +70,7 @@
             outcomes: What dispatches showed of endpoints.
             zone: Availability zone of this instance.
             peer_lag: Returns the age of what other instances reported, in seconds.
+            metrics: Counters.
         """
         self._candidates = candidates
         self._endpoints = endpoints
@@ -61,6 +79,9 @@
         self._zone = zone
         self._peer_lag = peer_lag
         self._times = ServiceTimes()
+        self._metrics = metrics
+        self._demands = traffic.demands
+        self._admissions: dict[str, ServiceAdmission] = {}
 
     def select(
         self, job: Job, now: float, waited: float
@@ -72,21 +93,81 @@
             now: Current time, in seconds.
             waited: Seconds for which it has waited for an endpoint since it was last refused.
         """
+        self._count(job, now)
         records = self._candidates.usable(job, now)
         if waited < FULL_SERVICE_PAUSE and all(
             record.endpoint in job.avoided_endpoints for record in records
         ):
             return None
-        service_time = self._times.estimate(job.service)
+        service_time = self._service_time(job.service)
         chosen = choose_endpoint(
             [self._service_state(r) for r in records], self._peer_lag(), service_time
         )
         record = self._endpoints.get(chosen) if chosen else None
-        if record is None or job.dispatch_count:
+        if record is None or job.may_have_run_on or not service_time:
             return record
-        running = self._traffic.load_at(record.endpoint).running
-        sent_part = admitted_share(running, record.slots, service_time, job.route.objective)
-        return record if random.random() < sent_part else NoEndpointReason.OVERLOADED
+        load = self._service_load(job, records, service_time)
+        if load.running >= BUSY_SHARE * load.places:
+            self._demands.note_busy(job.service, service_time, now)
+        if not self._demands.is_watched(job.service, now):
+            return record
+        return self._admit(job, record, load, now, waited)
+
+    def _count(self, job: Job, now: float) -> None:
+        """Counts a request once in what its service is asked for."""
+        if job.is_counted:
+            return
+        job.is_counted = True
+        self._demands.record(job.service, kind_of(job), job.route.objective, now)
+
+    def _service_time(self, service: str) -> float | None:
+        """Returns the seconds that a request takes, at first by the reports of others."""
+        own = self._times.estimate(service)
+        return own if own is not None else self._demands.peer_service_time(service)
+
+    def _service_load(
+        self, job: Job, records: Sequence[EndpointRecord], service_time: float
+    ) -> ServiceLoad:
+        objective = self._demands.shortest_objective(job.service) or job.route.objective
+        return ServiceLoad(
+            sum(record.slots for record in records),
+            sum(self._traffic.load_at(record.endpoint).running for record in records),
+            sum(self._traffic.running_of_peers(record.endpoint) for record in records),
+            service_time,
+            objective,
+            self._peer_lag(),
+        )
+
+    def _admit(
+        self, job: Job, record: EndpointRecord, load: ServiceLoad, now: float, waited: float
+    ) -> EndpointRecord | NoEndpointReason | None:
+        """Returns the chosen endpoint if the request is admitted, or why not; None if it waits."""
+        request = AdmissionRequest(
+            kind_of(job),
+            f"{job.request.sender} {job.content_key}",
+            job.route.objective,
+            now - job.request.received,
+            waited,
+            job.dispatch_count > 0,
+            job.is_admitted,
+        )
+        decision = self._admissions.setdefault(job.service, ServiceAdmission()).decide(
+            request,
+            load,
+            self._demands.own_rates(job.service, now),
+            self._demands.peer_rates(job.service),
+            EndpointRoom(self._traffic.load_at(record.endpoint).running, record.slots),
+            Clock(now, unix_time(), random.random()),
+        )
+        if decision is Decision.SEND:
+            return record
+        if decision is Decision.WAIT:
+            job.is_admitted = True
+            return None
+        assert isinstance(decision, Refusal)
+        job.overload = decision
+        self._metrics.service_refusals.labels(job.service, decision.decision.value).inc()
+        return NoEndpointReason.OVERLOADED
 
     def _service_state(self, record: EndpointRecord) -> ServiceState:
         return ServiceState(
@@ -109,3 +190,8 @@
             running: Requests that were in flight at the endpoint when this one was dispatched.
         """
         self._times.record_answer(job.service, took, running, record.slots)
+
+
+def kind_of(job: Job) -> Kind:
+    """Returns the kind under which a request competes for its service."""
+    return Kind(job.priority, team_key(job.team.name) if job.team is not None else NO_TEAM)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
@@ -21,6 +21,7 @@
 from wigeonarch_gateway.engineviews import EngineViews
 from wigeonarch_gateway.jobs import Job
 from wigeonarch_gateway.load_requests import LoadRequests
+from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.plain_selection import PlainSelector
 from wigeonarch_gateway.ports import EndpointRecord
 from wigeonarch_gateway.refusal_reasons import NoEndpointReason
@@ -60,6 +61,7 @@
         peer_lag: Callable[[], float],
         is_out_of_reach: Callable[[Job], bool],
         is_settled: Callable[[EndpointRecord], bool],
+        metrics: Metrics,
     ) -> None:
         """Creates a selector.
 
@@ -74,12 +76,15 @@
             peer_lag: Returns the age of what other instances reported, in seconds.
             is_out_of_reach: Tells whether a request need not wait for an endpoint here.
             is_settled: Tells whether streams that may be resumed may begin at an endpoint.
+            metrics: Counters.
         """
         self._views = views
         self._outcomes = outcomes
         self._is_out_of_reach = is_out_of_reach
         self._candidates = Candidates(endpoints, outcomes, is_settled)
-        self._plain = PlainSelector(self._candidates, endpoints, traffic, outcomes, zone, peer_lag)
+        self._plain = PlainSelector(
+            self._candidates, endpoints, traffic, outcomes, zone, peer_lag, metrics
+        )
         self._engines = EngineSelector(
             self._candidates,
             catalogue,
@@ -163,6 +168,8 @@
         """Returns the seconds after which a refused request should be retried."""
         if reason is NoEndpointReason.PART_HELD:
             return max(DEFAULT_RETRY_AFTER, self._candidates.parts_hold_left(job))
+        if reason is NoEndpointReason.OVERLOADED and job.overload is not None:
+            return job.overload.retry_after
         if reason is not NoEndpointReason.LIMITED:
             return DEFAULT_RETRY_AFTER
         return max(DEFAULT_RETRY_AFTER, self._candidates.limit_wait(job, monotonic()))
@@ -185,9 +192,28 @@
             "with_model": sum(job.terms.model in view.models for view in views),
             "sends": job.dispatch_count,
             "waited": now - job.request.received,
+            **overload_fields(job),
         }
 
 
 def needs_engine(job: Job) -> bool:
     """Tells whether a request is a generation for the engines of a service."""
     return bool(job.terms.model) and job.spec is not None and job.spec.engine is not None
+
+
+def overload_fields(job: Job) -> LogFields:
+    """Returns log fields that explain why an overloaded service did not take a request."""
+    refusal = job.overload
+    if refusal is None:
+        return {}
+    return {
+        "why": refusal.decision.value,
+        "rank": refusal.kind.rank,
+        "team": job.team.name if job.team is not None else "",
+        "part": refusal.part,
+        "kind_asked": refusal.kind_asked,
+        "asked": refusal.asked,
+        "allowed": refusal.allowed,
+        "running": refusal.running,
+        "limit": refusal.limit,
+    }
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/traffic.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/traffic.py
@@ -17,6 +17,7 @@
 from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_gateway.messages import EndpointLoad
+from wigeonarch_gateway.service_demands import ServiceDemands
 
 # Time constant, in seconds, with which recently sent prompt tokens decay. It is about the longest
 # pause that streams may have while an engine reads prompts between their tokens; known objectives
@@ -72,11 +73,23 @@
 
 
 class InFlightTracker:
-    """Tracks the requests in flight at all endpoints."""
+    """Tracks the requests in flight at all endpoints.
 
-    __slots__ = ("_adapter_uses", "_own_loads", "_peer_loads", "_peer_totals", "_recent_prompts")
+    Attributes:
+        demands: What all instances are asked for of busy plain services.
+    """
+
+    __slots__ = (
+        "_adapter_uses",
+        "_own_loads",
+        "_peer_loads",
+        "_peer_totals",
+        "_recent_prompts",
+        "demands",
+    )
 
     def __init__(self) -> None:
+        self.demands = ServiceDemands()
         self._own_loads: dict[str, Load] = {}
         self._adapter_uses: dict[str, Counter[AdapterKey]] = {}
         self._peer_loads: dict[str, list[EndpointLoad]] = {}
@@ -134,6 +147,7 @@
 
     def forget_instance(self, sender: str) -> bool:
         """Forgets an instance that sends no heartbeats any more; returns whether it was known."""
+        self.demands.forget_instance(sender)
         if sender not in self._peer_loads:
             return False
         self._add_peer_loads(self._peer_loads.pop(sender), -1)
@@ -153,6 +167,11 @@
             total.recent_tokens += self._recent_tokens(endpoint, monotonic())
         return total
 
+    def running_of_peers(self, endpoint: str) -> int:
+        """Returns the requests that other instances have at an endpoint."""
+        others = self._peer_totals.get(endpoint)
+        return others.running if others is not None else 0
+
     def _recent_tokens(self, endpoint: str, now: float) -> float:
         """Returns the prompt tokens that this instance sent recently, with decay."""
         tokens, at = self._recent_prompts.get(endpoint, (0.0, now))
