--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -27,6 +27,7 @@
     LeaseSupportRequest,
     Message,
     Relay,
+    ServiceDemand,
     encode,
 )
 from wigeonarch_gateway.metrics import Metrics
@@ -279,7 +280,9 @@
         )
         self.discovery.note_address(heartbeat.address, heartbeat.zone)
         is_near = heartbeat.zone == self._opts.zone
-        self._traffic.receive_loads(heartbeat.sender, heartbeat.loads, is_near)
+        if heartbeat.states_loads:
+            self._traffic.receive_loads(heartbeat.sender, heartbeat.loads, is_near)
+            self._traffic.demands.receive(heartbeat.sender, heartbeat.demands)
         if started and self._informs_newcomer(heartbeat.sender):
             self._on_started(heartbeat.sender)
 
@@ -351,7 +354,8 @@
         represented = self._represented_zones()
         receivers = sum(self.discovery.zone(address) not in represented for address in addresses)
         loads = self._traffic.own_load_report(receivers)
-        plain = encode(self._make_heartbeat(loads, []))
+        demands = self._traffic.demands.own_report(monotonic())
+        plain = encode(self._make_heartbeat(loads, demands, []))
         used = [load.endpoint for load in loads if load.running]
         owners = {self._owner_of(endpoint) for endpoint in used}
         names = {member.address: member.name for member in self._members.values()}
@@ -363,7 +367,10 @@
             frame = plain
             if is_owner:
                 in_use = self._adapters_in_use_at(names[address], used)
-                frame = encode(self._make_heartbeat([] if far else loads, in_use))
+                near_loads, near_demands = ([], []) if far else (loads, demands)
+                heartbeat = self._make_heartbeat(near_loads, near_demands, in_use)
+                heartbeat.states_loads = not far
+                frame = encode(heartbeat)
             self._socket.send_frame(address, frame)
         if represented:
             self._send_heartbeat_to_zones()
@@ -386,14 +393,21 @@
         if self._opts.instance not in delegates:
             return
         loads: list[EndpointLoad] = []
+        demands: list[ServiceDemand] = []
         if delegates[0] == self._opts.instance:
             nearby = [n for n in self.reachable() if self._members[n].zone == self._opts.zone]
             loads = self._traffic.combined_load_report(nearby)
-        heartbeat = self._make_heartbeat(loads, [])
+            demands = self._traffic.demands.combined_report(nearby, monotonic())
+        heartbeat = self._make_heartbeat(loads, demands, [])
         heartbeat.states_uses = False
         self._send_relayed(self._relays(), encode(heartbeat))
 
-    def _make_heartbeat(self, loads: list[EndpointLoad], in_use: list[AdaptersInUse]) -> Heartbeat:
+    def _make_heartbeat(
+        self,
+        loads: list[EndpointLoad],
+        demands: list[ServiceDemand],
+        in_use: list[AdaptersInUse],
+    ) -> Heartbeat:
         contact, now = self._store_contact.contact(), monotonic()
         return Heartbeat(
             self._opts.instance,
@@ -408,6 +422,7 @@
             0 if contact is None else int((now - contact.until) * 1000),
             int((now - self._started) * 1000),
             self._lost_services(),
+            demands=demands,
         )
 
     def _adapters_in_use_at(self, owner: str, endpoints: list[str]) -> list[AdaptersInUse]:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -45,6 +45,21 @@
     adapters: list[Adapter]
 
 
+class ServiceDemand(msgspec.Struct, array_like=True):
+    """What callers ask the sender for of one plain service that is busy.
+
+    Attributes:
+        service: The service.
+        time_ms: Milliseconds that its requests take without waiting; 0 if unknown.
+        kinds: For each kind of request its rank, the key of its team, and tenths of requests a
+            second.
+    """
+
+    service: str
+    time_ms: int = 0
+    kinds: list[tuple[int, int, int]] = []
+
+
 class Heartbeat(msgspec.Struct, array_like=True, tag="beat"):
     """Periodic sign of life of an instance, with its lease and its load.
 
@@ -65,6 +80,9 @@
         lost_services: Services of which the sender reaches no endpoint.
         states_uses: Whether `adapters_in_use` is complete for the receiver; False for a heartbeat
             that goes to many and states none.
+        states_loads: Whether `loads` and `demands` are complete; False for a heartbeat to an
+            instance of a zone that hears of them by this zone's first delegate.
+        demands: What the sender is asked for of busy plain services.
     """
 
     sender: str
@@ -81,6 +99,8 @@
     uptime_ms: int = 0
     lost_services: list[str] = []
     states_uses: bool = True
+    states_loads: bool = True
+    demands: list[ServiceDemand] = []
 
 
 class EngineUpdate(msgspec.Struct, array_like=True, tag="places"):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/traffic.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/traffic.py
@@ -21,6 +21,7 @@
 
 from wigeonarch_gateway.messages import EndpointLoad
 from wigeonarch_gateway.pace_news import PaceNews
+from wigeonarch_gateway.service_demands import ServiceDemands
 
 # Time constant, in seconds, with which recently sent prompt tokens decay. It is about the longest
 # pause that streams may have while an engine reads prompts between their tokens; known objectives
@@ -80,6 +81,7 @@
 
     Attributes:
         paces: What this instance and others measured of the endpoints' paces.
+        demands: What all instances are asked for of busy plain services.
     """
 
     __slots__ = (
@@ -90,10 +92,12 @@
         "_peer_totals",
         "_recent_prompts",
         "_zone_news",
+        "demands",
         "paces",
     )
 
     def __init__(self) -> None:
+        self.demands = ServiceDemands()
         self.paces = EndpointPaces()
         self._own_news = PaceNews()
         self._zone_news = PaceNews()
@@ -186,6 +190,7 @@
 
     def forget_instance(self, sender: str) -> bool:
         """Forgets an instance that sends no heartbeats any more; returns whether it was known."""
+        self.demands.forget_instance(sender)
         if sender not in self._peer_loads:
             return False
         self._add_peer_loads(self._peer_loads.pop(sender), -1)
@@ -205,6 +210,11 @@
             total.recent_tokens += self._recent_tokens(endpoint, monotonic())
         return total
 
+    def running_of_peers(self, endpoint: str) -> int:
+        """Returns the requests that other instances have at an endpoint."""
+        others = self._peer_totals.get(endpoint)
+        return others.running if others is not None else 0
+
     def _recent_tokens(self, endpoint: str, now: float) -> float:
         """Returns the prompt tokens that this instance sent recently, with decay."""
         tokens, at = self._recent_prompts.get(endpoint, (0.0, now))
