--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
@@ -19,6 +19,7 @@
 from wigeonarch_gateway.catalogue import Catalogue
 from wigeonarch_gateway.dispatch_outcomes import DispatchOutcomes
 from wigeonarch_gateway.endpoints import EndpointRegistry
+from wigeonarch_gateway.engine_admission import EngineAdmission
 from wigeonarch_gateway.engineviews import EngineViews
 from wigeonarch_gateway.jobs import Job
 from wigeonarch_gateway.load_requests import LoadRequests
@@ -45,6 +46,7 @@
     """Selects engines for generations."""
 
     __slots__ = (
+        "_admission",
         "_candidates",
         "_catalogue",
         "_endpoints",
@@ -81,6 +83,7 @@
             zone: Availability zone of this instance.
             peer_lag: Returns the age of what other instances reported, in seconds.
         """
+        self._admission = EngineAdmission(traffic, peer_lag)
         self._candidates = candidates
         self._catalogue = catalogue
         self._endpoints = endpoints
@@ -91,6 +94,18 @@
         self._zone = zone
         self._peer_lag = peer_lag
 
+    def is_refused(self, job: Job, now: float) -> bool:
+        """Tells whether a new request is refused because prompts come faster than can be processed.
+
+        Streams that go on are not: what callers have of them would be lost. Nor are requests that
+        were dispatched before, whose prompts count already.
+        """
+        if job.terms.resumed or job.dispatch_count or job.is_counted:
+            return False
+        job.is_counted = True
+        job.overload = self._admission.refuse(job, self._states(job, now), now)
+        return job.overload is not None
+
     def load_poll_interval(self, job: Job, now: float) -> float:
         """Returns the seconds after which a requested load may be done, if no update comes."""
         left = self._views.get(job.load_requested_from).loading_left(
@@ -142,14 +157,7 @@
 
     def choose(self, job: Job, now: float) -> EngineChoice | None:
         """Returns the best engine for a request, or None when none can run it."""
-        key = self.required_adapter(job)
-        records = self._candidates.usable(job, now)
-        peers = [record.endpoint for record in self._endpoints.ready(job.service)]
-        paces = self._traffic.paces.ratios({*peers, *(r.endpoint for r in records)}, now)
-        states = [
-            self._engine_state(record, job, key, now, paces[record.endpoint]) for record in records
-        ]
-        usable = [state for state in states if state is not None]
+        usable = self._states(job, now)
         load_time = (
             self._views.get(job.load_requested_from).load_time if job.load_requested_from else 0.0
         )
@@ -164,6 +172,17 @@
             lambda: random.uniform(0.0, max_jitter),
         )
 
+    def _states(self, job: Job, now: float) -> list[EngineState]:
+        """Returns the states of the engines that may take a request now."""
+        key = self.required_adapter(job)
+        records = self._candidates.usable(job, now)
+        peers = [record.endpoint for record in self._endpoints.ready(job.service)]
+        paces = self._traffic.paces.ratios({*peers, *(r.endpoint for r in records)}, now)
+        states = [
+            self._engine_state(record, job, key, now, paces[record.endpoint]) for record in records
+        ]
+        return [state for state in states if state is not None]
+
     def required_adapter(self, job: Job) -> AdapterKey:
         """Returns the adapter that a request needs, in the newest known version."""
         terms = job.terms
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
@@ -110,6 +110,8 @@
             choice: EngineChoice | None = None
             selected: EndpointRecord | NoEndpointReason | None
             if needs_engine(job):
+                if self._engines.is_refused(job, now):
+                    return NoEndpointReason.OVERLOADED
                 choice = self._engines.choose(job, now)
                 selected = self._engines.engine_or_load(job, choice, now)
                 if selected is not None and self._engines.may_delay_prompt(job, choice, now):
