--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -48,6 +48,8 @@
 MAX_STALL_FACTOR: Final = 4.0  # Greatest multiple of `STALL_COST` per stream.
 # Stall ratio of the recent prompts above which the next prompt is held back.
 CROWDED_STALL_RATIO: Final = 0.6
+# Share of a slow engine's streams that the recent prompts make late, above which it is the same.
+CROWDED_LATE_SHARE: Final = 0.1
 # Cost of a stream that pauses for too long, in seconds of waiting: nine tenths of what a response
 # in time is worth, of which a load from the weight store costs a third.
 LATE_STREAM_COST: Final = 0.8
@@ -282,7 +284,8 @@
         return True
     # An engine that one prompt alone makes pause is not better later.
     alone = _late_share(state, prompt_tokens)
-    return _late_share(state, state.recent_tokens + prompt_tokens) > alone
+    with_recent = _late_share(state, state.recent_tokens + prompt_tokens)
+    return with_recent - alone > CROWDED_LATE_SHARE
 
 
 def _late_streams(state: EngineState, prompt_tokens: int) -> float:
--- a/tests/test_endpoint_pace.py
+++ b/tests/test_endpoint_pace.py
@@ -182,6 +182,23 @@
     assert len(seen) == 100
 
 
+def test_paces_cost_few_bytes_in_a_large_deployment() -> None:
+    """An instance uses 20 endpoints and sends 40 heartbeats a second to 33 peers of its zone."""
+    tracker = InFlightTracker()
+    for number in range(20):
+        tracker.begin(f"i-{number:010}", 900.0, 1200.0, None)
+        tracker.record_pace(f"i-{number:010}", 0.08, 0.1)
+        tracker.record_pace(f"i-idle-{number:05}", 0.08, 0.1)
+    report = tracker.own_load_report(receivers=33)
+    without = [
+        [load.endpoint, load.running, load.waiting_tokens, load.kv_tokens, load.recent_tokens]
+        for load in report
+        if load.running
+    ]
+    more = len(msgspec.msgpack.encode(report)) - len(msgspec.msgpack.encode(without))
+    assert 40 * more <= 4_000
+
+
 def test_messages_of_builds_without_paces_are_read_and_the_other_way_round() -> None:
     class OldLoad(msgspec.Struct, array_like=True):
         endpoint: str
--- a/tests/uneven_engines.py
+++ b/tests/uneven_engines.py
@@ -157,6 +157,10 @@
         self.known = [Known() for _ in range(self.instances)]
         self.reports: dict[int, dict[str, tuple[int, float]]] = {}
         self.loads = self.sends = 0
+        self.now = self.upcoming = 0.0
+        # Requests that wait: arrival, time of the next attempt, adapter, instance, engine that was
+        # asked for a load, and when.
+        self.held: list[tuple[float, float, int, int, str, float]] = []
 
     def record_gap(self, instance: int, engine: Engine, gap: float) -> None:
         known, expected = self.known[instance], expected_gaps(len(engine.streams()))
@@ -164,29 +168,27 @@
         sums = known.news.setdefault(engine.name, PaceSums(updated_at=self.now))
         sums.add(GAPS_PER_SAMPLE * gap, expected, self.now)
 
-    def run(self, seconds: float, warm_up: float = 8.0) -> None:
-        self.now = 0.0
+    def run(self, until: float, warm_up: float = 6.0) -> None:
+        """Goes on until a time; what callers saw counts for requests after `warm_up`."""
         life = LENGTH * EVENT * STEP
         rate = self.load * self.engines * BATCH / (life * 1.25)
         weights = [1.0 / (n + 3) ** 0.8 for n in range(ADAPTERS)]
-        held: list[tuple[float, float, int, int, str, float]] = []
-        upcoming = 0.0
-        while self.now < seconds:
+        while self.now < until:
             self.now += TICK
             for engine in self.all.values():
                 engine.run_until(self.now, self)
             for instance in range(self.instances):
                 self.report(instance)
-            while upcoming <= self.now:
+            while self.upcoming <= self.now:
                 adapter = self.rng.choices(range(ADAPTERS), weights)[0]
-                held.append(
+                self.held.append(
                     (self.now, self.now, adapter, self.rng.randrange(self.instances), "", 0.0)
                 )
-                upcoming += self.rng.expovariate(rate)
-            for entry in held[:]:
+                self.upcoming += self.rng.expovariate(rate)
+            for entry in self.held[:]:
                 if entry[1] <= self.now:
-                    held.remove(entry)
-                    held += self.attempt(*entry)
+                    self.held.remove(entry)
+                    self.held += self.attempt(*entry)
         self.done = [s for e in self.all.values() for s in e.ended if warm_up <= s.arrived]
         self.late = sum(s.pause > ALLOWED for s in self.done) / len(self.done)
         self.first_late = sum(s.first - s.arrived > OBJECTIVE for s in self.done) / len(self.done)
