--- a/packages/wigeonarch-core/src/wigeonarch_core/extra_tries.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/extra_tries.py
@@ -108,9 +108,13 @@
         _drop_before(requests, now - self._window)
         middle = now - self._window / 2
         recent = sum(1 for at in requests if at > middle)
+        return self._share * min(len(requests), 2 * recent) - self.spent(service, now)
+
+    def spent(self, service: str, now: float) -> int:
+        """Returns how many extra tries were sent in the window."""
         tries = self._tries.get(service, deque())
         _drop_before(tries, now - self._window)
-        return self._share * min(len(requests), 2 * recent) - len(tries)
+        return len(tries)
 
     def try_spend(self, service: str, now: float) -> bool:
         """Takes one extra try; returns False if none is left."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/extra_tries.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/extra_tries.py
@@ -166,7 +166,7 @@
         """
         if not self._limit.share:
             return await send(job, record)
-        if not job.from_peer and not job.dispatch_count:
+        if _is_plain(job) and not job.from_peer and not job.dispatch_count:
             self._limit.record_request(job.service, monotonic())
         failure = await (
             self._dispatch_pair(job, record, send) if _may_race(job) else send(job, record)
@@ -245,9 +245,14 @@
         return self._limit_denial(job, now)
 
     def _limit_denial(self, job: Job, now: float) -> Denial | None:
+        """Returns the limit that is used up, if any.
+
+        Retries go first: extra tries leave at least as much of the retry budget as they use.
+        """
         if self._limit.remaining(job.service, now) < 1.0:
             return Denial.LIMIT
-        if self._retries.remaining(job.service, now) < 1.0:
+        reserve = self._limit.spent(job.service, now)
+        if self._retries.remaining(job.service, now) < 1.0 + reserve:
             return Denial.RETRY_BUDGET
         return None
 
@@ -361,9 +366,8 @@
 
 def _may_race(job: Job) -> bool:
     """Tells whether a request may be at two endpoints at the same time."""
-    is_plain = not job.terms.model and (job.spec is None or job.spec.engine is None)
     return (
-        is_plain
+        _is_plain(job)
         and job.route.kind is RouteKind.IDEMPOTENT
         and job.route.attempts > 1
         and not job.from_peer
@@ -371,6 +375,10 @@
     )
 
 
+def _is_plain(job: Job) -> bool:
+    return not job.terms.model and (job.spec is None or job.spec.engine is None)
+
+
 def _objective_left(job: Job, now: float) -> float:
     """Returns the seconds in which an answer is still soon enough."""
     return min(job.request.received + job.route.objective, job.deadline) - now
--- a/tests/test_gateway_extra_tries.py
+++ b/tests/test_gateway_extra_tries.py
@@ -161,6 +161,30 @@
         assert after[1] == pytest.approx(before[1] + 0.1 - 1.0)
 
 
+async def test_retries_keep_as_much_of_their_budget_as_extra_tries_use() -> None:
+    async with pair() as found:
+        found.first.answer_delay = MIDDLE
+        retries, limit, now = found.node._retries, found.extra_tries._limit, monotonic()
+        for _ in range(3):
+            assert limit.try_spend("desk", now)
+        while retries.remaining("desk", now) >= 3.5:
+            assert retries.try_spend("desk", now)
+        assert (await found.deployment.send_request("/ask/x")).status == 200
+        assert found.count("extra_tries_denied", Denial.RETRY_BUDGET.value) == 1
+        assert not found.second.executed
+
+
+async def test_an_answer_that_begins_to_be_forwarded_wins_and_is_never_joined() -> None:
+    async with pair() as found:
+        # Its stream ends inside an event, so that the caller's connection is cut.
+        found.first.extra_headers = {"Content-Type": "text/event-stream"}
+        found.first.answer_delay, found.second.answer_delay = SHORT, LONG
+        answer = await found.deployment.send_request("/ask/x")
+        assert (answer.status, answer.complete, answer.body) == (200, False, b"")
+        await until_true(lambda: found.second.cancelled == 1)
+        found.assert_counted(1, ended=1)
+
+
 async def test_an_ended_exchange_is_neither_failure_nor_silence() -> None:
     async with pair() as found:
         found.first.answer_delay = LONG
