--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
@@ -13,6 +13,7 @@
 
 from wigeonarch_gateway.events import EventSplitter
 from wigeonarch_gateway.exchange import CallerRequest, ResponseWriter
+from wigeonarch_gateway.exchange_race import ExchangeRace
 from wigeonarch_gateway.ports import RequestTerms, ResponseHead
 
 
@@ -67,9 +68,10 @@
         peers_tried: Peers to which it was handed over.
         origin: What began the stream of which the caller has events; None if it has none.
         origin_recorded: Whether that was recorded for this attempt.
-        is_counted: Whether it was counted in what the plain service is asked for.
-        is_admitted: Whether the plain service was found to have room for its kind.
-        overload: Why it was refused by the overloaded plain service; None if it was not.
+        is_counted: Whether it was counted in what its service is asked for.
+        is_admitted: Whether its service was found to have room for its kind.
+        overload: Why it was refused by the overloaded service; None if it was not.
+        race: Its exchanges, if it may be at two endpoints at the same time.
     """
 
     request: CallerRequest
@@ -103,6 +105,7 @@
     is_counted: bool = False
     is_admitted: bool = False
     overload: Refusal | None = None
+    race: ExchangeRace | None = None
 
     def record_events(self, now: float) -> None:
         """Records that events were forwarded to the caller."""
@@ -141,6 +144,23 @@
 
     @property
     def may_repeat(self) -> bool:
-        """Tells whether the request may be sent again although it may have run."""
-        repeatable = self.route.repeatable or self.route.resumable
+        """Tells whether the request may be sent again although it may have run.
+
+        A stream of which the caller has events only goes on where its route allows that.
+        """
+        has_no_events = not self.splitter.count
+        repeatable = self.route.resumable or (self.route.repeatable and has_no_events)
         return repeatable and len(set(self.may_have_run_on)) < self.route.attempts
+
+    def claim_answer(self, is_good: bool = True) -> bool:
+        """Tells whether an exchange may forward its answer, as no other one has done so."""
+        return self.race is None or self.race.claim(is_good)
+
+    def note_head(self) -> bool:
+        """Records that the head of a response came; returns whether it is the first of these."""
+        return self.race is None or self.race.note_head()
+
+    @property
+    def has_other_exchange(self) -> bool:
+        """Tells whether the request is open at another endpoint as well."""
+        return self.race is not None and self.race.has_other
