--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_admission.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_admission.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-import random
+import copy
 from collections.abc import Callable, Sequence
 from typing import Final
 
@@ -40,19 +40,35 @@
 class EngineAdmission:
     """Admission of this instance's generations."""
 
-    __slots__ = ("_admissions", "_peer_lag", "_traffic")
+    __slots__ = ("_admissions", "_demands", "_draw", "_peer_lag", "_traffic")
 
-    def __init__(self, traffic: InFlightTracker, peer_lag: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        traffic: InFlightTracker,
+        peer_lag: Callable[[], float],
+        draw: Callable[[], float],
+    ) -> None:
         """Creates an admission that refuses nothing yet.
 
         Args:
             traffic: Requests in flight at each endpoint, and what services are asked for.
             peer_lag: Returns the age of what other instances reported, in seconds.
+            draw: Returns random numbers in [0, 1).
         """
         self._traffic = traffic
+        self._demands = traffic.demands
+        self._draw = draw
         self._peer_lag = peer_lag
         self._admissions: dict[str, ServiceAdmission] = {}
 
+    def observing(self, draw: Callable[[], float]) -> EngineAdmission:
+        """Returns an admission that decides by what this one knows and has no effect on it."""
+        other = copy.copy(self)
+        other._draw = draw
+        other._demands = copy.deepcopy(self._demands)
+        other._admissions = copy.deepcopy(self._admissions)
+        return other
+
     def refuse(self, job: Job, states: Sequence[EngineState], now: float) -> Refusal | None:
         """Returns why a new request is refused; None if it is admitted.
 
@@ -61,7 +77,7 @@
             states: The engines that may be used.
             now: Current time, in seconds.
         """
-        demands = self._traffic.demands
+        demands = self._demands
         units = max(1.0, job.terms.prompt_tokens) / UNIT_TOKENS
         demands.record(job.service, kind_of(job), job.route.objective, now, units)
         load = self._load(job, states)
@@ -81,7 +97,7 @@
             demands.own_rates(job.service, now),
             demands.peer_rates(job.service),
             ANY_ROOM,
-            Clock(now, unix_time(), random.random()),
+            Clock(now, unix_time(), self._draw()),
         )
         return decision if isinstance(decision, Refusal) else None
 
@@ -90,7 +106,7 @@
         waiting = sum(state.waiting_tokens for state in states)
         of_peers = sum(self._traffic.waiting_tokens_of_peers(s.endpoint) for s in states)
         places = sum(1.0 / max(1.0, state.delay) for state in states)
-        objective = self._traffic.demands.shortest_objective(job.service) or job.route.objective
+        objective = self._demands.shortest_objective(job.service) or job.route.objective
         return ServiceLoad(
             max(1, round(places)),
             round(waiting / UNIT_TOKENS),
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import copy
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from wigeonarch_core.engine_choice import (
@@ -49,6 +50,7 @@
         "_admission",
         "_candidates",
         "_catalogue",
+        "_draw",
         "_endpoints",
         "_load_requests",
         "_outcomes",
@@ -69,6 +71,7 @@
         load_requests: LoadRequests,
         zone: str,
         peer_lag: Callable[[], float],
+        draw: Callable[[], float] = random.random,
     ) -> None:
         """Creates a selector.
 
@@ -82,8 +85,9 @@
             load_requests: Sends load requests to the owners of engines.
             zone: Availability zone of this instance.
             peer_lag: Returns the age of what other instances reported, in seconds.
+            draw: Returns random numbers in [0, 1).
         """
-        self._admission = EngineAdmission(traffic, peer_lag)
+        self._admission = EngineAdmission(traffic, peer_lag, draw)
         self._candidates = candidates
         self._catalogue = catalogue
         self._endpoints = endpoints
@@ -93,6 +97,15 @@
         self._load_requests = load_requests
         self._zone = zone
         self._peer_lag = peer_lag
+        self._draw = draw
+
+    def observing(self, candidates: Candidates, draw: Callable[[], float]) -> EngineSelector:
+        """Returns a selector that knows what this one knows, with its own candidates and draws."""
+        other = copy.copy(self)
+        other._candidates = candidates
+        other._draw = draw
+        other._admission = self._admission.observing(draw)
+        return other
 
     def is_refused(self, job: Job, now: float) -> bool:
         """Tells whether a new request is refused because prompts come faster than can be processed.
@@ -103,7 +116,9 @@
         if job.terms.resumed or job.dispatch_count or job.is_counted:
             return False
         job.is_counted = True
-        job.overload = self._admission.refuse(job, self._states(job, now), now)
+        job.overload = self._admission.refuse(
+            job, self.states(job, self._candidates.usable(job, now), now), now
+        )
         return job.overload is not None
 
     def load_poll_interval(self, job: Job, now: float) -> float:
@@ -122,14 +137,14 @@
             return False
         return now - job.request.received < PROMPT_DELAY_SHARE * job.route.objective
 
-    def engine_or_load(
-        self, job: Job, choice: EngineChoice | None, now: float
-    ) -> EndpointRecord | None:
-        """Returns the chosen engine if the request can be sent there; else requests the load."""
-        if choice is None:
+    def engine(self, choice: EngineChoice | None) -> EndpointRecord | None:
+        """Returns the chosen engine if the request can be sent there now."""
+        if choice is None or choice.load:
             return None
-        if not choice.load:
-            return self._endpoints.get(choice.endpoint)
+        return self._endpoints.get(choice.endpoint)
+
+    def request_load(self, job: Job, choice: EngineChoice, now: float) -> None:
+        """Requests the load for which a request has to wait."""
         if choice.endpoint != job.load_requested_from:
             self._log_load_request(job, choice, now)
             job.load_requested_from = choice.endpoint
@@ -137,7 +152,6 @@
         self._load_requests.request_load(
             choice.endpoint, self.required_adapter(job), job.priority, missing=False
         )
-        return None
 
     def _log_load_request(self, job: Job, choice: EngineChoice, now: float) -> None:
         view = self._views.get(choice.endpoint)
@@ -157,7 +171,7 @@
 
     def choose(self, job: Job, now: float) -> EngineChoice | None:
         """Returns the best engine for a request, or None when none can run it."""
-        usable = self._states(job, now)
+        usable = self.states(job, self._candidates.usable(job, now), now)
         load_time = (
             self._views.get(job.load_requested_from).load_time if job.load_requested_from else 0.0
         )
@@ -169,18 +183,16 @@
             job.terms.prompt_tokens,
             job.load_requested_from,
             keep_waiting,
-            lambda: random.uniform(0.0, max_jitter),
+            lambda: self._draw() * max_jitter,
         )
 
-    def _states(self, job: Job, now: float) -> list[EngineState]:
-        """Returns the states of the engines that may take a request now."""
+    def states(self, job: Job, records: Iterable[EndpointRecord], now: float) -> list[EngineState]:
+        """Returns what the choice between engines is based on, for those with the model."""
         key = self.required_adapter(job)
-        records = self._candidates.usable(job, now)
+        records = list(records)
         peers = [record.endpoint for record in self._endpoints.ready(job.service)]
         paces = self._traffic.paces.ratios({*peers, *(r.endpoint for r in records)}, now)
-        states = [
-            self._engine_state(record, job, key, now, paces[record.endpoint]) for record in records
-        ]
+        states = (self._engine_state(r, job, key, now, paces[r.endpoint]) for r in records)
         return [state for state in states if state is not None]
 
     def required_adapter(self, job: Job) -> AdapterKey:
@@ -192,7 +204,7 @@
     def _engine_state(
         self, record: EndpointRecord, job: Job, key: AdapterKey, now: float, pace: float
     ) -> EngineState | None:
-        view = self._views.get(record.endpoint)
+        view = self._views.peek(record.endpoint)
         if key.model not in view.models:
             return None
         holds = not key.adapter or view.can_serve(key, now)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/plain_selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/plain_selection.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import copy
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
 from wigeonarch_core.endpoint_pace import ANSWER_EXPECTED
@@ -26,7 +27,6 @@
 from wigeonarch_gateway.dispatch_outcomes import DispatchOutcomes
 from wigeonarch_gateway.endpoints import EndpointRegistry
 from wigeonarch_gateway.jobs import Job
-from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.ports import EndpointRecord
 from wigeonarch_gateway.refusal_reasons import NoEndpointReason
 from wigeonarch_gateway.traffic import InFlightTracker
@@ -43,8 +43,8 @@
         "_admissions",
         "_candidates",
         "_demands",
+        "_draw",
         "_endpoints",
-        "_metrics",
         "_outcomes",
         "_peer_lag",
         "_times",
@@ -60,7 +60,7 @@
         outcomes: DispatchOutcomes,
         zone: str,
         peer_lag: Callable[[], float],
-        metrics: Metrics,
+        draw: Callable[[], float] = random.random,
     ) -> None:
         """Creates a selector.
 
@@ -71,7 +71,7 @@
             outcomes: What dispatches showed of endpoints.
             zone: Availability zone of this instance.
             peer_lag: Returns the age of what other instances reported, in seconds.
-            metrics: Counters.
+            draw: Returns random numbers in [0, 1).
         """
         self._candidates = candidates
         self._endpoints = endpoints
@@ -79,11 +79,20 @@
         self._outcomes = outcomes
         self._zone = zone
         self._peer_lag = peer_lag
+        self._draw = draw
         self._times = ServiceTimes()
-        self._metrics = metrics
         self._demands = traffic.demands
         self._admissions: dict[str, ServiceAdmission] = {}
 
+    def observing(self, candidates: Candidates, draw: Callable[[], float]) -> PlainSelector:
+        """Returns a selector that knows what this one knows, with its own candidates and draws."""
+        other = copy.copy(self)
+        other._candidates = candidates
+        other._draw = draw
+        other._demands = copy.deepcopy(self._demands)
+        other._admissions = copy.deepcopy(self._admissions)
+        return other
+
     def select(
         self, job: Job, now: float, waited: float
     ) -> EndpointRecord | NoEndpointReason | None:
@@ -100,11 +109,9 @@
             record.endpoint in job.avoided_endpoints for record in records
         ):
             return None
-        service_time = self._service_time(job.service)
-        peers = [record.endpoint for record in self._endpoints.ready(job.service)]
-        paces = self._traffic.paces.ratios({*peers, *(r.endpoint for r in records)}, now)
-        states = [self._service_state(r, paces[r.endpoint]) for r in records]
-        chosen = choose_endpoint(states, self._peer_lag(), service_time)
+        service_time = self.service_time(job.service)
+        states = self.states(job, records, now)
+        chosen = choose_endpoint(states, self._peer_lag(), service_time, self._draw())
         record = self._endpoints.get(chosen) if chosen else None
         if record is None or job.may_have_run_on or not service_time:
             return record
@@ -115,6 +122,18 @@
             return record
         return self._admit(job, record, load, now, waited)
 
+    def states(self, job: Job, records: Iterable[EndpointRecord], now: float) -> list[ServiceState]:
+        """Returns what the choice between endpoints is based on."""
+        records = list(records)
+        peers = [record.endpoint for record in self._endpoints.ready(job.service)]
+        paces = self._traffic.paces.ratios({*peers, *(r.endpoint for r in records)}, now)
+        return [self._service_state(record, paces[record.endpoint]) for record in records]
+
+    def service_time(self, service: str) -> float | None:
+        """Returns the seconds that a request takes, at first by the reports of others."""
+        own = self._times.estimate(service)
+        return own if own is not None else self._demands.peer_service_time(service)
+
     def _count(self, job: Job, now: float) -> None:
         """Counts a request once in what its service is asked for."""
         if job.is_counted:
@@ -122,11 +141,6 @@
         job.is_counted = True
         self._demands.record(job.service, kind_of(job), job.route.objective, now)
 
-    def _service_time(self, service: str) -> float | None:
-        """Returns the seconds that a request takes, at first by the reports of others."""
-        own = self._times.estimate(service)
-        return own if own is not None else self._demands.peer_service_time(service)
-
     def _service_load(
         self, job: Job, records: Sequence[EndpointRecord], service_time: float
     ) -> ServiceLoad:
@@ -159,7 +173,7 @@
             self._demands.own_rates(job.service, now),
             self._demands.peer_rates(job.service),
             EndpointRoom(self._traffic.load_at(record.endpoint).running, record.slots),
-            Clock(now, unix_time(), random.random()),
+            Clock(now, unix_time(), self._draw()),
         )
         if decision is Decision.SEND:
             return record
@@ -168,7 +182,6 @@
             return None
         assert isinstance(decision, Refusal)
         job.overload = decision
-        self._metrics.service_refusals.labels(job.service, decision.decision.value).inc()
         return NoEndpointReason.OVERLOADED
 
     def _service_state(self, record: EndpointRecord, pace: float) -> ServiceState:
