--- a/tests/test_service_admission.py
+++ b/tests/test_service_admission.py
@@ -183,6 +183,16 @@
     assert found.served("u") >= 0.9
 
 
+@pytest.mark.parametrize("demand", [1.2, 2.0])
+def test_sides_of_a_cut_that_use_the_same_endpoint_keep_the_goodput(demand: float) -> None:
+    found = World(
+        [Callers(0.4, 0, name="u"), Callers(demand - 0.4, 2, name="l")], 4, sides=2, seconds=60.0
+    ).run()
+    assert found.goodput() >= 0.85
+    assert found.served("u") >= 0.85
+    assert found.served("l") <= found.served("u")
+
+
 # Single decisions.
 
 
