--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/routecommand.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/routecommand.py
@@ -5,6 +5,7 @@
 import argparse
 import json
 import random
+from dataclasses import replace
 from pathlib import Path
 from typing import Final
 
@@ -98,11 +99,28 @@
         code = _take_request(console, question, args)
         if code != exits.OK:
             return code
+    console = _without_secrets(console, question)
     replies = ask_all(_addresses(args), question, args.timeout)
     _show(console, replies, args.json or args.output == render.JSON)
     return _exit_code(console, replies)
 
 
+def _without_secrets(console: Console, question: Question) -> Console:
+    """Returns a console that prints no key: a wrong server may repeat the question."""
+    secrets = question.secrets()
+
+    def hide(text: str) -> str:
+        for secret in secrets:
+            text = text.replace(secret, texts.HIDDEN)
+        return text
+
+    return replace(
+        console,
+        write=lambda text: console.write(hide(text)),
+        advise=lambda text: console.advise(hide(text)),
+    )
+
+
 def _take_request(console: Console, question: Question, args: argparse.Namespace) -> int:
     """Completes a question by the log lines of a request."""
     try:
--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/routequery.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/routequery.py
@@ -24,6 +24,7 @@
 MAX_ANSWER_BYTES: Final = 4 * 1024 * 1024
 MAX_AT_ONCE: Final = 16  # Instances that are asked at the same time.
 NOT_FOUND: Final = 404
+AUTHORIZATION: Final = "authorization"
 # The options with keys. Errors name them, not their values: someone may give the key itself.
 KEY_ENV: Final = "--key-env"
 KEY_FILE: Final = "--key-file"
@@ -72,6 +73,13 @@
     content: str = ""
     seed: int = 0
 
+    def secrets(self) -> list[str]:
+        """Returns what must not be printed, as it is and as JSON has it; longer texts first."""
+        sent = (value.split() for name, value in self.headers if name.lower() == AUTHORIZATION)
+        found = {self.key, *(words[-1] for words in sent if words)} - {""}
+        found |= {json.dumps(secret)[1:-1] for secret in found}
+        return sorted(found, key=len, reverse=True)
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/texts.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/texts.py
@@ -38,6 +38,7 @@
 REQUEST_HELP: Final = "ask about this request, as far as log lines tell what it was"
 REQUEST_LOG_HELP: Final = "log files of instances in which to look for --request"
 JSON_HELP: Final = "print the answers as JSON"
+HIDDEN: Final = "[key]"
 NO_INSTANCE: Final = "no instance: give --instance HOST:PORT or set WIGEONARCH_METRICS"
 TARGET_OR_REQUEST: Final = "give either HOST/PATH or --request"
 REQUEST_AND_LOG: Final = "--request and --log go together only"
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
@@ -158,7 +158,8 @@
     def decide(self, job: Job, now: float, waited: float) -> Decision:
         """Decides what happens to a request now.
 
-        Changes nothing besides permits of endpoints and what services are asked for.
+        It requests permits of endpoints, notes lost ways and what services are asked for, and
+        changes nothing else; with a selector of `observing`, it changes nothing.
 
         Args:
             job: The request.
--- a/tests/test_ctl_route.py
+++ b/tests/test_ctl_route.py
@@ -288,6 +288,33 @@
     assert KEY not in shown.out + shown.err
 
 
+@pytest.mark.parametrize(
+    ("reply", "status"),
+    [
+        (json.dumps({"error": f"what is {KEY}?"}).encode(), 400),
+        (json.dumps({"instance": KEY, "notes": [KEY], "choice": {"action": KEY}}).encode(), 200),
+    ],
+)
+@pytest.mark.parametrize(
+    "words", [["--key-env", "TEAM_KEY"], ["--header", f"Authorization: B {KEY}"]]
+)
+@pytest.mark.parametrize("output", [[], ["--json"]])
+def test_key_that_a_wrong_server_repeats_is_not_printed(
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+    reply: bytes,
+    status: int,
+    words: list[str],
+    output: list[str],
+) -> None:
+    monkeypatch.setenv("TEAM_KEY", KEY)
+    with page(reply, status) as found:
+        main(["route", f"{HOST}/x", "--instance", found.address, *words, *output])
+    shown = capsys.readouterr()
+    assert KEY not in shown.out + shown.err
+    assert texts.HIDDEN in shown.out + shown.err
+
+
 def test_question_has_no_key_in_its_text() -> None:
     question = routequery.Question(headers=[("Authorization", KEY)], key=KEY)
     assert KEY not in repr(question)
