wigeonctl route: where a request would go now, and why, without sending it

What operators saw: the log tells why a request went where it did, afterwards and if there was one; to ask an instance meant to send a request, which takes quota, loads adapters and may run.

Change: page /route of the metrics server (question and answer as JSON, 32 KB and 100 headers at most, 100 endpoints listed), and the command, which asks several instances alike and says who disagrees. EndpointSelector.select is split into `decide`, without effects, and what follows from it; `observing` returns a selector that knows the same, requests no permits, notes no lost way and draws from a seed. Admission.outlook, QuotaManager.outlook and QuotaLedger.preview do the same for admission. Draws of the selection come from a closure (random.random as before). A plain service's choice now takes its draw always, where choose_endpoint drew it only if it was needed.

Evidence: 400 random states of an instance whose clock stands: the explanation equals the next decision with the same draws, and nothing that components hold, no counter, message or log line differs; a test shows that the decision itself does change them. Permits and quotas: expected waits and previews equal the next real ones over random sequences.

Found on the way: an address that is no address ("h:x") raised in the command; now an error, exit 4. A server that repeats the question in its reply would have had the key printed; it is hidden now.

--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -144,6 +144,22 @@
     return min(alike, key=lambda choice: choice.expected + draw())
 
 
+def estimate_engines(states: Iterable[EngineState], prompt_tokens: int) -> dict[str, EngineChoice]:
+    """Returns, by id, each engine that can run the request with its expected wait as compared.
+
+    Args:
+        states: Engines that may be used.
+        prompt_tokens: Length of the prompt.
+    """
+    states = list(states)
+    least_costs = _least_stall_costs(states, prompt_tokens)
+    choices = (
+        _estimate(state, prompt_tokens, least_costs[state.holds, state.same_zone])
+        for state in states
+    )
+    return {choice.endpoint: choice for choice in choices if choice is not None}
+
+
 def _cost_class(state: EngineState) -> tuple[bool, bool, bool, bool]:
     """Returns what a send to an engine costs besides waiting.
 
--- a/packages/wigeonarch-core/src/wigeonarch_core/quota_ledger.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/quota_ledger.py
@@ -42,6 +42,7 @@
 
 from __future__ import annotations
 
+import copy
 import math
 from collections import deque
 from collections.abc import Mapping
@@ -274,6 +275,15 @@
         account.shortfall = cost - available
         return AcquireResult(False, wait, queue_wait, available)
 
+    def preview(
+        self, team: str, quota: Quota, part: QuotaShare, cost: float, now: float
+    ) -> AcquireResult:
+        """Returns what `acquire` would return, without taking units or changing an account."""
+        other = QuotaLedger(self._bounds, self._updated_at)
+        if team in self._accounts:
+            other._accounts[team] = copy.deepcopy(self._accounts[team])
+        return other.acquire(team, quota, part, cost, now)
+
     def record_grant(self, requester: str, number: int, team: str, cost: float, now: float) -> None:
         """Records a grant, so that it can be refunded."""
         self._grants[requester, number] = _Grant(team, cost, now)
--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/cli.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/cli.py
@@ -16,7 +16,7 @@
 
 from wigeonarch_schema import wigeonarch_pb2 as pb
 
-from wigeonarch_ctl import arguments, commands, exits, names, render, texts
+from wigeonarch_ctl import arguments, commands, exits, names, render, routecommand, texts
 from wigeonarch_ctl.session import Session
 
 if TYPE_CHECKING:
@@ -25,6 +25,7 @@
 PROGRAM: Final = "wigeonctl"
 DISTRIBUTION: Final = "wigeonarch-ctl"
 SERVER_VARIABLE: Final = "WIGEONARCH_SERVER"
+METRICS_VARIABLE: Final = "WIGEONARCH_METRICS"
 DEFAULT_TIMEOUT_S: Final = 30.0
 DEFAULT_WAIT_MS: Final = 5000
 ABSENT_ENTRY_VERSION: Final = 0
@@ -80,6 +81,7 @@
     _add_explain(groups)
     _add_status(groups)
     _add_teams(groups)
+    _add_route(groups)
     _add_drain(groups)
     return parser
 
@@ -93,6 +95,8 @@
     )
     if args.command == "teams":
         return commands.teams(console, args)
+    if args.command == "route":
+        return routecommand.run(console, args)
     if _reads_logs(args):
         return commands.explain_logs(console, args)
     session = Session(args.server, args.timeout)
@@ -116,6 +120,9 @@
     """Exits with a usage error if the arguments are incomplete or contradict each other."""
     if _reads_logs(args) or args.command == "teams":
         return
+    if args.command == "route":
+        routecommand.check_arguments(parser, args)
+        return
     if not args.server:
         parser.error(texts.NO_SERVER)
     option = WAIT_OPTION_BY_COMMAND.get(args.run, DEFAULT_WAIT_OPTION)
@@ -410,6 +417,11 @@
     )
 
 
+def _add_route(groups: Subparsers) -> None:
+    parser = groups.add_parser("route", help="explain where a request would go now, and why")
+    routecommand.add_arguments(parser, os.environ.get(METRICS_VARIABLE, ""))
+
+
 def _add_drain(groups: Subparsers) -> None:
     parser = groups.add_parser("drain", help="start the graceful shutdown of an instance")
     parser.add_argument("instance", metavar="INSTANCE")
--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/logtrace.py
@@ -146,6 +146,15 @@
     return Trace(request_lines, endpoint_lines[-3:], _explain_outcome(request_lines))
 
 
+def fields_of_request(lines: Iterable[LogLine], request: str) -> dict[str, str]:
+    """Returns the fields of all log lines of a request; of a repeated one, the last that is set."""
+    fields: dict[str, str] = {}
+    for line in lines:
+        if line.fields.get("request") == request:
+            fields |= {name: value for name, value in line.fields.items() if value}
+    return fields
+
+
 def _explain_outcome(lines: list[LogLine]) -> str:
     last = lines[-1]
     if last.event == "answered" and not last.fields.get("endpoint") and len(lines) > 1:
--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/texts.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/texts.py
@@ -25,6 +25,49 @@
 )
 LOGS_HELP: Final = "read these log files of instances instead of calling an instance"
 METRICS_HELP: Final = "addresses of the metrics of all instances; their values are summed"
+HEADER_HELP: Final = (
+    "a header that matters, may be repeated; give a key with --key-env or --key-file instead"
+)
+TEAM_HELP: Final = "ask as this team, without a key"
+KEY_ENV_HELP: Final = "environment variable with the API key"
+KEY_FILE_HELP: Final = "file with the API key"
+INSTANCE_HELP: Final = (
+    "metrics ports of the instances to ask, side by side (default: $WIGEONARCH_METRICS, separated "
+    "by spaces)"
+)
+REQUEST_HELP: Final = "ask about this request, as far as log lines tell what it was"
+REQUEST_LOG_HELP: Final = "log files of instances in which to look for --request"
+JSON_HELP: Final = "print the answers as JSON"
+HIDDEN: Final = "[key]"
+NO_INSTANCE: Final = "no instance: give --instance HOST:PORT or set WIGEONARCH_METRICS"
+TARGET_OR_REQUEST: Final = "give either HOST/PATH or --request"
+REQUEST_AND_LOG: Final = "--request and --log go together only"
+BAD_TARGET: Final = "{text!r} does not have the form HOST/PATH"
+BAD_HEADER: Final = "a header does not have the form 'NAME: VALUE'"
+NO_KEY: Final = "{option}: there is no API key there, or more than one word"
+UNREADABLE_KEY: Final = "{option}: {reason}"
+REQUEST_NOT_LOGGED: Final = "No log line names request {request}. Give the logs of all instances."
+ROUTE_NOT_LOGGED: Final = (
+    "No log line of request {request} names its route. Give HOST/PATH and headers instead."
+)
+INSTANCE_UNREACHABLE: Final = (
+    "{address}: no answer ({why}). Check that this is the metrics port of an instance that is up."
+)
+NO_ROUTE_PAGE: Final = (
+    "{address}: has no page /route: an older version, or not an instance's metrics port."
+)
+NO_ROUTE_ANSWER: Final = "{address}: the answer can't be read: not an instance's metrics port."
+ROUTE_REFUSED: Final = "{address}: refused the question ({status}: {why})."
+ROUTE_PROBLEMS: Final[dict[str, str]] = {
+    "unknown_host": "No route has that host. Check the host, and the configuration's version.",
+    "unknown_route": "No route has that path or name. Check it, and the configuration's version.",
+    "unknown_service": "The service is not in the configuration, or not one of the route's.",
+    "unknown_team": "No team has that name. Check the name with `wigeonctl teams`.",
+    "unknown_model": "The engines of the service can't hold that model. Check model and adapter.",
+    "unknown_adapter": (
+        "That adapter was never published, and no engine is known to have had it. Check its name."
+    ),
+}
 UNREADABLE_FILE: Final = "{path}: {reason}"
 DECISIONS_NOT_FOUND: Final = (
     "This instance has recorded no decisions about that request. Ask the instance that received "
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/admission.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/admission.py
@@ -16,6 +16,7 @@
 from typing import Final
 
 import msgspec
+from wigeonarch_core.quota_ledger import AcquireResult
 from wigeonarch_core.routes import Route, RoutingTable
 from wigeonarch_core.teams import KeyProblem, Quota, Team, team_of
 
@@ -24,7 +25,7 @@
 from wigeonarch_gateway.freshness import ConfigurationFreshness
 from wigeonarch_gateway.metrics import Metrics
 from wigeonarch_gateway.ports import Headers, RequestTerms
-from wigeonarch_gateway.quotas import QuotaGrant, QuotaManager, QuotaRefusal
+from wigeonarch_gateway.quotas import QuotaGrant, QuotaManager, QuotaOutlook, QuotaRefusal
 from wigeonarch_gateway.selection import RETRY_ELSEWHERE_AFTER, LogFields
 
 # Share of the latency objective for which a request waits until its team's quota covers it.
@@ -76,6 +77,23 @@
 Decision = Admitted | Denied | Deferred
 
 
+class Outlook(msgspec.Struct, frozen=True):
+    """How a request would be decided on now, as far as that is known here.
+
+    Attributes:
+        decision: The decision; None if only the team's quota coordinator knows. A request that
+            waits for its quota counts as admitted.
+        team: The team; None if the request needs none or it is unknown.
+        cost: Units that the request costs; None if no quota applies.
+        quota: What is known of the quota; None if none applies.
+    """
+
+    decision: Decision | None
+    team: Team | None = None
+    cost: float | None = None
+    quota: QuotaOutlook | None = None
+
+
 class Admission:
     """Admits, denies or defers requests."""
 
@@ -114,6 +132,27 @@
             return Admitted(team)
         return await self._admit_within_quota(team, team.quota, terms, route)
 
+    def outlook(self, team: Team | KeyProblem | None, terms: RequestTerms, route: Route) -> Outlook:
+        """Tells how `admit` would decide now; takes no units and asks no other instance.
+
+        Args:
+            team: The team of the request, or why its key is not accepted.
+            terms: What its headers ask for.
+            route: The route that it matched.
+        """
+        if isinstance(team, KeyProblem):
+            return Outlook(self._reject_key(team))
+        if team is None or team.quota is None:
+            return Outlook(Admitted(team), team)
+        cost = team.quota.cost(terms.tokens)
+        found = self._quotas.outlook(team, team.quota, cost)
+        if found.verdict is None:
+            return Outlook(None, team, cost, found)
+        if found.verdict.granted or self._waits_for_quota(found.verdict, route):
+            return Outlook(Admitted(team), team, cost, found)
+        refusal = QuotaRefusal(found.verdict, found.coordinator, found.asked)
+        return Outlook(self._over_quota(team, team.quota, cost, refusal), team, cost, found)
+
     def refund(self, admitted: Admitted) -> None:
         """Gives back the quota units of a request that has not run and will not."""
         if admitted.quota_grant is not None:
@@ -129,16 +168,23 @@
     ) -> Admitted | Deferred:
         cost = quota.cost(terms.tokens)
         result = await self._quotas.acquire(team, quota, cost)
-        if (
-            isinstance(result, QuotaRefusal)
-            and result.verdict.queue_wait < QUOTA_WAIT_SHARE * route.objective
-        ):
+        if isinstance(result, QuotaRefusal) and self._waits_for_quota(result.verdict, route):
             await asyncio.sleep(result.verdict.queue_wait)
             result = await self._quotas.acquire(team, quota, cost)
         if isinstance(result, QuotaGrant):
             self._metrics.count_admitted(team.name, cost)
             return Admitted(team, result)
         self._metrics.count_over_quota(team.name, cost)
+        return self._over_quota(team, quota, cost, result)
+
+    @staticmethod
+    def _waits_for_quota(verdict: AcquireResult, route: Route) -> bool:
+        """Tells whether the quota covers a refused request soon enough to wait for it."""
+        return verdict.queue_wait < QUOTA_WAIT_SHARE * route.objective
+
+    @staticmethod
+    def _over_quota(team: Team, quota: Quota, cost: float, result: QuotaRefusal | None) -> Deferred:
+        """Returns the refusal of a request that its team's quota does not cover."""
         log_fields: LogFields = {"team": team.name, "cost": cost}
         if result is None:
             return Deferred(
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/candidates.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/candidates.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections.abc import Callable
 
 from wigeonarch_gateway.dispatch_outcomes import DispatchOutcomes
@@ -18,7 +19,7 @@
 class Candidates:
     """The endpoints that may take each request, by what this instance knows of them."""
 
-    __slots__ = ("_endpoints", "_is_settled", "_outcomes")
+    __slots__ = ("_endpoints", "_is_settled", "_limit_wait", "_outcomes")
 
     def __init__(
         self,
@@ -36,6 +37,13 @@
         self._endpoints = endpoints
         self._outcomes = outcomes
         self._is_settled = is_settled
+        self._limit_wait = outcomes.limit_wait
+
+    def without_effects(self) -> Candidates:
+        """Returns the same candidates, which request no permits of limited endpoints."""
+        other = copy.copy(self)
+        other._limit_wait = self._outcomes.expected_limit_wait
+        return other
 
     def ready(self, job: Job) -> list[EndpointRecord]:
         """Returns the endpoints that take new requests and whose software fits the request.
@@ -79,7 +87,7 @@
         ]
         usable = [record for record in untried if not self._outcomes.is_paused(record, now)]
         if self._outcomes.any_limited(now):
-            usable = [record for record in usable if not self._outcomes.limit_wait(record, now)]
+            usable = [record for record in usable if not self._limit_wait(record, now)]
         if job.origin is None and job.route.resumable:
             return [record for record in usable if self._is_settled(record)] or usable
         return usable
@@ -93,7 +101,7 @@
         if not self._outcomes.any_limited(now):
             return 0.0
         waits = [
-            (self._outcomes.limit_wait(record, now), self._outcomes.pause_left(record, now))
+            (self._limit_wait(record, now), self._outcomes.pause_left(record, now))
             for record in self.ready(job)
         ]
         if not any(limit_wait for limit_wait, _ in waits):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
@@ -92,6 +92,16 @@
             record.endpoint, now
         )
 
+    def expected_limit_wait(self, record: EndpointRecord, now: float) -> float:
+        """Returns what `limit_wait` returns, without requesting a permit."""
+        return self.cooldown_left(record, now) or self._limits.expected_permit_wait(
+            record.endpoint, now
+        )
+
+    def cooldown_left(self, record: EndpointRecord, now: float) -> float:
+        """Returns the seconds for which an endpoint asked this instance to send nothing."""
+        return self._cooldowns.remaining(record.endpoint, now)
+
     def take_permit(self, record: EndpointRecord) -> bool:
         """Tells whether a request that is about to be sent may be, and uses up its permit."""
         now = monotonic()
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import copy
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from wigeonarch_core.engine_choice import (
@@ -46,6 +47,7 @@
     __slots__ = (
         "_candidates",
         "_catalogue",
+        "_draw",
         "_endpoints",
         "_load_requests",
         "_outcomes",
@@ -66,6 +68,7 @@
         load_requests: LoadRequests,
         zone: str,
         peer_lag: Callable[[], float],
+        draw: Callable[[], float] = random.random,
     ) -> None:
         """Creates a selector.
 
@@ -79,6 +82,7 @@
             load_requests: Sends load requests to the owners of engines.
             zone: Availability zone of this instance.
             peer_lag: Returns the age of what other instances reported, in seconds.
+            draw: Returns random numbers in [0, 1).
         """
         self._candidates = candidates
         self._catalogue = catalogue
@@ -89,6 +93,14 @@
         self._load_requests = load_requests
         self._zone = zone
         self._peer_lag = peer_lag
+        self._draw = draw
+
+    def observing(self, candidates: Candidates, draw: Callable[[], float]) -> EngineSelector:
+        """Returns a selector that knows what this one knows, with its own candidates and draws."""
+        other = copy.copy(self)
+        other._candidates = candidates
+        other._draw = draw
+        return other
 
     def load_poll_interval(self, job: Job, now: float) -> float:
         """Returns the seconds after which a requested load may be done, if no update comes."""
@@ -106,14 +118,14 @@
             return False
         return now - job.request.received < PROMPT_DELAY_SHARE * job.route.objective
 
-    def engine_or_load(
-        self, job: Job, choice: EngineChoice | None, now: float
-    ) -> EndpointRecord | None:
-        """Returns the chosen engine if the request can be sent there; else requests the load."""
-        if choice is None:
+    def engine(self, choice: EngineChoice | None) -> EndpointRecord | None:
+        """Returns the chosen engine if the request can be sent there now."""
+        if choice is None or choice.load:
             return None
-        if not choice.load:
-            return self._endpoints.get(choice.endpoint)
+        return self._endpoints.get(choice.endpoint)
+
+    def request_load(self, job: Job, choice: EngineChoice, now: float) -> None:
+        """Requests the load for which a request has to wait."""
         if choice.endpoint != job.load_requested_from:
             self._log_load_request(job, choice, now)
             job.load_requested_from = choice.endpoint
@@ -121,7 +133,6 @@
         self._load_requests.request_load(
             choice.endpoint, self.required_adapter(job), job.priority, missing=False
         )
-        return None
 
     def _log_load_request(self, job: Job, choice: EngineChoice, now: float) -> None:
         view = self._views.get(choice.endpoint)
@@ -158,9 +169,15 @@
             job.terms.prompt_tokens,
             job.load_requested_from,
             keep_waiting,
-            lambda: random.uniform(0.0, max_jitter),
+            lambda: self._draw() * max_jitter,
         )
 
+    def states(self, job: Job, records: Iterable[EndpointRecord], now: float) -> list[EngineState]:
+        """Returns what the choice between engines is based on, for those with the model."""
+        key = self.required_adapter(job)
+        states = (self._engine_state(record, job, key, now) for record in records)
+        return [state for state in states if state is not None]
+
     def required_adapter(self, job: Job) -> AdapterKey:
         """Returns the adapter that a request needs, in the newest known version."""
         terms = job.terms
@@ -170,7 +187,7 @@
     def _engine_state(
         self, record: EndpointRecord, job: Job, key: AdapterKey, now: float
     ) -> EngineState | None:
-        view = self._views.get(record.endpoint)
+        view = self._views.peek(record.endpoint)
         if key.model not in view.models:
             return None
         load = self._traffic.load_at(record.endpoint)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engineviews.py
@@ -122,6 +122,9 @@
     return AdapterKey(*adapter)
 
 
+UNKNOWN_ENGINE: Final = EngineView()  # Of which nothing is known; never changed.
+
+
 class EngineViews:
     """Views of all engines, and the requests that wait for them to change."""
 
@@ -139,6 +142,10 @@
             view = self._views[endpoint] = EngineView()
         return view
 
+    def peek(self, endpoint: str) -> EngineView:
+        """Returns the view of an engine to read from, without beginning one."""
+        return self._views.get(endpoint, UNKNOWN_ENGINE)
+
     def apply_update(self, update: EngineUpdate) -> None:
         """Applies an update of an engine's owner.
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/freshness.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/freshness.py
@@ -12,7 +12,7 @@
 
 from wigeonarch_gateway.ports import ObjectKind
 from wigeonarch_gateway.selection import LogFields
-from wigeonarch_gateway.sharing import WatchSharing
+from wigeonarch_gateway.sharing import Confirmation, WatchSharing
 
 
 class ConfigurationFreshness:
@@ -34,9 +34,13 @@
         """Tells whether a configuration unknown here may have been in force for too long."""
         return self._sharing.age(ObjectKind.CONFIGURATION) > self._bound
 
+    def confirmation(self) -> Confirmation:
+        """Returns how up to date the configuration is known to be, and by whom."""
+        return self._sharing.confirmation(ObjectKind.CONFIGURATION)
+
     def log_fields(self) -> LogFields:
         """Returns log fields that tell what a decision knew of the configuration."""
-        found = self._sharing.confirmation(ObjectKind.CONFIGURATION)
+        found = self.confirmation()
         return {
             "age": found.age,
             "confirmed_by": found.confirmed_by,
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/limiter.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limiter.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections.abc import Callable, Sequence
 from typing import Final
 
@@ -87,6 +88,15 @@
         """Returns the seconds until a permit is available; `rate` is None if nobody knows it."""
         return self._bucket(endpoint, rate, now).seconds_until_permit(now)
 
+    def expected_wait(self, endpoint: str, rate: float, now: float) -> float:
+        """Returns what `wait` returns, without beginning to save up permits."""
+        bucket = copy.copy(self._buckets.get(endpoint))
+        rate = max(rate, PROBE_RATE)
+        if bucket is None:
+            bucket = PermitBucket(rate, now)
+        bucket.set_rate(rate, now)
+        return bucket.seconds_until_permit(now)
+
     def take(self, endpoint: str, rate: float, now: float) -> bool:
         """Takes a permit for a request of this instance; False if none is available."""
         taken = self._bucket(endpoint, rate, now).take(now)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/limits.py
@@ -245,14 +245,19 @@
         if limiter == self._instance:
             return self._limiter.wait(endpoint, rate, now)
         own.permits = [at for at in own.permits if now - at < PERMIT_LIFETIME]
-        if own.permits:
+        if not own.permits and now >= own.denied_until:
+            self._request_permit(endpoint, limiter, own, now)
+        return _expected_wait(own, now)
+
+    def expected_permit_wait(self, endpoint: str, now: float) -> float:
+        """Returns what `permit_wait` returns, without requesting a permit."""
+        rate = self._rates.get(endpoint)
+        if rate is None:
             return 0.0
-        if now < own.denied_until:
-            return own.denied_until - now
-        self._request_permit(endpoint, limiter, own, now)
-        assert own.requested_at is not None
-        waited = now - own.requested_at
-        return EXPECTED_REPLY_TIME if waited < EXPECTED_REPLY_TIME else REPLY_TIMEOUT - waited
+        own = self._own.get(endpoint, _OwnPermits())
+        if self._limiter_of(endpoint, own, now) == self._instance:
+            return self._limiter.expected_wait(endpoint, rate, now)
+        return _expected_wait(own, now)
 
     def take_permit(self, endpoint: str, now: float) -> bool:
         """Uses up a permit for a request that is about to be sent; False if there is none."""
@@ -333,3 +338,15 @@
         if reply.limiter not in (reply.sender, self._instance):
             own.hint = reply.limiter, now + LIMITER_HINT_TTL
         own.requested_at = None
+
+
+def _expected_wait(own: _OwnPermits, now: float) -> float:
+    """Returns the seconds until another instance's permit allows a request; 0 if one does now."""
+    if any(now - at < PERMIT_LIFETIME for at in own.permits):
+        return 0.0
+    if now < own.denied_until:
+        return own.denied_until - now
+    waited = 0.0 if own.requested_at is None else now - own.requested_at
+    if EXPECTED_REPLY_TIME <= waited < REPLY_TIMEOUT:
+        return REPLY_TIMEOUT - waited
+    return EXPECTED_REPLY_TIME
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -91,11 +91,13 @@
 )
 from wigeonarch_gateway.quotas import FIRST_NUMBER_BOUND, QuotaManager
 from wigeonarch_gateway.responder import Responder
+from wigeonarch_gateway.route_answer import MAX_QUERY_BYTES
+from wigeonarch_gateway.route_explanation import RouteExplainer
 from wigeonarch_gateway.selection import EndpointSelector
 from wigeonarch_gateway.service_reach import ServiceReach
 from wigeonarch_gateway.serving import RequestPipeline
 from wigeonarch_gateway.sharing import WatchSharing
-from wigeonarch_gateway.status import Page, StatusServer
+from wigeonarch_gateway.status import Page, QueryPage, StatusServer
 from wigeonarch_gateway.store_updates import StoreUpdateHandlers
 from wigeonarch_gateway.stream_origins import StreamOrigins
 from wigeonarch_gateway.support import LeaseSupport
@@ -341,10 +343,30 @@
             self._metrics,
             self._members.has_address,
         )
+        self._explainer = RouteExplainer(
+            opts.instance,
+            opts.zone,
+            dialect,
+            self._catalogue,
+            self._freshness,
+            lambda: self._sharing.age(ObjectKind.ENDPOINTS),
+            lambda: self._members.heartbeat_interval(),
+            admission,
+            self._endpoints,
+            self._views,
+            outcomes,
+            selector,
+            self._peer_forwarder,
+        )
         self._http_server = HttpServer(pipeline.serve, self._max_body_bytes)
         self._peer_server = HttpServer(peer_requests.serve, self._max_body_bytes)
         self._ready_server = StatusServer([Page(dialect.ready_path, self._readiness_page)])
-        self._metrics_server = StatusServer([Page("/metrics", self._metrics_page)])
+        self._metrics_server = StatusServer(
+            [
+                Page("/metrics", self._metrics_page),
+                QueryPage("/route", MAX_QUERY_BYTES, self._explainer.answer),
+            ]
+        )
 
     async def start(self) -> None:
         """Opens the sockets and starts all background tasks."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_forwarding.py
@@ -89,8 +89,20 @@
             return False
         return job.from_peer or bool(job.peers_tried) or self.choose(job) is not None
 
-    def choose(self, job: Job) -> Member | None:
-        """Returns the peer to hand a request over to; None if it is not to be handed over."""
+    def peer_if_needed(self, job: Job, draw: Callable[[], float]) -> Member | None:
+        """Returns the peer for a new request; None if it is to be served here.
+
+        Unlike `is_needed`, this does not note that the way to a service was lost or is back.
+        """
+        return self.choose(job, draw) if self._reach.reaches_none(job.service) else None
+
+    def choose(self, job: Job, draw: Callable[[], float] = random.random) -> Member | None:
+        """Returns the peer to hand a request over to; None if it is not to be handed over.
+
+        Args:
+            job: The request.
+            draw: Returns random numbers in [0, 1), which decide between equal peers.
+        """
         if job.from_peer or len(job.peers_tried) >= MAX_PEERS:
             return None
         members = {
@@ -102,7 +114,7 @@
             PeerState(name, member.zone == self._zone, self._in_progress[name])
             for name, member in members.items()
         ]
-        return members.get(choose_peer(states, random.random))
+        return members.get(choose_peer(states, draw))
 
     async def forward(self, job: Job, peer: Member) -> DispatchFailure | None:
         """Hands a request over; returns None when the caller has its response."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/plain_selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/plain_selection.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import copy
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from wigeonarch_core.service_choice import ServiceState, choose_endpoint
@@ -27,6 +28,7 @@
 
     __slots__ = (
         "_candidates",
+        "_draw",
         "_endpoints",
         "_outcomes",
         "_peer_lag",
@@ -43,6 +45,7 @@
         outcomes: DispatchOutcomes,
         zone: str,
         peer_lag: Callable[[], float],
+        draw: Callable[[], float] = random.random,
     ) -> None:
         """Creates a selector.
 
@@ -53,6 +56,7 @@
             outcomes: What dispatches showed of endpoints.
             zone: Availability zone of this instance.
             peer_lag: Returns the age of what other instances reported, in seconds.
+            draw: Returns random numbers in [0, 1).
         """
         self._candidates = candidates
         self._endpoints = endpoints
@@ -60,8 +64,16 @@
         self._outcomes = outcomes
         self._zone = zone
         self._peer_lag = peer_lag
+        self._draw = draw
         self._times = ServiceTimes()
 
+    def observing(self, candidates: Candidates, draw: Callable[[], float]) -> PlainSelector:
+        """Returns a selector that knows what this one knows, with its own candidates and draws."""
+        other = copy.copy(self)
+        other._candidates = candidates
+        other._draw = draw
+        return other
+
     def select(
         self, job: Job, now: float, waited: float
     ) -> EndpointRecord | NoEndpointReason | None:
@@ -79,14 +91,22 @@
             return None
         service_time = self._times.estimate(job.service)
         chosen = choose_endpoint(
-            [self._service_state(r) for r in records], self._peer_lag(), service_time
+            [self._service_state(r) for r in records], self._peer_lag(), service_time, self._draw()
         )
         record = self._endpoints.get(chosen) if chosen else None
         if record is None or job.dispatch_count:
             return record
         running = self._traffic.load_at(record.endpoint).running
         sent_part = admitted_share(running, record.slots, service_time, job.route.objective)
-        return record if random.random() < sent_part else NoEndpointReason.OVERLOADED
+        return record if self._draw() < sent_part else NoEndpointReason.OVERLOADED
+
+    def states(self, records: Iterable[EndpointRecord]) -> list[ServiceState]:
+        """Returns what the choice between endpoints is based on."""
+        return [self._service_state(record) for record in records]
+
+    def service_time(self, service: str) -> float | None:
+        """Returns the seconds that a request takes without waiting; None while unknown."""
+        return self._times.estimate(service)
 
     def _service_state(self, record: EndpointRecord) -> ServiceState:
         return ServiceState(
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/quotas.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/quotas.py
@@ -105,6 +105,20 @@
     last_at: float = 0.0
 
 
+class QuotaOutlook(msgspec.Struct, frozen=True):
+    """What is known here of the units that a request would get now.
+
+    Attributes:
+        coordinator: Instance that would be asked; empty if there is none.
+        verdict: Its reply, or an earlier refusal that still applies; None if only it knows.
+        asked: Whether it would be asked; else an earlier refusal still applies.
+    """
+
+    coordinator: str
+    verdict: AcquireResult | None
+    asked: bool = True
+
+
 class _RememberedRefusal(msgspec.Struct, frozen=True):
     """A refusal that also applies to later requests, until it expires, if they cost as much."""
 
@@ -174,9 +188,9 @@
         self, team: Team, quota: Quota, cost: float
     ) -> QuotaGrant | QuotaRefusal | None:
         """Acquires the units that a request costs; returns None if no coordinator replies."""
-        refusal = self._refusals.get(team.name)
         now = monotonic()
-        if refusal is not None and now < refusal.expires_at and cost >= refusal.cost:
+        refusal = self._refusal_in_force(team, cost, now)
+        if refusal is not None:
             return QuotaRefusal(refusal.verdict, refusal.coordinator, asked=False)
         for coordinator in self._coordinators_to_ask(team.name, now):
             self._request_number += 1
@@ -194,6 +208,26 @@
             return QuotaRefusal(verdict, coordinator, asked=True)
         return None
 
+    def outlook(self, team: Team, quota: Quota, cost: float) -> QuotaOutlook:
+        """Returns what `acquire` would find, as far as that is known here; takes no units."""
+        now = monotonic()
+        refusal = self._refusal_in_force(team, cost, now)
+        if refusal is not None:
+            return QuotaOutlook(refusal.coordinator, refusal.verdict, asked=False)
+        coordinator = next(iter(self._coordinators_to_ask(team.name, now)), "")
+        if coordinator != self._instance:
+            return QuotaOutlook(coordinator, None)
+        quota_share = self._own_quota_share(team.name)
+        verdict = self._ledger.preview(team.name, quota, quota_share, cost, now)
+        return QuotaOutlook(coordinator, verdict)
+
+    def _refusal_in_force(self, team: Team, cost: float, now: float) -> _RememberedRefusal | None:
+        """Returns an earlier refusal that applies to a request, too."""
+        refusal = self._refusals.get(team.name)
+        if refusal is not None and now < refusal.expires_at and cost >= refusal.cost:
+            return refusal
+        return None
+
     def _remember_refusal(
         self, team: str, verdict: AcquireResult, coordinator: str, cost: float
     ) -> None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
@@ -6,11 +6,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import copy
+import random
+from collections.abc import Callable, Iterable
 from typing import Final
 
-from wigeonarch_core.engine_choice import EngineChoice
+import msgspec
+from wigeonarch_core.engine_choice import EngineChoice, EngineState
 from wigeonarch_core.engine_places import AdapterKey
+from wigeonarch_core.service_choice import ServiceState
 from wigeonarch_runtime.clock import monotonic
 
 from wigeonarch_gateway.candidates import Candidates
@@ -43,6 +47,20 @@
 LogFields = dict[str, object]
 
 
+class Decision(msgspec.Struct, frozen=True):
+    """What happens to a request now.
+
+    Attributes:
+        selected: The endpoint to send it to, or why it is refused; None while it has to wait.
+        choice: The best engine of a generation; None if there is none, or none is needed.
+        held_back: Whether it waits although there is an endpoint, which reads other prompts first.
+    """
+
+    selected: EndpointRecord | NoEndpointReason | None
+    choice: EngineChoice | None = None
+    held_back: bool = False
+
+
 class EndpointSelector:
     """Selects endpoints by what this instance knows of them."""
 
@@ -60,6 +78,7 @@
         peer_lag: Callable[[], float],
         is_out_of_reach: Callable[[Job], bool],
         is_settled: Callable[[EndpointRecord], bool],
+        draw: Callable[[], float] = random.random,
     ) -> None:
         """Creates a selector.
 
@@ -74,12 +93,15 @@
             peer_lag: Returns the age of what other instances reported, in seconds.
             is_out_of_reach: Tells whether a request need not wait for an endpoint here.
             is_settled: Tells whether streams that may be resumed may begin at an endpoint.
+            draw: Returns random numbers in [0, 1).
         """
         self._views = views
         self._outcomes = outcomes
         self._is_out_of_reach = is_out_of_reach
         self._candidates = Candidates(endpoints, outcomes, is_settled)
-        self._plain = PlainSelector(self._candidates, endpoints, traffic, outcomes, zone, peer_lag)
+        self._plain = PlainSelector(
+            self._candidates, endpoints, traffic, outcomes, zone, peer_lag, draw
+        )
         self._engines = EngineSelector(
             self._candidates,
             catalogue,
@@ -90,40 +112,112 @@
             load_requests,
             zone,
             peer_lag,
+            draw,
         )
 
     async def select(self, job: Job) -> EndpointRecord | NoEndpointReason:
         """Waits for an endpoint that can run the request and returns it, or why there is none."""
         began = monotonic()
-        max_wait = HOLD_SHARE * job.route.objective
-        max_load_wait = LOADING_HOLD_SHARE * job.route.objective
         while True:
             now = monotonic()
-            refusal = self._certain_refusal(job)
-            if refusal is not None:
-                return refusal
-            choice: EngineChoice | None = None
-            selected: EndpointRecord | NoEndpointReason | None
-            if needs_engine(job):
-                choice = self._engines.choose(job, now)
-                selected = self._engines.engine_or_load(job, choice, now)
-                if selected is not None and self._engines.may_delay_prompt(job, choice, now):
-                    await self._views.wait_for_change(POLL_INTERVAL)
-                    continue
-            else:
-                selected = self._plain.select(job, now, now - began)
+            decision = self.decide(job, now, now - began)
+            selected, choice = decision.selected, decision.choice
+            if decision.held_back:
+                await self._views.wait_for_change(POLL_INTERVAL)
+                continue
             if isinstance(selected, NoEndpointReason):
                 return selected
             if selected is not None:
                 job.selection_time += now - began
                 return selected
-            limit_wait = self._candidates.limit_wait(job, now)
-            if limit_wait and now + limit_wait > began + max_wait:
-                return NoEndpointReason.LIMITED
-            if now - began > (max_wait if choice is None else max_load_wait):
-                return NoEndpointReason.UNAVAILABLE
+            if choice is not None and choice.load:
+                self._engines.request_load(job, choice, now)
+            refusal = self.refusal_of_wait(job, choice, now, now - began)
+            if refusal is not None:
+                return refusal
             await self._wait(job, choice, now)
 
+    def decide(self, job: Job, now: float, waited: float) -> Decision:
+        """Decides what happens to a request now.
+
+        It requests permits of endpoints and notes lost ways, and changes nothing else; with a
+        selector of `observing`, it changes nothing.
+
+        Args:
+            job: The request.
+            now: Current time, in seconds.
+            waited: Seconds for which it has waited for an endpoint since it was last refused.
+        """
+        refusal = self._certain_refusal(job)
+        if refusal is not None:
+            return Decision(refusal)
+        if not needs_engine(job):
+            return Decision(self._plain.select(job, now, waited))
+        choice = self._engines.choose(job, now)
+        record = self._engines.engine(choice)
+        held_back = record is not None and self._engines.may_delay_prompt(job, choice, now)
+        return Decision(record, choice, held_back)
+
+    def refusal_of_wait(
+        self, job: Job, choice: EngineChoice | None, now: float, waited: float
+    ) -> NoEndpointReason | None:
+        """Returns why a request that has no endpoint now must not wait any longer.
+
+        Args:
+            job: The request.
+            choice: The engine that loads its adapter; None if there is none.
+            now: Current time, in seconds.
+            waited: Seconds for which it has waited.
+        """
+        max_wait = HOLD_SHARE * job.route.objective
+        limit_wait = self._candidates.limit_wait(job, now)
+        if limit_wait and waited + limit_wait > max_wait:
+            return NoEndpointReason.LIMITED
+        if waited > self.longest_wait(job, choice):
+            return NoEndpointReason.UNAVAILABLE
+        return None
+
+    @staticmethod
+    def longest_wait(job: Job, choice: EngineChoice | None) -> float:
+        """Returns the seconds for which a request waits for an endpoint, or for a load."""
+        share = HOLD_SHARE if choice is None else LOADING_HOLD_SHARE
+        return share * job.route.objective
+
+    def observing(
+        self, is_out_of_reach: Callable[[Job], bool], draw: Callable[[], float]
+    ) -> EndpointSelector:
+        """Returns a selector whose `decide` has no effects and decides by what this one knows.
+
+        Args:
+            is_out_of_reach: Tells whether a request need not wait for an endpoint here, and has no
+                effects either.
+            draw: Returns random numbers in [0, 1).
+        """
+        other = copy.copy(self)
+        other._is_out_of_reach = is_out_of_reach
+        other._candidates = self._candidates.without_effects()
+        other._plain = self._plain.observing(other._candidates, draw)
+        other._engines = self._engines.observing(other._candidates, draw)
+        return other
+
+    def usable(self, job: Job, now: float) -> list[EndpointRecord]:
+        """Returns the endpoints that may take a request now."""
+        return self._candidates.usable(job, now)
+
+    def engine_states(
+        self, job: Job, records: Iterable[EndpointRecord], now: float
+    ) -> list[EngineState]:
+        """Returns what the choice between engines is based on."""
+        return self._engines.states(job, records, now)
+
+    def service_states(self, records: Iterable[EndpointRecord]) -> list[ServiceState]:
+        """Returns what the choice between endpoints of a plain service is based on."""
+        return self._plain.states(records)
+
+    def service_time(self, service: str) -> float | None:
+        """Returns the seconds that a request of a plain service takes; None while unknown."""
+        return self._plain.service_time(service)
+
     def _certain_refusal(self, job: Job) -> NoEndpointReason | None:
         """Returns why a request can't be served here however long it waits; None if it may be."""
         if self._is_out_of_reach(job):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/service_reach.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/service_reach.py
@@ -69,6 +69,10 @@
         self._note_loss(service)
         return service in self._lost_since
 
+    def reaches_none(self, service: str) -> bool:
+        """Tells what `is_lost` tells, without noting that a way was lost or is back."""
+        return self._reach.reaches_none(self._endpoints(service))
+
     def lost_services(self) -> list[str]:
         """Returns the services of which this instance reaches no endpoint."""
         return [service for service in list(self._lost_since) if self.is_lost(service)]
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
@@ -174,10 +174,21 @@
     route: Route,
     table: RoutingTable,
     team: Team | None,
+    draw: float | None = None,
 ) -> Job:
-    """Returns the state of a request that was admitted, with its deadline."""
+    """Returns the state of a request that was admitted, with its deadline.
+
+    Args:
+        request: The request.
+        terms: What its headers ask for.
+        response: Sends the response.
+        route: The route that it matched.
+        table: The routing table with that route.
+        team: Its team; None if it has none.
+        draw: Uniform in [0, 1), decides on a service of a split route; drawn if not given.
+    """
     timeout = route.timeout if terms.wait is None else min(terms.wait, route.timeout)
-    service = pick_service(route, random.random())
+    service = pick_service(route, random.random() if draw is None else draw)
     return Job(
         request,
         terms,
