Overload: a team beyond those counted one by one keeps to its rank's part

Seen: the 65th team of a service was drawn with part 1, as its kind is counted without its team. Change: it is drawn under the kind under which it is counted. The new test failed before.

--- a/packages/wigeonarch-core/src/wigeonarch_core/service_admission.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/service_admission.py
@@ -29,6 +29,7 @@
 
 from wigeonarch_core.service_demand import (
     MIN_RATE,
+    NO_TEAM,
     Kind,
     admitted_parts,
     total_demand,
@@ -346,11 +347,12 @@
         demand = total_demand(own, peers, load.sent_by_peers)
         allowed = self._control.allowed_rate(load)
         self._control.update(load, sum(demand.values()) > allowed, clock.now)
-        part = admitted_parts(demand, allowed).get(request.kind, 1.0)
+        kind = request.kind if request.kind in own else Kind(request.kind.rank, NO_TEAM)
+        part = admitted_parts(demand, allowed).get(kind, 1.0)
         self._draws.keep(own)
         is_first = not request.is_admitted and not request.is_repeat
         draw = draw_of(request.caller, clock.unix_time)
-        if is_first and not self._draws.admits(request.kind, part, draw):
+        if is_first and not self._draws.admits(kind, part, draw):
             decision = Decision.SHARE
         else:
             decision = decide_room(request, endpoint, load.service_time)
@@ -358,14 +360,14 @@
             return decision
         return Refusal(
             decision,
-            request.kind,
+            kind,
             part,
             sum(demand.values()),
-            demand.get(request.kind, 0.0),
+            demand.get(kind, 0.0),
             allowed,
             load.running,
             load.intended,
-            retry_delay(request.kind, demand, allowed, clock.unix_time, clock.draw),
+            retry_delay(kind, demand, allowed, clock.unix_time, clock.draw),
         )
 
 
--- a/tests/test_service_admission.py
+++ b/tests/test_service_admission.py
@@ -322,5 +322,17 @@
     assert sum(found.values()) == pytest.approx(sum(1.0 + team for team in range(1, 50)))
 
 
+def test_a_team_beyond_those_counted_one_by_one_is_not_let_through_unlimited() -> None:
+    rates = RequestRates(0.0)
+    for team in range(2 * MAX_KINDS):
+        for _ in range(10):
+            rates.record(Kind(0, team + 1), 0.8, 0.0)
+    last = AdmissionRequest(Kind(0, 2 * MAX_KINDS), "caller", 0.8)
+    admission, own = ServiceAdmission(), rates.rates(0.0)
+    room, clock = EndpointRoom(12, 8), Clock(0.0, 0.0, 0.5)
+    found = [admission.decide(last, load(12), own, {}, room, clock) for _ in range(20)]
+    assert any(isinstance(each, Refusal) for each in found)
+
+
 def test_a_team_has_a_key_of_its_own() -> None:
     assert team_key("a") not in (team_key("b"), NO_TEAM)
