Mends by review: loads and uses that their sender no longer tells of, admission of many teams and of limited endpoints

By reading, not seen by callers: (1) an instance that once sent its loads to another zone and then only its uses kept them counted there beside its zone's sum; (2) an adapter use that a delegate of another zone had told of last stayed in use at the owner for good, so that the copy was never evicted and its new version never loaded; both are dropped now when their sender has not told of them for as long as silence takes. (3) Teams beyond those that a report names counted as one team, so that all of them fit; they are taken to be the receiver's teams of that rank. (4) The load of a plain service was reckoned from the endpoints that have a permit at this moment only. (5) A capacity that is estimated too high was never corrected while less was asked for than it; a long queue corrects it now. (6) Failures counted as service times. (7) An order after an unload that waits; permits given back in the wrong order; an admitted request drawn again; a false refusal when an overload ends. Ruled out by the same reading: requests that run twice, answers joined, refusals that are not true.

--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_places.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_places.py
@@ -30,7 +30,7 @@
 # for as long as the use lasts. Until then the copy counts as in use.
 USE_REPORTED_WITHIN: Final = 1.2
 # Seconds after which an unload that was accepted counts as lost if the copy is still held.
-MAX_UNLOAD_TIME: Final = 13.0
+MAX_UNLOAD_TIME: Final = 30.0
 
 
 AdapterName = tuple[str, str]
--- a/packages/wigeonarch-core/src/wigeonarch_core/service_admission.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/service_admission.py
@@ -170,8 +170,9 @@
 
         Args:
             load: What is known of the service's load.
-            is_limiting: Whether more is asked for than the allowed rate. Otherwise the number of
-                requests tells nothing of the capacity, and the correction is forgotten.
+            is_limiting: Whether more is asked for than the allowed rate, or the endpoints have
+                more than intended. Otherwise the number of requests tells nothing of the capacity,
+                and the correction is forgotten.
             now: Current time, in seconds.
         """
         passed = 0.0 if self._updated is None else min(MAX_UPDATE_GAP, now - self._updated)
@@ -251,8 +252,8 @@
             draw: Its draw.
         """
         ahead, raised = self._ahead.get(kind, 0.0), self._raised.get(kind, 0.0)
-        is_admitted = draw < part * math.exp(raised)
-        if ahead >= MAX_AHEAD:
+        is_admitted = part >= 1.0 or draw < part * math.exp(raised)
+        if ahead >= MAX_AHEAD and part < 1.0:
             is_admitted = False
         elif ahead <= -MAX_AHEAD:
             is_admitted = True
@@ -346,11 +347,13 @@
         """
         demand = total_demand(own, peers, load.sent_by_peers)
         allowed = self._control.allowed_rate(load)
-        self._control.update(load, sum(demand.values()) > allowed, clock.now)
+        is_first = not request.is_admitted and not request.is_repeat
+        if is_first:
+            is_limiting = sum(demand.values()) > allowed or load.running > load.intended
+            self._control.update(load, is_limiting, clock.now)
         kind = request.kind if request.kind in own else Kind(request.kind.rank, NO_TEAM)
         part = admitted_parts(demand, allowed).get(kind, 1.0)
         self._draws.keep(own)
-        is_first = not request.is_admitted and not request.is_repeat
         draw = draw_of(request.caller, clock.unix_time)
         if is_first and not self._draws.admits(kind, part, draw):
             decision = Decision.SHARE
--- a/packages/wigeonarch-core/src/wigeonarch_core/service_demand.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/service_demand.py
@@ -100,7 +100,7 @@
         peers: Those that the others report.
         sent_by_peers: Requests a second that the others send, by their requests in progress.
     """
-    demand = dict(peers)
+    demand = _spread_unnamed(dict(peers), own)
     reported = sum(peers.values())
     unreported = sent_by_peers - reported if reported < REPORTED_SHARE * sent_by_peers else 0.0
     scale = 1.0 + unreported / max(sum(own.values()), MIN_RATE)
@@ -109,6 +109,22 @@
     return demand
 
 
+def _spread_unnamed(peers: dict[Kind, float], own: Mapping[Kind, float]) -> dict[Kind, float]:
+    """Returns a demand whose unnamed teams are taken to be this instance's teams that it lacks.
+
+    Reports name only the largest teams of a rank, and give the others together without a team.
+    """
+    for rest in [kind for kind in peers if kind.team == NO_TEAM]:
+        missing = {k: r for k, r in own.items() if k.rank == rest.rank and k not in peers}
+        total = sum(missing.values())
+        if not total:
+            continue
+        rate = peers.pop(rest)
+        for kind, own_rate in missing.items():
+            peers[kind] = rate * own_rate / total
+    return peers
+
+
 def admitted_parts(demand: Mapping[Kind, float], allowed: float) -> dict[Kind, float]:
     """Returns which part of the requests of each kind fits into a rate, from 0 to 1.
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/candidates.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/candidates.py
@@ -74,6 +74,10 @@
         """Tells whether there is an endpoint on which a stream with events can go on."""
         return any(record.endpoint not in job.may_have_run_on for record in self.ready(job))
 
+    def serving(self, job: Job, now: float) -> list[EndpointRecord]:
+        """Returns the endpoints that serve requests like this one now, whether or not it may go."""
+        return [record for record in self.ready(job) if not self._outcomes.is_paused(record, now)]
+
     def usable(self, job: Job, now: float) -> list[EndpointRecord]:
         """Returns the endpoints that may take a request now.
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_controller.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_controller.py
@@ -334,6 +334,8 @@
                 return min(left for _, left in self._places.loading_copies(now)) + TIMER_SLACK
             if self._places.has_place(key.name):
                 if not await self._unload_other_version(record, key):
+                    if self._places.is_unloading(monotonic()):
+                        return RETRY_INTERVAL
                     continue
             elif self._places.free_count() <= 0 and not await self._make_room(record):
                 return RETRY_INTERVAL
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/member.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/member.py
@@ -24,6 +24,8 @@
         first_heartbeat: Time of the first heartbeat of its incarnation.
         last_heartbeat: Time of its last heartbeat.
         adapters_in_use: Adapters that it uses at the endpoints owned here, by endpoint.
+        uses_told_at: Time at which it last told of these.
+        loads_told_at: Time at which it last told of its load at endpoints.
         store_contact: Its contact with the store, by this instance's clock: later than it really
             was by the heartbeat's transit time. None if the store has not answered it yet.
         started: Time of its start, by this instance's clock and late by the transit time; all
@@ -39,7 +41,9 @@
     has_lease: bool
     first_heartbeat: float
     last_heartbeat: float
-    adapters_in_use: dict[str, list[AdapterName]]
+    adapters_in_use: dict[str, set[AdapterName]]
+    uses_told_at: float
+    loads_told_at: float
     store_contact: Contact | None
     started: float
     lost_services: frozenset[str] = frozenset()
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/members.py
@@ -53,6 +53,7 @@
 # heartbeat intervals.
 MIN_SILENCE_LIMIT: Final = 1.3
 SILENCE_LIMIT_INTERVALS: Final = 3.2
+NEVER: Final = float("-inf")  # Before all times.
 # Seconds after its start in which an instance sends heartbeats to all others.
 ANNOUNCEMENT_TIME: Final = 4.0
 
@@ -177,16 +178,19 @@
 
     def adapters_in_use(self, endpoint: str) -> set[AdapterName]:
         """Returns the adapters that other instances use at an endpoint owned here."""
+        since = monotonic() - self._silence_limit()
         found: set[AdapterName] = set()
-        for name in self.reachable():
-            found.update(self._members[name].adapters_in_use.get(endpoint, ()))
+        for member in self._members.values():
+            if member.uses_told_at > since:
+                found |= member.adapters_in_use.get(endpoint, set())
         return found
 
     def note_adapter_use(self, sender: str, endpoint: str, key: AdapterKey) -> None:
         """Notes an adapter's use, which the sender's next heartbeat will include."""
         member = self._members.get(sender)
         if member is not None:
-            member.adapters_in_use.setdefault(endpoint, []).append(key.name)
+            member.adapters_in_use.setdefault(endpoint, set()).add(key.name)
+            member.uses_told_at = monotonic()
 
     def send(self, name: str, message: Message) -> bool:
         """Sends a message to an instance; returns False if it was dropped at once."""
@@ -273,30 +277,38 @@
             left > 0.0,
             now if started or before is None else before.first_heartbeat,
             now,
-            self._known_uses(heartbeat, before),
+            {},
+            NEVER,
+            NEVER,
             store_contact_of(heartbeat, now),
             now - heartbeat.uptime_ms / 1000,
             frozenset(heartbeat.lost_services),
         )
+        self._take_uses(heartbeat, before, now)
         self.discovery.note_address(heartbeat.address, heartbeat.zone)
         is_near = heartbeat.zone == self._opts.zone
+        member = self._members[heartbeat.sender]
+        if before is not None and not heartbeat.states_loads:
+            member.loads_told_at = before.loads_told_at
         if heartbeat.states_loads:
+            member.loads_told_at = now
             self._traffic.receive_loads(heartbeat.sender, heartbeat.loads, is_near)
             self._traffic.demands.receive(heartbeat.sender, heartbeat.demands)
         if started and self._informs_newcomer(heartbeat.sender):
             self._on_started(heartbeat.sender)
 
-    def _known_uses(
-        self, heartbeat: Heartbeat, before: Member | None
-    ) -> dict[str, list[AdapterName]]:
-        """Returns the adapters that a heartbeat's sender uses, as far as it is known now."""
-        is_known = before is not None and before.incarnation == heartbeat.incarnation
-        if before is not None and is_known and not heartbeat.states_uses:
-            return before.adapters_in_use
-        return {
-            use.endpoint: [(model, adapter) for model, adapter, _ in use.adapters]
-            for use in heartbeat.adapters_in_use
-        }
+    def _take_uses(self, heartbeat: Heartbeat, before: Member | None, now: float) -> None:
+        """Notes the adapters that a heartbeat's sender uses; keeps them if it states none."""
+        member = self._members[heartbeat.sender]
+        if heartbeat.states_uses:
+            member.uses_told_at = now
+            member.adapters_in_use = {
+                use.endpoint: {(model, adapter) for model, adapter, _ in use.adapters}
+                for use in heartbeat.adapters_in_use
+            }
+        elif before is not None and before.incarnation == heartbeat.incarnation:
+            member.uses_told_at = before.uses_told_at
+            member.adapters_in_use = before.adapters_in_use
 
     def _log_peer(self, heartbeat: Heartbeat, before: Member | None, now: float) -> None:
         """Logs the heartbeat of an instance that just started or was unreachable."""
@@ -438,13 +450,18 @@
         """Drops the loads of unreachable instances, and forgets those silent for long."""
         now = monotonic()
         for name, member in list(self._members.items()):
-            if (
-                now - member.last_heartbeat >= self._silence_limit()
-                and self._traffic.forget_instance(name)
-            ):
-                if not self._is_represented(member.zone):
-                    log("peer_silent", "WARNING", peer=name, seconds=now - member.last_heartbeat)
-                self._on_silent(name)
+            if now - member.loads_told_at >= self._silence_limit():
+                self._drop_loads(member, now)
             if now - member.last_heartbeat >= ADDRESS_TIMEOUT:
                 del self._members[name]
         self.discovery.forget_silent()
+
+    def _drop_loads(self, member: Member, now: float) -> None:
+        """Drops the loads of an instance that no longer tells of them."""
+        had_loads = self._traffic.forget_instance(member.name)
+        silent = now - member.last_heartbeat
+        if not had_loads or silent < self._silence_limit():
+            return
+        if not self._is_represented(member.zone):
+            log("peer_silent", "WARNING", peer=member.name, seconds=silent)
+        self._on_silent(member.name)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/model_load_permits.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/model_load_permits.py
@@ -45,6 +45,9 @@
         return True
 
     def give_back(self) -> None:
-        """Gives back the last permit, because its load did not begin and never will."""
+        """Gives back a permit, because its load did not begin and never will.
+
+        The oldest one goes, so that a load that did begin counts for as long as it must.
+        """
         if self._begun_at:
-            self._begun_at.pop()
+            self._begun_at.pop(0)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/plain_selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/plain_selection.py
@@ -115,7 +115,7 @@
         record = self._endpoints.get(chosen) if chosen else None
         if record is None or job.may_have_run_on or not service_time:
             return record
-        load = self._service_load(job, records, service_time)
+        load = self._service_load(job, self._candidates.serving(job, now), service_time)
         if load.running >= BUSY_SHARE * load.places:
             self._demands.note_busy(job.service, service_time, now)
         if not self._demands.is_watched(job.service, now):
@@ -176,6 +176,7 @@
             Clock(now, unix_time(), self._draw()),
         )
         if decision is Decision.SEND:
+            job.is_admitted = True
             return record
         if decision is Decision.WAIT:
             job.is_admitted = True
@@ -206,7 +207,9 @@
             running: Requests that were in flight at the endpoint when this one was dispatched.
             is_sound: Whether the response was no failure, which ends quickly at any pace.
         """
-        if is_sound and running <= record.slots:
+        if not is_sound:
+            return
+        if running <= record.slots:
             self._traffic.record_pace(record.endpoint, took, ANSWER_EXPECTED)
         self._times.record_answer(job.service, took, running, record.slots)
 
--- a/tests/route_states.py
+++ b/tests/route_states.py
@@ -109,7 +109,7 @@
             (rng.choice(PARTS), "v1", f"c{number}", 10) for number in range(CRASHES_OF_NEW_PART + 2)
         ]
         node._suspects.parts.receive(PartReport(crashes, [], [], []))
-    peer = Member("edge-9", "i", "127.0.0.1:2", "a", False, True, 0.0, 0.0, {}, None, 0.0)
+    peer = Member("edge-9", "i", "127.0.0.1:2", "a", False, True, 0.0, 0.0, {}, 0.0, 0.0, None, 0.0)
     peers = [peer] if rng.random() < 0.8 else []
     node._peer_forwarder._peers = lambda service: peers
     node._quotas.refresh()
