A broken stream of an idempotent route is not joined with a repeat

Callers saw one response made of two: the events of an endpoint whose event stream broke off, and then those of a second endpoint from the beginning.

Cause: Job.may_repeat allowed another dispatch of an idempotent request although the caller had events. Ruled out: streams of resumable routes, which go on as before. Before: retried, joined. After: the connection is cut, as with other streams that can't be resumed.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
@@ -134,6 +134,10 @@
 
     @property
     def may_repeat(self) -> bool:
-        """Tells whether the request may be sent again although it may have run."""
-        repeatable = self.route.repeatable or self.route.resumable
+        """Tells whether the request may be sent again although it may have run.
+
+        A stream of which the caller has events only goes on where its route allows that.
+        """
+        has_no_events = not self.splitter.count
+        repeatable = self.route.resumable or (self.route.repeatable and has_no_events)
         return repeatable and len(set(self.may_have_run_on)) < self.route.attempts
--- a/tests/test_gateway_passing.py
+++ b/tests/test_gateway_passing.py
@@ -141,6 +141,19 @@
                 )
 
 
+async def test_a_broken_stream_of_an_idempotent_route_is_not_joined_with_a_repeat() -> None:
+    async with world() as deployment:
+        first, second = await add_second_desk(deployment)
+        for replica in (first, second):
+            replica.extra_headers = {"Content-Type": "text/event-stream"}
+            replica.executed.clear()
+        # The body has one whole event and the beginning of another.
+        answer = await deployment.send_request("/ask/x", b"\n\ndata: cut")
+        assert (answer.status, answer.complete) == (200, False)
+        assert answer.body.count(b"answer of") == 1
+        assert len(first.executed) + len(second.executed) == 1
+
+
 async def test_doubled_response_is_not_taken_for_that_of_the_next_request() -> None:
     async with world() as deployment:
         await deployment.wait_until_served("/ask/x")
