Extra tries: slow repeatable requests go to a second endpoint, within a limit that operators set

What callers saw: a few slow answers of plain services decide the 99th percentile, while one endpoint is slow for a moment. Cause: a request stayed with its endpoint up to 1.2 times the objective.

Change: off by default; extra_tries.share or WIGEONARCH_EXTRA_TRIES turns it on. An idempotent request whose answer is slower than nearly all others is sent to a second endpoint; the first whole answer counts, the other exchange is ended. Each instance keeps to the share of its own requests in the window, and takes each try from the retry budget too. None while all are slow, the service is near its limit or has just refused.

Not begun: streams.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/dispatch_outcomes.py
@@ -72,6 +72,12 @@
         """Tells whether a request's parts allow that it is sent to an endpoint now."""
         return self._suspects.parts.admit(job.terms.parts, record.software)
 
+    def is_suspect(self, job: Job) -> bool:
+        """Tells whether an endpoint crashed under a request like this, or one with its parts."""
+        if self._suspects.crash_count(job.content_key):
+            return True
+        return self._suspects.parts.any_crash(job.terms.parts)
+
     # Questions of endpoint selection.
 
     def is_paused(self, record: EndpointRecord, now: float) -> bool:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -28,6 +28,7 @@
 from wigeonarch_gateway.dispatch_outcomes import DispatchOutcomes
 from wigeonarch_gateway.endpoints import EndpointRegistry
 from wigeonarch_gateway.engineviews import EngineViews
+from wigeonarch_gateway.extra_tries import ExtraTries
 from wigeonarch_gateway.jobs import MAY_HAVE_RUN, DispatchFailure, Job
 from wigeonarch_gateway.load_requests import LoadRequests
 from wigeonarch_gateway.metrics import Metrics
@@ -97,6 +98,7 @@
     __slots__ = (
         "_dialect",
         "_endpoints",
+        "_extra_tries",
         "_load_requests",
         "_metrics",
         "_outcomes",
@@ -125,6 +127,7 @@
         responder: Responder,
         peer_forwarder: PeerForwarder,
         streams: StreamOrigins,
+        extra_tries: ExtraTries,
     ) -> None:
         self._dialect = dialect
         self._endpoints = endpoints
@@ -139,6 +142,7 @@
         self._responder = responder
         self._peer_forwarder = peer_forwarder
         self._streams = streams
+        self._extra_tries = extra_tries
 
     async def forward(self, job: Job) -> None:
         """Dispatches a request until its caller has a response.
@@ -162,7 +166,7 @@
                 return
             if await self._refuse_if_quarantined(job):
                 return
-            failure = await self._dispatch(job, record)
+            failure = await self._extra_tries.dispatch(job, record, self._dispatch)
             if failure is None:
                 return
             if failure is not DispatchFailure.LACKS_ADAPTER:
@@ -380,7 +384,9 @@
         if verdict in (Verdict.NOT_RUN, Verdict.MISDIRECTED):
             job.may_have_run_on.remove(record.endpoint)
             return await self._handle_refusal(job, record, conn, in_flight, verdict)
-        self._metrics.first_byte.labels(job.route.name).observe(monotonic() - job.request.received)
+        if job.note_head():
+            waited = monotonic() - job.request.received
+            self._metrics.first_byte.labels(job.route.name).observe(waited)
         if head.is_event_stream and verdict is Verdict.ANSWER:
             return await self._forward_stream(job, record, conn, in_flight, head)
         if not job.terms.model:
@@ -443,9 +449,9 @@
             return DispatchFailure.FAILED
         if failed and not job.response.started:
             job.failure_response = (head, body)
-            if job.may_repeat:
+            if job.may_repeat or job.has_other_exchange:
                 return DispatchFailure.FAILED
-        if job.response.started:
+        if job.response.started or not job.claim_answer(not failed):
             return DispatchFailure.FAILED
         await self._responder.forward_response(job, record, head, body)
         return None
@@ -462,6 +468,9 @@
     ) -> DispatchFailure | None:
         job.splitter.discard_partial()
         events_before = job.splitter.count
+        if not job.claim_answer():
+            conn.close()
+            return DispatchFailure.FAILED
         if not job.response.started:
             await job.response.start(head.status, end_to_end_headers(head))
         while True:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
@@ -12,6 +12,7 @@
 
 from wigeonarch_gateway.events import EventSplitter
 from wigeonarch_gateway.exchange import CallerRequest, ResponseWriter
+from wigeonarch_gateway.exchange_race import ExchangeRace
 from wigeonarch_gateway.ports import RequestTerms, ResponseHead
 
 
@@ -66,6 +67,7 @@
         peers_tried: Peers to which it was handed over.
         origin: What began the stream of which the caller has events; None if it has none.
         origin_recorded: Whether that was recorded for this attempt.
+        race: Its exchanges, if it may be at two endpoints at the same time.
     """
 
     request: CallerRequest
@@ -96,6 +98,7 @@
     peers_tried: list[str] = field(default_factory=list)
     origin: Origin | None = None
     origin_recorded: bool = False
+    race: ExchangeRace | None = None
 
     def record_events(self, now: float) -> None:
         """Records that events were forwarded to the caller."""
@@ -141,3 +144,16 @@
         has_no_events = not self.splitter.count
         repeatable = self.route.resumable or (self.route.repeatable and has_no_events)
         return repeatable and len(set(self.may_have_run_on)) < self.route.attempts
+
+    def claim_answer(self, is_good: bool = True) -> bool:
+        """Tells whether an exchange may forward its answer, as no other one has done so."""
+        return self.race is None or self.race.claim(is_good)
+
+    def note_head(self) -> bool:
+        """Records that the head of a response came; returns whether it is the first of these."""
+        return self.race is None or self.race.note_head()
+
+    @property
+    def has_other_exchange(self) -> bool:
+        """Tells whether the request is open at another endpoint as well."""
+        return self.race is not None and self.race.has_other
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
@@ -79,6 +79,18 @@
         self.retries = Counter(
             "wigeonarch_gateway_retries", "Repeated sends, by reason", ["reason"], registry=reg
         )
+        self.extra_tries = Counter(
+            "wigeonarch_gateway_extra_tries",
+            "Requests sent to a second endpoint as their answer was slow, by outcome",
+            ["outcome"],
+            registry=reg,
+        )
+        self.extra_tries_denied = Counter(
+            "wigeonarch_gateway_extra_tries_denied",
+            "Requests not sent to a second endpoint, by reason",
+            ["reason"],
+            registry=reg,
+        )
         self.handovers = Counter(
             "wigeonarch_gateway_handovers",
             "Requests handed over to peers (out) and by peers (in), by result",
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -36,6 +36,7 @@
 from wigeonarch_gateway.engine_controller import ControllerContext
 from wigeonarch_gateway.engine_ownership import EngineOwnership
 from wigeonarch_gateway.engineviews import EngineViews, from_adapter
+from wigeonarch_gateway.extra_tries import ExtraTries
 from wigeonarch_gateway.forwarding import Forwarder
 from wigeonarch_gateway.freshness import ConfigurationFreshness
 from wigeonarch_gateway.http_server import HttpServer
@@ -307,6 +308,16 @@
             responder,
             self._metrics,
         )
+        self._extra_tries = ExtraTries(
+            opts.extra_tries,
+            self._endpoints.ready,
+            self._traffic,
+            self._retries,
+            outcomes,
+            self._metrics,
+            selector,
+            self._stopping.is_set,
+        )
         forwarder = Forwarder(
             dialect,
             self._endpoints,
@@ -321,6 +332,7 @@
             responder,
             self._peer_forwarder,
             self._streams,
+            self._extra_tries,
         )
         pipeline = RequestPipeline(
             dialect,
@@ -388,6 +400,7 @@
         self._opts = opts
         retries = opts.retries
         self._retries.set_bounds(retries.share, retries.allowance, retries.window)
+        self._extra_tries.set_options(opts.extra_tries)
         self._quota_ledger.set_bounds(opts.quotas)
         self._members.discovery.set_seeds(opts.seeds)
         log("reloaded", needs_restart=",".join(needs_restart))
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 import msgspec
@@ -26,6 +27,30 @@
     window: float = 10.0
 
 
+MAX_EXTRA_TRY_SHARE: Final = 0.2  # Above this, extra tries would be a load of their own.
+
+
+class ExtraTryOptions(msgspec.Struct, frozen=True):
+    """Limit on extra tries: requests that are sent to a second endpoint as their answer is slow.
+
+    Attributes:
+        share: Extra tries per request of a service, over all instances; 0 for none.
+        window: Length of the sliding window, in seconds.
+
+    Raises:
+        ValueError: A value is out of its range; the message names the field.
+    """
+
+    share: float = 0.0
+    window: float = 10.0
+
+    def __post_init__(self) -> None:
+        if not 0.0 <= self.share <= MAX_EXTRA_TRY_SHARE:
+            raise ValueError(f"share: {self.share!r} is not from 0 to {MAX_EXTRA_TRY_SHARE}")
+        if not 0.0 < self.window < math.inf:
+            raise ValueError(f"window: {self.window!r} is not a positive number of seconds")
+
+
 # Seconds that a call to the store and the handling of its answer take at most, beside its wait.
 STORE_CALL_TIME: Final = 1.0
 
@@ -116,6 +141,7 @@
         zones: Availability zones of the deployment, which share each quota equally.
         quotas: Bounds on how far all instances together may exceed a quota.
         retries: Retry budget.
+        extra_tries: Limit on requests that are sent to a second endpoint.
         leases: Times of leases and takeovers.
         store: Times of the watches of the store.
     """
@@ -134,5 +160,6 @@
     zones: int = 1
     quotas: QuotaBounds = msgspec.field(default_factory=QuotaBounds)
     retries: RetryOptions = msgspec.field(default_factory=RetryOptions)
+    extra_tries: ExtraTryOptions = msgspec.field(default_factory=ExtraTryOptions)
     leases: LeaseOptions = msgspec.field(default_factory=LeaseOptions)
     store: StoreOptions = msgspec.field(default_factory=StoreOptions)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspect_parts.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/suspect_parts.py
@@ -72,6 +72,10 @@
         """Returns the first part for which such a request may not run now; empty if none."""
         return self._fatal_parts.held_part(parts, software, monotonic())
 
+    def any_crash(self, parts: Iterable[str]) -> bool:
+        """Tells whether a crash counts under any of some parts, held back or not."""
+        return any(self._fatal_parts.crash_count(part) for part in parts)
+
     def admit(self, parts: Collection[str], software: str) -> bool:
         """Tells whether a request may be sent now; if it tries a part, tells all others."""
         if self.hold_left(parts, software):
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -22,7 +22,13 @@
 from wigeonarch_core.quota_ledger import QuotaBounds
 from wigeonarch_core.store_contact import LapseTimes, StoreContact
 from wigeonarch_gateway.node import Node
-from wigeonarch_gateway.options import LeaseOptions, Options, RetryOptions, StoreOptions
+from wigeonarch_gateway.options import (
+    ExtraTryOptions,
+    LeaseOptions,
+    Options,
+    RetryOptions,
+    StoreOptions,
+)
 from wigeonarch_gateway.pools import CONNECT_TIMEOUT, ConnectionPools
 from wigeonarch_platform.dialect import DIALECT
 from wigeonarch_platform.store import Store
@@ -115,6 +121,7 @@
     peer_port: int = 0
     store_options: StoreOptions = STORE
     quotas: QuotaBounds = field(default_factory=QuotaBounds)
+    extra_tries: ExtraTryOptions = field(default_factory=ExtraTryOptions)
 
     async def add_replica(self, replica: Replica) -> Replica:
         """Starts a replica and writes its entry to the store."""
@@ -137,6 +144,7 @@
             grace=6.0,
             unready_detection_time=0.3,
             retries=RetryOptions(allowance=100.0),
+            extra_tries=self.extra_tries,
             leases=HOLDING,
             store=self.store_options,
             quotas=self.quotas,
@@ -225,13 +233,18 @@
 
 
 @asynccontextmanager
-async def world(nodes: int = 1, store: StoreOptions = STORE) -> AsyncIterator[World]:
+async def world(
+    nodes: int = 1, store: StoreOptions = STORE, extra_tries: ExtraTryOptions | None = None
+) -> AsyncIterator[World]:
     """Starts a deployment of one engine, one plain service and some gateway instances."""
     standin = StoreStandIn()
     await standin.start()
     await standin.put("config", "main", configuration())
     found = World(
-        standin, peer_port=free_port("127.0.0.10", socket.SOCK_DGRAM), store_options=store
+        standin,
+        peer_port=free_port("127.0.0.10", socket.SOCK_DGRAM),
+        store_options=store,
+        extra_tries=extra_tries or ExtraTryOptions(),
     )
     await found.add_replica(Replica("llm", model="m", name="i-llm"))
     await found.add_replica(Replica("desk", name="i-desk"))
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -113,7 +113,8 @@
         delays_orders: Whether orders get no response and are executed after `order_delay` seconds.
         executed: Requests that it started to run.
         received: Requests addressed to it, except orders and reports.
-        cancelled: Number of streams whose caller closed the connection.
+        answer_delay: Seconds for which it holds each response back.
+        cancelled: Number of streams and held responses whose caller closed the connection.
         orders: Bodies of the executed or refused orders, with the response's status.
         order_arrivals: Event loop time, owner and fence of each order.
         loaded: Version of each loaded adapter.
@@ -150,6 +151,7 @@
     name: str = "i-1"
     executed: list[ReceivedRequest] = field(default_factory=list)
     received: list[ReceivedRequest] = field(default_factory=list)
+    answer_delay: float = 0.0
     cancelled: int = 0
     orders: list[tuple[dict[str, Any], int]] = field(default_factory=list)
     order_arrivals: list[tuple[float, str, int]] = field(default_factory=list)
@@ -440,6 +442,9 @@
         headers |= self._leaving_headers() | self.extra_headers
         if self.rate_limit:
             headers["Server-Limit"] = self.rate_limit
+        if self.answer_delay and await _wait_for_close(reader, self.answer_delay):
+            self.cancelled += 1
+            return False
         if self.fault is ReplicaFault.SILENT:
             await asyncio.sleep(3600)
         if self.fault is ReplicaFault.RESET:
@@ -558,6 +563,16 @@
     return reader.at_eof() or reader.exception() is not None
 
 
+async def _wait_for_close(reader: asyncio.StreamReader, seconds: float) -> bool:
+    """Waits some seconds; returns early and with True if the caller closes the connection."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if reader.at_eof() or reader.exception() is not None:
+            return True
+        await asyncio.sleep(TOKEN_INTERVAL)
+    return False
+
+
 async def _read_request(reader: asyncio.StreamReader) -> ReceivedRequest | None:
     with contextlib.suppress(asyncio.IncompleteReadError):
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 import pytest
 from wigeonarch_core.engine_places import AdapterKey
 from wigeonarch_core.routes import RouteKind, WeightedService
 from wigeonarch_gateway.node import LATE_DISPATCH_WINDOW
+from wigeonarch_gateway.options import ExtraTryOptions
 from wigeonarch_gateway.ports import (
     Dispatch,
     EndpointState,
@@ -77,6 +79,10 @@
         ({"platform__address": ":80"}, "platform.address"),
         ({"internal_ports": "7000"}, "internal_ports"),
         ({"bounds__grace_s": "soon"}, "bounds.grace_s"),
+        ({"extra_tries__share": "-0.01"}, "extra_tries.share: share:"),
+        ({"extra_tries__share": "0.21"}, "extra_tries.share: share:"),
+        ({"extra_tries__share": "nan"}, "extra_tries.share: share:"),
+        ({"extra_tries__share": "few"}, "extra_tries.share"),
     ],
 )
 def test_the_error_names_the_invalid_setting(changes: dict[str, str | None], setting: str) -> None:
@@ -84,6 +90,40 @@
         read_settings(settings_text(**changes))
 
 
+@pytest.mark.parametrize(
+    ("in_file", "variable", "share"),
+    [
+        (None, None, 0.0),
+        ("0.02", None, 0.02),
+        ("0.02", "", 0.02),
+        ("0.02", "0.05", 0.05),
+        ("0.02", "0", 0.0),
+        (None, "0.01", 0.01),
+    ],
+)
+def test_the_variable_goes_before_the_file(
+    in_file: str | None, variable: str | None, share: float
+) -> None:
+    environment = {} if variable is None else {"WIGEONARCH_EXTRA_TRIES": variable}
+    text = settings_text(extra_tries__share=in_file)
+    assert read_settings(text, environment).options.extra_tries.share == share
+
+
+@pytest.mark.parametrize("value", ["-1", "0.5", "nan", "inf", "two"])
+def test_the_error_names_the_invalid_variable(value: str) -> None:
+    with pytest.raises(SettingsError, match="WIGEONARCH_EXTRA_TRIES"):
+        read_settings(settings_text(), {"WIGEONARCH_EXTRA_TRIES": value})
+
+
+@pytest.mark.parametrize(
+    ("share", "window", "field"),
+    [(-0.01, 10.0, "share"), (0.3, 10.0, "share"), (0.1, 0.0, "window"), (0.1, math.nan, "window")],
+)
+def test_extra_try_options_name_the_invalid_field(share: float, window: float, field: str) -> None:
+    with pytest.raises(ValueError, match=field):
+        ExtraTryOptions(share, window)
+
+
 CONFIGURATION: dict[str, Any] = {
     "version": 7,
     "routes": [
