Engines: the trial of refusing prompts by rank is taken out

It took the rate at which engines process prompts for known, and counted parts of prompts that engines keep, so that it would refuse sound requests on deployments with long or shared prompts (by review, by reckoning).

--- a/packages/wigeonarch-core/src/wigeonarch_core/service_demand.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/service_demand.py
@@ -51,19 +51,18 @@
         self._objectives: dict[Kind, float] = {}
         self._since = self._updated = now
 
-    def record(self, kind: Kind, objective: float, now: float, units: float = 1.0) -> None:
+    def record(self, kind: Kind, objective: float, now: float) -> None:
         """Counts a request.
 
         Args:
             kind: Its kind; beyond `MAX_KINDS`, it is counted without its team.
             objective: Its latency objective, in seconds.
             now: Current time, in seconds.
-            units: How much it counts, where requests differ in size.
         """
         self._decay(now)
         if kind not in self._counts and len(self._counts) >= MAX_KINDS:
             kind = Kind(kind.rank, NO_TEAM)
-        self._counts[kind] = self._counts.get(kind, 0.0) + units
+        self._counts[kind] = self._counts.get(kind, 0.0) + 1.0
         self._objectives[kind] = objective
 
     def rates(self, now: float) -> dict[Kind, float]:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
@@ -20,7 +20,6 @@
 from wigeonarch_gateway.catalogue import Catalogue
 from wigeonarch_gateway.dispatch_outcomes import DispatchOutcomes
 from wigeonarch_gateway.endpoints import EndpointRegistry
-from wigeonarch_gateway.engine_admission import EngineAdmission
 from wigeonarch_gateway.engineviews import EngineViews
 from wigeonarch_gateway.jobs import Job
 from wigeonarch_gateway.load_requests import LoadRequests
@@ -47,7 +46,6 @@
     """Selects engines for generations."""
 
     __slots__ = (
-        "_admission",
         "_candidates",
         "_catalogue",
         "_draw",
@@ -87,7 +85,6 @@
             peer_lag: Returns the age of what other instances reported, in seconds.
             draw: Returns random numbers in [0, 1).
         """
-        self._admission = EngineAdmission(traffic, peer_lag, draw)
         self._candidates = candidates
         self._catalogue = catalogue
         self._endpoints = endpoints
@@ -104,23 +101,8 @@
         other = copy.copy(self)
         other._candidates = candidates
         other._draw = draw
-        other._admission = self._admission.observing(draw)
         return other
 
-    def is_refused(self, job: Job, now: float) -> bool:
-        """Tells whether a new request is refused because prompts come faster than can be processed.
-
-        Streams that go on are not: what callers have of them would be lost. Nor are requests that
-        were dispatched before, whose prompts count already.
-        """
-        if job.terms.resumed or job.dispatch_count or job.is_counted:
-            return False
-        job.is_counted = True
-        job.overload = self._admission.refuse(
-            job, self.states(job, self._candidates.usable(job, now), now), now
-        )
-        return job.overload is not None
-
     def load_poll_interval(self, job: Job, now: float) -> float:
         """Returns the seconds after which a requested load may be done, if no update comes."""
         left = self._views.get(job.load_requested_from).loading_left(
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -82,7 +82,7 @@
             that goes to many and states none.
         states_loads: Whether `loads` and `demands` are complete; False for a heartbeat to an
             instance of a zone that hears of them by this zone's first delegate.
-        demands: What the sender is asked for of busy services.
+        demands: What the sender is asked for of busy plain services.
     """
 
     sender: str
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
@@ -171,8 +171,6 @@
             return Decision(refusal)
         if not needs_engine(job):
             return Decision(self._plain.select(job, now, waited))
-        if self._engines.is_refused(job, now):
-            return Decision(NoEndpointReason.OVERLOADED)
         choice = self._engines.choose(job, now)
         record = self._engines.engine(choice)
         held_back = record is not None and self._engines.may_delay_prompt(job, choice, now)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/service_demands.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/service_demands.py
@@ -1,4 +1,4 @@
-"""What callers ask for of services that are busy: measured here, and reported by others.
+"""What callers ask for of plain services that are busy: measured here, and reported by others.
 
 Only services whose endpoints are busy are reported, with a bounded number of kinds of requests, so
 that heartbeats stay as short as before while there is no overload. A report replaces the sender's
@@ -27,7 +27,7 @@
 
 
 class ServiceDemands:
-    """Demand for services, by kind of request."""
+    """Demand for plain services, by kind of request."""
 
     __slots__ = ("_busy", "_peers", "_rates", "_times")
 
@@ -37,24 +37,14 @@
         self._times: dict[str, float] = {}
         self._peers: dict[str, dict[str, ServiceDemand]] = {}
 
-    def record(
-        self, service: str, kind: Kind, objective: float, now: float, units: float = 1.0
-    ) -> None:
-        """Counts a request of a caller, with its latency objective in seconds.
-
-        Args:
-            service: Its service.
-            kind: Its kind.
-            objective: Its latency objective, in seconds.
-            now: Current time, in seconds.
-            units: How much it counts, where requests differ in size.
-        """
+    def record(self, service: str, kind: Kind, objective: float, now: float) -> None:
+        """Counts a request of a caller, with its latency objective in seconds."""
         rates = self._rates.get(service)
         if rates is None:
             if len(self._rates) >= MAX_SERVICES:
                 del self._rates[next(iter(self._rates))]
             rates = self._rates[service] = RequestRates(now)
-        rates.record(kind, objective, now, units)
+        rates.record(kind, objective, now)
 
     def own_rates(self, service: str, now: float) -> dict[Kind, float]:
         """Returns the requests a second of each kind that this instance is asked for."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/traffic.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/traffic.py
@@ -81,7 +81,7 @@
 
     Attributes:
         paces: What this instance and others measured of the endpoints' paces.
-        demands: What all instances are asked for of busy services.
+        demands: What all instances are asked for of busy plain services.
     """
 
     __slots__ = (
@@ -215,11 +215,6 @@
         others = self._peer_totals.get(endpoint)
         return others.running if others is not None else 0
 
-    def waiting_tokens_of_peers(self, endpoint: str) -> float:
-        """Returns the prompt tokens that wait at an endpoint for other instances' first tokens."""
-        others = self._peer_totals.get(endpoint)
-        return others.waiting_tokens if others is not None else 0.0
-
     def _recent_tokens(self, endpoint: str, now: float) -> float:
         """Returns the prompt tokens that this instance sent recently, with decay."""
         tokens, at = self._recent_prompts.get(endpoint, (0.0, now))
