Paces are worked out five times a second, and only slow engines' pauses are reckoned

Cause: each choice, also each poll of a request that waits, sorted the evidence of all endpoints, and reckoned pauses of engines that are not slow. Decisions are the same but for ratios that are up to 0.2 s older.

The random states of the route explanation's test hear of floods, since overload comes from what is asked for now and no longer from a full endpoint; the test wants each kind of decision, as before.

--- a/packages/wigeonarch-core/src/wigeonarch_core/endpoint_pace.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/endpoint_pace.py
@@ -40,6 +40,7 @@
 LONGEST_WRITE: Final = 0.005
 # Seconds for which reports of others about an endpoint that restarted may be about its last start.
 OLD_NEWS_TIME: Final = 2.0
+RATIOS_AGE: Final = 0.2  # Seconds for which ratios are used before they are worked out anew.
 MIN_RATIO: Final = 0.1
 MAX_RATIO: Final = 20.0
 # Ratios up to this factor from the usual pace are noise, and count as the usual pace.
@@ -148,6 +149,36 @@
         return {name: _weighed_ratio(sums, usual, now) for name, sums in found.items()}
 
 
+class RecentRatios:
+    """Ratios of each service's endpoints, worked out less often than requests are sent."""
+
+    __slots__ = ("_found", "_paces")
+
+    def __init__(self, paces: EndpointPaces) -> None:
+        """Starts without ratios of these paces."""
+        self._paces = paces
+        # Ratios of each service, with the time at which they were worked out.
+        self._found: dict[str, tuple[float, dict[str, float]]] = {}
+
+    def of_service(
+        self, service: str, endpoints: Iterable[str], needed: Iterable[str], now: float
+    ) -> dict[str, float]:
+        """Returns ratios of a service's endpoints that are at most `RATIOS_AGE` old.
+
+        Args:
+            service: The service.
+            endpoints: All endpoints of the service; read only if the ratios are worked out anew.
+            needed: Endpoints of which the ratio is needed.
+            now: Current time, in seconds.
+        """
+        at, found = self._found.get(service, (-math.inf, {}))
+        if 0.0 <= now - at < RATIOS_AGE and all(name in found for name in needed):
+            return found
+        found = self._paces.ratios({*endpoints, *needed}, now)
+        self._found[service] = (now, found)
+        return found
+
+
 class EventGaps:
     """Measures the time between two events of one stream.
 
--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_choice.py
@@ -286,12 +286,13 @@
             cost += LOAD_SPREAD_COST * state.load_rank
             shortage = max(0, SCARCE_PLACES - state.free_places) / SCARCE_PLACES
             cost += NO_PLACE_COST * shortage * shortage
-    prefill = state.delay * (state.waiting_tokens + prompt_tokens) / PREFILL_RATE
-    wait = max(load + state.delay * prompt_tokens / PREFILL_RATE, prefill)
+    delay = state.delay
+    prefill = delay * (state.waiting_tokens + prompt_tokens) / PREFILL_RATE
+    wait = max(load + delay * prompt_tokens / PREFILL_RATE, prefill)
     # Running requests slow down each step while prompts are processed in chunks.
-    wait += state.delay * STEP_TIME_PER_REQUEST * state.running
+    wait += delay * STEP_TIME_PER_REQUEST * state.running
     # Requests that exceed the batch wait until others end.
-    wait += state.delay * TYPICAL_RUN_TIME * batch_excess(state.running, state.batch)
+    wait += delay * TYPICAL_RUN_TIME * batch_excess(state.running, state.batch)
     cost += SLOWNESS_COST * (state.slowness - 1.0)
     if not state.same_zone:
         wait += CROSS_ZONE_COST
@@ -309,6 +310,8 @@
         return False
     if stall_ratio(state, 0) > CROWDED_STALL_RATIO:
         return True
+    if state.pace <= 1.0:
+        return False
     # An engine that one prompt alone makes pause is not better later.
     alone = _late_share(state, prompt_tokens)
     with_recent = _late_share(state, state.recent_tokens + prompt_tokens)
@@ -321,6 +324,8 @@
     Prompts that other instances send at the same time are not known yet. They are expected at the
     rate at which the running requests must have come.
     """
+    if state.pace <= 1.0 or not state.largest_pause:
+        return 0.0
     window = state.pace * EVENT_TIME
     meets = 1.0 - math.exp(-state.running / TYPICAL_RUN_TIME * window)
     tokens = state.recent_tokens + prompt_tokens
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_selection.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
+from wigeonarch_core.endpoint_pace import RecentRatios
 from wigeonarch_core.engine_choice import (
     EngineChoice,
     EngineState,
@@ -53,6 +54,7 @@
         "_load_requests",
         "_outcomes",
         "_peer_lag",
+        "_ratios",
         "_traffic",
         "_views",
         "_zone",
@@ -94,6 +96,7 @@
         self._load_requests = load_requests
         self._zone = zone
         self._peer_lag = peer_lag
+        self._ratios = RecentRatios(traffic.paces)
         self._draw = draw
 
     def observing(self, candidates: Candidates, draw: Callable[[], float]) -> EngineSelector:
@@ -101,6 +104,7 @@
         other = copy.copy(self)
         other._candidates = candidates
         other._draw = draw
+        other._ratios = RecentRatios(self._traffic.paces)
         return other
 
     def load_poll_interval(self, job: Job, now: float) -> float:
@@ -172,8 +176,12 @@
         """Returns what the choice between engines is based on, for those with the model."""
         key = self.required_adapter(job)
         records = list(records)
-        peers = [record.endpoint for record in self._endpoints.ready(job.service)]
-        paces = self._traffic.paces.ratios({*peers, *(r.endpoint for r in records)}, now)
+        paces = self._ratios.of_service(
+            job.service,
+            (record.endpoint for record in self._endpoints.ready(job.service)),
+            [record.endpoint for record in records],
+            now,
+        )
         states = (self._engine_state(r, job, key, now, paces[r.endpoint]) for r in records)
         return [state for state in states if state is not None]
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -359,7 +359,7 @@
             version=in_flight.adapter.version if in_flight.adapter else 0,
             software=record.software,
             running=running,
-            pace=self._pace(record),
+            pace=self._selector.pace(record),
             waited=monotonic() - job.request.received,
             parts=_logged_parts(job),
             **self._stream_fields(job),
@@ -396,11 +396,6 @@
             self._selector.record_response_time(job, record, took, running, is_sound)
         return await self._forward_whole(job, record, conn, head, verdict)
 
-    def _pace(self, record: EndpointRecord) -> float:
-        """Returns how many times as long as the usual endpoint of its service one takes."""
-        peers = [peer.endpoint for peer in self._endpoints.ready(record.service)]
-        return self._traffic.paces.ratio(record.endpoint, peers, monotonic())
-
     @staticmethod
     def _stream_fields(job: Job) -> LogFields:
         """Returns log fields that tell which stream a dispatch resumes; none for a new one."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/plain_selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/plain_selection.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
-from wigeonarch_core.endpoint_pace import ANSWER_EXPECTED
+from wigeonarch_core.endpoint_pace import ANSWER_EXPECTED, RecentRatios
 from wigeonarch_core.service_admission import (
     BUSY_SHARE,
     AdmissionRequest,
@@ -47,6 +47,7 @@
         "_endpoints",
         "_outcomes",
         "_peer_lag",
+        "_ratios",
         "_times",
         "_traffic",
         "_zone",
@@ -79,6 +80,7 @@
         self._outcomes = outcomes
         self._zone = zone
         self._peer_lag = peer_lag
+        self._ratios = RecentRatios(traffic.paces)
         self._draw = draw
         self._times = ServiceTimes()
         self._demands = traffic.demands
@@ -89,6 +91,7 @@
         other = copy.copy(self)
         other._candidates = candidates
         other._draw = draw
+        other._ratios = RecentRatios(self._traffic.paces)
         other._demands = copy.deepcopy(self._demands)
         other._admissions = copy.deepcopy(self._admissions)
         return other
@@ -125,10 +128,20 @@
     def states(self, job: Job, records: Iterable[EndpointRecord], now: float) -> list[ServiceState]:
         """Returns what the choice between endpoints is based on."""
         records = list(records)
-        peers = [record.endpoint for record in self._endpoints.ready(job.service)]
-        paces = self._traffic.paces.ratios({*peers, *(r.endpoint for r in records)}, now)
+        paces = self._ratios.of_service(
+            job.service,
+            (record.endpoint for record in self._endpoints.ready(job.service)),
+            [record.endpoint for record in records],
+            now,
+        )
         return [self._service_state(record, paces[record.endpoint]) for record in records]
 
+    def pace(self, record: EndpointRecord, now: float) -> float:
+        """Returns how many times as long as the usual endpoint of its service one takes."""
+        peers = (peer.endpoint for peer in self._endpoints.ready(record.service))
+        paces = self._ratios.of_service(record.service, peers, [record.endpoint], now)
+        return paces[record.endpoint]
+
     def service_time(self, service: str) -> float | None:
         """Returns the seconds that a request takes, at first by the reports of others."""
         own = self._times.estimate(service)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/selection.py
@@ -218,6 +218,10 @@
         other._engines = self._engines.observing(other._candidates, draw)
         return other
 
+    def pace(self, record: EndpointRecord) -> float:
+        """Returns how many times as long as the usual endpoint of its service one takes."""
+        return self._plain.pace(record, monotonic())
+
     def usable(self, job: Job, now: float) -> list[EndpointRecord]:
         """Returns the endpoints that may take a request now."""
         return self._candidates.usable(job, now)
--- a/tests/route_states.py
+++ b/tests/route_states.py
@@ -15,7 +15,13 @@
 from wigeonarch_gateway.limiter import Limiter
 from wigeonarch_gateway.member import Member
 from wigeonarch_gateway.members import Members
-from wigeonarch_gateway.messages import EndpointLoad, EngineUpdate, PartReport, RateLimitUpdate
+from wigeonarch_gateway.messages import (
+    EndpointLoad,
+    EngineUpdate,
+    PartReport,
+    RateLimitUpdate,
+    ServiceDemand,
+)
 from wigeonarch_gateway.node import Node
 from wigeonarch_gateway.options import Options
 from wigeonarch_gateway.peer_socket import PeerSocket
@@ -104,6 +110,9 @@
         instance.selector.record_response_time(
             job, record, 0.2, running, True  # type: ignore[arg-type]
         )
+    if rng.random() < 0.4:
+        flood = ServiceDemand("desk", 200, [(rng.randrange(3), 0, rng.randrange(100_000))])
+        node._traffic.demands.receive("peer-of-flood", [flood])
     if rng.random() < 0.3:
         crashes = [
             (rng.choice(PARTS), "v1", f"c{number}", 10) for number in range(CRASHES_OF_NEW_PART + 2)
