Plain services: the correction of the capacity is as it was before the review's mends

Cause: two of the mends by review, correcting also while the queue is long but less is asked for than fits, and not correcting with requests that come back from an endpoint. So both are taken back; that a capacity estimated far too high is corrected late (service times that vary much) stays open.

--- a/packages/wigeonarch-core/src/wigeonarch_core/service_admission.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/service_admission.py
@@ -171,9 +171,8 @@
 
         Args:
             load: What is known of the service's load.
-            is_limiting: Whether more is asked for than the allowed rate, or the endpoints have
-                more than intended. Otherwise the number of requests tells nothing of the capacity,
-                and the correction is forgotten.
+            is_limiting: Whether more is asked for than the allowed rate. Otherwise the number of
+                requests tells nothing of the capacity, and the correction is forgotten.
             now: Current time, in seconds.
         """
         passed = 0.0 if self._updated is None else min(MAX_UPDATE_GAP, now - self._updated)
@@ -349,9 +348,7 @@
         demand = total_demand(own, peers, load.sent_by_peers)
         allowed = self._control.allowed_rate(load)
         is_first = not request.is_admitted and not request.is_repeat
-        if is_first:
-            is_limiting = sum(demand.values()) > allowed or load.running > load.intended
-            self._control.update(load, is_limiting, clock.now)
+        self._control.update(load, sum(demand.values()) > allowed, clock.now)
         kind = request.kind if request.kind in own else Kind(request.kind.rank, NO_TEAM)
         part = admitted_parts(demand, allowed).get(kind, 1.0)
         self._draws.keep(own)
