Review case 3: an engine is ordered to load more adapters than it holds

After a refused unload of an old version, the controller goes on in the same pass and orders a load without 'expect', with places that it believes to be free because an earlier load was accepted without a response.

--- a/review/common/replicas.py
+++ b/review/common/replicas.py
@@ -62,6 +62,7 @@
         runs: How often each request began to run, by its id.
         crashed: Whether it was ordered to load more than it holds.
         most_held: Most adapters that it was ordered to hold at a time.
+        waiting: Adapter whose order waits for its runs to finish; no other order is taken.
     """
 
     name: str
@@ -86,6 +87,7 @@
     pending: dict[str, int] = field(default_factory=dict)
     newest: dict[str, int] = field(default_factory=dict)
     in_use: dict[str, int] = field(default_factory=dict)
+    waiting: str = ""
     _connections: set[asyncio.StreamWriter] = field(default_factory=set)
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -199,30 +201,54 @@
         name = order.get("adapter", "")
         if not name:
             return 200
+        if self.waiting:
+            return 409
         if order["op"] == "unload":
             return self._unload(name)
         version = order.get("version") or self.newest.get(name, 1)
         if self.loaded.get(name) == version or self.pending.get(name) == version:
             return 200
-        if self.in_use.get(name) or len(self.pending) >= MAX_PENDING:
+        if len(self.pending) >= MAX_PENDING:
             return 409
         self.sequence += 1
+        if self.in_use.get(name):
+            self._spawn(self._replace_when_idle(name, version))
+            return 202
+        self._begin_load(name, version)
+        return 202
+
+    def _begin_load(self, name: str, version: int) -> None:
         self.loaded.pop(name, None)
         self.pending[name] = version
         self.most_held = max(self.most_held, len(self.loaded) + len(self.pending))
         self.crashed = self.most_held > self.places
         self._spawn(self._load(name, version))
-        return 202
 
     def _unload(self, name: str) -> int:
         if name not in self.loaded:
             return 200
-        if self.in_use.get(name):
-            return 409
         self.sequence += 1
+        if self.in_use.get(name):
+            self._spawn(self._unload_when_idle(name))
+            return 202
         del self.loaded[name]
         return 200
 
+    async def _unload_when_idle(self, name: str) -> None:
+        await self._wait_until_idle(name)
+        self.loaded.pop(name, None)
+
+    async def _replace_when_idle(self, name: str, version: int) -> None:
+        await self._wait_until_idle(name)
+        self._begin_load(name, version)
+
+    async def _wait_until_idle(self, name: str) -> None:
+        """Waits for the runs that use an adapter to finish."""
+        self.waiting = name
+        while self.in_use.get(name):
+            await asyncio.sleep(0.01)
+        self.waiting = ""
+
     async def _load(self, name: str, version: int) -> None:
         await asyncio.sleep(self.load_s())
         if not self.crashed and self.pending.get(name) == version:
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -15,7 +15,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final, TextIO
@@ -30,7 +30,7 @@
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 # Zones and machines as on the sheet, with one machine a zone.
 ZONES: Final = ("mill-hall", "bond-hall", "quay-hall")
-GRACE_SECONDS: Final = 8.0
+HEARTBEAT_SECONDS: Final = 1.2
 BOUNDS: Final = """\
 zones.mill-hall=leith
 zones.bond-hall=leith
@@ -149,11 +149,34 @@
         self.replicas.append(replica)
         await replica.start(f"{self.network}.1.{len(self.replicas)}")
         await self.store.put("servers", replica.name, replica.entry())
+        self.spawn(self._report_liveness(replica))
+
+    async def _report_liveness(self, replica: Replica) -> None:
+        """Writes a replica's entry at each interval; removes it after three of silence."""
+        while not replica.crashed:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            if not replica.crashed:
+                await self.store.put("servers", replica.name, replica.entry())
+        await asyncio.sleep(3 * HEARTBEAT_SECONDS)
+        await self.store.delete("servers", replica.name)
+
+    async def start_gateways(
+        self,
+        zones: tuple[str, ...],
+        port: int = 0,
+        stores: Sequence[str] = (),
+        seeds: Sequence[str] = (),
+    ) -> None:
+        """Starts a gateway in each of these zones.
 
-    async def start_gateways(self, zones: tuple[str, ...]) -> None:
-        """Starts a gateway in each of these zones."""
+        Args:
+            zones: Zone of each gateway.
+            port: First of the internal ports; a free one if 0.
+            stores: Address of the store for each gateway; the same for all if empty.
+            seeds: The only seed of each gateway; the first three gateways for all if empty.
+        """
         hosts = [f"{self.network}.2.{number + 1}" for number in range(len(zones))]
-        port = free_port(hosts[0], socket.SOCK_DGRAM)
+        port = port or free_port(hosts[0], socket.SOCK_DGRAM)
         for number, (host, zone) in enumerate(zip(hosts, zones, strict=True)):
             name = f"edge-{zone}-{number + 1}"
             front, ready, control = (f"{host}:{free_port(host)}" for _ in range(3))
@@ -170,8 +193,8 @@
                 "listen.ready": ready,
                 "listen.control_addr": control,
                 "internal_ports": f"{port},{port + 15}",
-                "seeds": ",".join(f"{one}:{port}" for one in hosts[:3]),
-                "platform.address": self.store.address,
+                "seeds": seeds[number] if seeds else ",".join(f"{h}:{port}" for h in hosts[:3]),
+                "platform.address": stores[number] if stores else self.store.address,
             }
             text = "".join(f"{key}={value}\n" for key, value in own.items())
             settings.write_text(text + BOUNDS)
@@ -375,6 +398,10 @@
 
 
 async def _run(case: Case, folder: Path, seconds: float) -> int:
+    running = asyncio.current_task()
+    assert running is not None
+    # So that the processes of a run that is ended early end too.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
     with (folder / "record.txt").open("w") as record:
         world = World(os.environ.get("TROUBLE", "1") != "0", temporary, record)
