--- a/review/common/http11.py
+++ b/review/common/http11.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 
@@ -83,9 +84,17 @@
 
 
 async def call(
-    address: str, method: str, target: str, headers: dict[str, str], body: bytes = b""
+    address: str,
+    method: str,
+    target: str,
+    headers: dict[str, str],
+    body: bytes = b"",
+    gap: float = 0.0,
 ) -> Response:
-    """Sends a request on a new connection and reads the response until it ends."""
+    """Sends a request on a new connection and reads the response until it ends.
+
+    With a `gap`, it leaves after so many seconds without a further part of the response.
+    """
     host, _, port = address.rpartition(":")
     found = Response()
     try:
@@ -98,19 +107,27 @@
         if body or method in ("POST", "PUT"):
             lines.append(f"Content-Length: {len(body)}")
         writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
-        head = await read_head(reader)
-        if head is not None:
-            found.status = int(head[0].split(" ")[1])
-            found.headers = head[1]
-            await _read_body(reader, found)
-    except (OSError, asyncio.IncompleteReadError):
+        async with asyncio.timeout(gap or None) as patience:
+            head = await read_head(reader)
+            if head is not None:
+                found.status = int(head[0].split(" ")[1])
+                found.headers = head[1]
+                await _read_body(reader, found, lambda: _extend(patience, gap))
+    except (OSError, asyncio.IncompleteReadError, TimeoutError):
         pass
     finally:
         writer.transport.abort()
     return found
 
 
-async def _read_body(reader: asyncio.StreamReader, found: Response) -> None:
+def _extend(patience: asyncio.Timeout, gap: float) -> None:
+    if gap:
+        patience.reschedule(asyncio.get_running_loop().time() + gap)
+
+
+async def _read_body(
+    reader: asyncio.StreamReader, found: Response, on_part: Callable[[], None]
+) -> None:
     if "chunked" not in found.headers.get("transfer-encoding", ""):
         found.body = await reader.readexactly(int(found.headers.get("content-length", "0")))
         found.complete = True
@@ -118,4 +135,5 @@
     while size := int((await reader.readuntil(b"\r\n")).strip() or b"0", 16):
         found.body += await reader.readexactly(size)
         await reader.readexactly(2)
+        on_part()
     found.complete = True
--- a/review/common/replicas.py
+++ b/review/common/replicas.py
@@ -18,6 +18,8 @@
 Log = Callable[..., None]
 # Adapters that may be on their way to one engine at the same time.
 MAX_PENDING: Final = 4
+# Part of its refusals that a faulty replica sends twice, as long as its share allows it.
+REFUSALS_REPEATED: Final = 0.25
 
 
 @dataclass
@@ -26,8 +28,8 @@
 
     Attributes:
         extra_share: Share of its responses of which it sends a second copy, late: where the next
-            response on that connection is expected. It does so for refusals, as long as these
-            copies are no larger share of all its responses since the fault began.
+            response on that connection is expected. It does so for refusals drawn at random, as
+            long as these copies are no larger share of all its responses since the fault began.
         responses: Responses to clients' requests since then.
         extras: Second copies since then.
         unanswered_share: Share of the orders that it carries out without a response.
@@ -315,7 +317,8 @@
     def _may_repeat_late(self, late: list[bytes], encoded: bytes, request_id: str) -> None:
         """Keeps a second copy of a refusal for later, if the fault's share allows it."""
         fault = self.fault
-        if fault.extra_share and fault.extras + 1 <= fault.extra_share * fault.responses:
+        is_allowed = fault.extra_share and fault.extras + 1 <= fault.extra_share * fault.responses
+        if is_allowed and fault.draw.random() < REFUSALS_REPEATED:
             fault.extras += 1
             late.append(encoded)
             self.log("extra_pending", replica=self.name, request=request_id)
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -153,11 +153,13 @@
 
     async def _report_liveness(self, replica: Replica) -> None:
         """Writes a replica's entry at each interval; removes it after three of silence."""
+        last = time.monotonic()
         while not replica.crashed:
-            await asyncio.sleep(HEARTBEAT_SECONDS)
-            if not replica.crashed:
+            await asyncio.sleep(0.05)
+            if not replica.crashed and time.monotonic() >= last + HEARTBEAT_SECONDS:
+                last = time.monotonic()
                 await self.store.put("servers", replica.name, replica.entry())
-        await asyncio.sleep(3 * HEARTBEAT_SECONDS)
+        await asyncio.sleep(last + 3 * HEARTBEAT_SECONDS - time.monotonic())
         await self.store.delete("servers", replica.name)
 
     async def start_gateways(
@@ -264,8 +266,12 @@
         adapter: str = "",
         method: str = "POST",
         deadline_ms: int = 15000,
+        gap: float = 0.0,
     ) -> tuple[str, http11.Response]:
-        """Sends a request with an id of its own on a new connection; returns id and response."""
+        """Sends a request with an id of its own on a new connection; returns id and response.
+
+        A client with a `gap` leaves after so many seconds without a byte.
+        """
         self.sent += 1
         request_id = f"r{self.sent:06d}"
         headers = {
@@ -281,7 +287,7 @@
         body = b"x" if method == "POST" else b""
         try:
             async with asyncio.timeout(deadline_ms / 1000 + 2.0):
-                found = await http11.call(gateway.front, method, path, headers, body)
+                found = await http11.call(gateway.front, method, path, headers, body, gap)
         except TimeoutError:
             found = http11.Response()
         events = found.body.count(b"data: ")
