--- a/review/common/http11.py
+++ b/review/common/http11.py
@@ -68,7 +68,7 @@
 
 
 def encode_response(status: int, headers: dict[str, str], body: bytes | None = b"") -> bytes:
-    """Returns a response with a length; or only its head, with chunks to follow, if body is None."""
+    """Returns a response with a length; only its head, before chunks, if the body is None."""
     lines = [f"HTTP/1.1 {status} X"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     if body is None:
--- a/review/common/replicas.py
+++ b/review/common/replicas.py
@@ -1,7 +1,7 @@
 """Stand-ins of replicas: an engine that streams, with adapters, and a plain service.
 
-What a faulty replica does is decided by the `Fault` of each: it sends an extra response late, or
-leaves orders unanswered. Without a fault, both are sound.
+What a faulty replica does is decided by its `Fault`: it sends an extra response late. Without a
+fault, both are sound.
 """
 
 from __future__ import annotations
@@ -32,14 +32,12 @@
             long as these copies are no larger share of all its responses since the fault began.
         responses: Responses to clients' requests since then.
         extras: Second copies since then.
-        unanswered_share: Share of the orders that it carries out without a response.
         draw: Source of randomness.
     """
 
     extra_share: float = 0.0
     responses: int = 0
     extras: int = 0
-    unanswered_share: float = 0.0
     draw: random.Random = field(default_factory=lambda: random.Random(1))
 
 
@@ -57,7 +55,6 @@
         load_s: Returns the seconds that the load of an adapter takes.
         event_s: Seconds between two events of a stream.
         events: Events of a whole stream.
-        events_of: Returns the events of a stream by its adapter; None if all have `events`.
         work_s: Seconds that a request takes at a plain service.
         slots: Requests that it runs at once.
         fault: What it does wrong.
@@ -76,7 +73,6 @@
     load_s: Callable[[], float] = lambda: 0.25
     event_s: float = 0.03
     events: int = 12
-    events_of: Callable[[str], int] | None = None
     work_s: float = 0.06
     slots: int = 64
     fault: Fault = field(default_factory=Fault)
@@ -146,7 +142,7 @@
             writer.write(http11.encode_response(200, {}, json.dumps(self._report()).encode()))
             return True
         if request.path == "/wigeonarch/order":
-            return await self._answer_order(json.loads(request.body), reader, writer)
+            return self._answer_order(json.loads(request.body), writer)
         return await self._answer_call(request, reader, writer, late)
 
     def _report(self) -> dict[str, Any]:
@@ -165,10 +161,7 @@
 
     # Orders.
 
-    async def _answer_order(
-        self, order: dict[str, Any], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> bool:
-        unanswered = self.fault.draw.random() < self.fault.unanswered_share
+    def _answer_order(self, order: dict[str, Any], writer: asyncio.StreamWriter) -> bool:
         held = len(self.loaded) + len(self.pending)
         status = self._carry_out(order)
         self.log(
@@ -181,7 +174,6 @@
             holder=order["holder"],
             fence=order["fence"],
             status=status,
-            answered=not unanswered,
             held_before=held,
             held=len(self.loaded) + len(self.pending),
             places=self.places,
@@ -189,9 +181,6 @@
         if self.crashed:
             self._crash()
             return False
-        if unanswered:
-            await reader.read()  # Until the caller gives up.
-            return False
         writer.write(http11.encode_response(status, {}))
         return True
 
@@ -323,9 +312,7 @@
             late.append(encoded)
             self.log("extra_pending", replica=self.name, request=request_id)
 
-    def _flush_late(
-        self, writer: asyncio.StreamWriter, late: list[bytes], request_id: str
-    ) -> None:
+    def _flush_late(self, writer: asyncio.StreamWriter, late: list[bytes], request_id: str) -> None:
         for encoded in late:
             self.log("extra_sent", replica=self.name, before_answer_to=request_id)
             writer.write(encoded)
@@ -343,8 +330,7 @@
         try:
             head = {**headers, "Content-Type": "text/event-stream"}
             writer.write(http11.encode_response(200, head, None))
-            events = self.events if self.events_of is None else self.events_of(adapter)
-            for number in range(1, events + 1):
+            for number in range(1, self.events + 1):
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
                 writer.write(http11.encode_chunk(event))
                 await writer.drain()
@@ -357,4 +343,3 @@
             return True
         finally:
             self.in_use[adapter] -= 1
-
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -21,13 +21,11 @@
 
     Attributes:
         address: Where it listens.
-        away: Whether it resets every call.
         revision: Revision of the last change.
     """
 
     def __init__(self) -> None:
         self.address = ""
-        self.away = False
         self.revision = 1
         self._objects: dict[tuple[str, str], tuple[int, str]] = {}
         self._events: list[tuple[int, str, str, str, bool]] = []
@@ -78,11 +76,7 @@
         ended = (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError)
         with contextlib.suppress(*ended):
             while (request := await http11.read_request(reader)) is not None:
-                if self.away:
-                    break
                 status, text = await self._answer(request)
-                if self.away:
-                    break
                 headers = {"Content-Type": "application/json", "Store-Era": "0"}
                 writer.write(http11.encode_response(status, headers, text.encode()))
         writer.transport.abort()
