--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,59 +1,54 @@
-"""A second copy of a refusal is taken for the answer to the same request, which runs again."""
+"""After an order without an answer, an engine is ordered to load more adapters than it holds."""
 
 from __future__ import annotations
 
 import asyncio
 import random
 import sys
-import time
-from collections import Counter
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
 from common import world as w  # noqa: E402
-from common.http11 import Response  # noqa: E402
 from common.replicas import Replica  # noqa: E402
 
-RUN_SECONDS = 104.0
-REQUESTS_PER_SECOND = 39.0  # Of the three kinds of streams together, by the sheet.
-KINDS = {"batch-sheet": 22.6, "allergen-decl": 3.14, "shop-reply": 13.6}  # By the sheet.
-ADAPTERS = 3000
-POPULARITY = 0.4  # Shape of the distribution of adapters: few are asked for often, most rarely.
-# By the sheet: an adapter takes 250 ms, longer in proportion beyond 8 on their way.
-LOAD_SECONDS = 0.25
-LOADS_AT_FULL_SPEED = 8
-# The largest dose of `garble` in the site file: { how = "extra late", share = 0.6, x = 0.03,
-# for_s = 5.0 }. Half of the six engines is faulty, for 5 s of every 6.
-FAULTY_ENGINES = 3
-EXTRA_SHARE = 0.03
-FAULT_SECONDS = 5.0
-FAULT_PERIOD = 6.0
-NOT_RUN_STATUSES = (408, 421, 429, 503)
+PLACES = 21  # By the sheet.
+ROUNDS = 40
+# The largest dose of `applied_late` in the site file is x = 0.35.
+UNANSWERED_SHARE = 0.35
+ROUND_PAUSE = 1.0  # Seconds between rounds.
+VERSION_PAUSE = 0.15  # Seconds from a new version of an adapter to the next requests.
+NEXT_REQUESTS = 0.06  # Seconds from a request for a rare adapter to two more urgent ones.
+STREAMS = 6  # Long streams that run all the time.
+EVENTS = 86  # Of a stream, by the sheet.
+SHORT_EVENTS = 12
 
 
 async def case(world: w.World) -> list[str]:
     """Runs the case; returns how the rule was broken."""
-    draw = random.Random(2)
     await world.start_store()
     await world.store.put("config", "main", w.configuration(1))
-    for number, zone in enumerate((*w.ZONES, *w.ZONES)):
-        name = f"i-scribe-{number}"
-        engine = Replica(name, "blend-scribe", zone, world.log, model=w.MODEL, events=8)
-        engine.event_s = 0.02
-        engine.load_s = lambda: load_seconds(world)
-        await world.add_replica(engine)
-    await world.start_gateways(w.ZONES)
+    engine = Replica("i-scribe-1", "blend-scribe", "mill-hall", world.log, model=w.MODEL)
+    engine.fault.draw = random.Random(3)
+    engine.events_of = lambda adapter: EVENTS if adapter.startswith("long") else SHORT_EVENTS
+    await world.add_replica(engine)
+    await world.start_gateways(("mill-hall", "mill-hall"))
     await world.wait_until(lambda: is_serving(world), "all gateways serve")
-    answers = await send_requests(world, draw)
-    return find_breaks(world, answers)
-
-
-def load_seconds(world: w.World) -> float:
-    """Returns how long the load of an adapter takes that begins now."""
-    on_their_way = sum(len(replica.pending) for replica in world.replicas)
-    return LOAD_SECONDS * max(1.0, on_their_way / LOADS_AT_FULL_SPEED)
+    for number in range(STREAMS):
+        world.spawn(keep_streaming(world, engine, f"long{number}"))
+    await fill(world, engine)
+    if world.trouble:
+        engine.fault.unanswered_share = UNANSWERED_SHARE
+    for number in range(ROUNDS):
+        await asyncio.sleep(ROUND_PAUSE)
+        await play_round(world, engine, number)
+        if engine.crashed:
+            await asyncio.sleep(1.0)
+            break
+    if not engine.crashed:
+        return []
+    return [f"{engine.name} was ordered to hold {engine.most_held} adapters in {PLACES} places"]
 
 
 async def is_serving(world: w.World) -> bool:
@@ -65,39 +60,48 @@
     return True
 
 
-async def send_requests(world: w.World, draw: random.Random) -> list[tuple[str, Response]]:
-    """Sends streams at the rate of the sheet; returns the answers by request."""
-    requests = []
-    began = now = time.monotonic()
-    while now < began + RUN_SECONDS:
-        is_faulty = world.trouble and (now - began) % FAULT_PERIOD < FAULT_SECONDS
-        for engine in world.replicas[:FAULTY_ENGINES]:
-            engine.fault.extra_share = EXTRA_SHARE if is_faulty else 0.0
-        kind = draw.choices(list(KINDS), list(KINDS.values()))[0]
-        adapter = f"a{min(ADAPTERS, int(draw.paretovariate(POPULARITY)))}"
-        gateway = draw.choice(world.gateways)
-        requests.append(world.spawn(world.request(gateway, f"/{kind}/1", adapter=adapter)))
-        await asyncio.sleep(draw.expovariate(REQUESTS_PER_SECOND))
-        now = time.monotonic()
-    return await asyncio.gather(*requests)
+async def keep_streaming(world: w.World, engine: Replica, adapter: str) -> None:
+    """Sends one long stream after another, for work that is under way at each moment."""
+    gateway = world.gateways[0]
+    while not engine.crashed:
+        await world.request(gateway, "/allergen-decl/1", adapter=adapter)
+
+
+async def fill(world: w.World, engine: Replica) -> None:
+    """Asks for adapters until all places are taken, as they are in every busy deployment."""
+    number = 1
+    while len(engine.loaded) < PLACES:
+        if number > 4 * PLACES:
+            raise w.CannotRunError("the engine's places don't fill")
+        adapters = [f"a{number + n}" for n in range(3)]
+        number += 3
+        gateway = world.gateways[1]
+        await asyncio.gather(
+            *(world.request(gateway, "/batch-sheet/1", adapter=name) for name in adapters)
+        )
 
 
-def find_breaks(world: w.World, answers: list[tuple[str, Response]]) -> list[str]:
-    """Returns the requests that ran more than once; none of the routes is resumable.
+async def play_round(world: w.World, engine: Replica, number: int) -> None:
+    """Sends four requests: one before a new version of its adapter, three about at once after it.
 
-    Requests that ran though they were answered that they had not are only recorded.
+    The first and the third are for one adapter that is loaded. The second and the fourth are for
+    adapters that are not, so that each needs a place.
     """
-    runs: Counter[str] = Counter()
-    for replica in world.replicas:
-        runs.update(replica.runs)
-    extras = sum(replica.fault.extras for replica in world.replicas)
-    responses = sum(replica.fault.responses for replica in world.replicas)
-    world.log("totals", requests=len(answers), extras=extras, responses_of_faulty=responses)
-    for name, found in answers:
-        if found.status in NOT_RUN_STATUSES and runs[name]:
-            world.log("refused_and_ran", request=name, status=found.status)
-            print(f"besides: {name} was answered {found.status} and ran")
-    return [f"{name} began to run {n} times" for name, n in runs.items() if n > 1]
+    gateway = world.gateways[number % 2]
+    idle = [name for name in engine.loaded if not engine.in_use.get(name)]
+    popular = idle[number % len(idle)]
+    await world.request(gateway, "/shop-reply/1", adapter=popular)
+    version = number + 2
+    engine.newest[popular] = version
+    spec = {"model": w.MODEL, "adapter": popular, "version": version}
+    await world.store.put("versions", f"{w.MODEL}.{popular}", spec)
+    world.log("version", adapter=popular, version=version)
+    await asyncio.sleep(VERSION_PAUSE)
+    requests = [world.spawn(world.request(gateway, "/batch-sheet/1", adapter=f"b{number}"))]
+    await asyncio.sleep(NEXT_REQUESTS)
+    for adapter in (popular, f"c{number}"):
+        requests.append(world.spawn(world.request(gateway, "/shop-reply/1", adapter=adapter)))
+    await asyncio.gather(*requests)
 
 
 if __name__ == "__main__":
--- a/review/common/replicas.py
+++ b/review/common/replicas.py
@@ -18,6 +18,9 @@
 Log = Callable[..., None]
 # Adapters that may be on their way to one engine at the same time.
 MAX_PENDING: Final = 4
+# An adapter that a replica held before loads so many times as fast.
+WARM_SPEED: Final = 10.0
+MODEL_LOAD_SECONDS: Final = 0.81  # By the sheet.
 # Part of its refusals that a faulty replica sends twice, as long as its share allows it.
 REFUSALS_REPEATED: Final = 0.25
 
@@ -30,6 +33,7 @@
         extra_share: Share of its responses of which it sends a second copy, late: where the next
             response on that connection is expected. It does so for refusals drawn at random, as
             long as these copies are no larger share of all its responses since the fault began.
+        unanswered_share: Share of the orders that it carries out without a response.
         responses: Responses to clients' requests since then.
         extras: Second copies since then.
         draw: Source of randomness.
@@ -38,6 +42,7 @@
     extra_share: float = 0.0
     responses: int = 0
     extras: int = 0
+    unanswered_share: float = 0.0
     draw: random.Random = field(default_factory=lambda: random.Random(1))
 
 
@@ -52,9 +57,12 @@
         log: Writes a line of the record.
         model: The model that it holds; empty for a plain service.
         places: Adapters that fit.
-        load_s: Returns the seconds that the load of an adapter takes.
+        load_s: Returns the seconds that the load of an adapter takes from the weight store.
+        has_model: Whether its model is loaded; replicas restart empty.
+        loads_model: Whether its model is being loaded; no other order is taken then.
         event_s: Seconds between two events of a stream.
         events: Events of a whole stream.
+        events_of: Returns the events of a stream by its adapter; None if all have `events`.
         work_s: Seconds that a request takes at a plain service.
         slots: Requests that it runs at once.
         fault: What it does wrong.
@@ -71,8 +79,11 @@
     model: str = ""
     places: int = 21
     load_s: Callable[[], float] = lambda: 0.25
+    has_model: bool = True
+    loads_model: bool = False
     event_s: float = 0.03
     events: int = 12
+    events_of: Callable[[str], int] | None = None
     work_s: float = 0.06
     slots: int = 64
     fault: Fault = field(default_factory=Fault)
@@ -86,6 +97,7 @@
     newest: dict[str, int] = field(default_factory=dict)
     in_use: dict[str, int] = field(default_factory=dict)
     waiting: str = ""
+    _held_before: set[str] = field(default_factory=set)
     _connections: set[asyncio.StreamWriter] = field(default_factory=set)
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -111,8 +123,10 @@
         }
 
     def _models(self) -> list[dict[str, Any]]:
+        if not self.model or not self.has_model:
+            return []
         adapters = [f"{name}@{version}" for name, version in self.loaded.items()]
-        return [{"name": self.model, "version": 1, "adapters": adapters}] if self.model else []
+        return [{"name": self.model, "version": 1, "adapters": adapters}]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._connections.add(writer)
@@ -142,14 +156,14 @@
             writer.write(http11.encode_response(200, {}, json.dumps(self._report()).encode()))
             return True
         if request.path == "/wigeonarch/order":
-            return self._answer_order(json.loads(request.body), writer)
+            return await self._answer_order(json.loads(request.body), reader, writer)
         return await self._answer_call(request, reader, writer, late)
 
     def _report(self) -> dict[str, Any]:
         return {
             "stage": "colocated",
             "models": self._models(),
-            "busy": False,
+            "busy": self.loads_model,
             "seq": self.sequence,
             "queued": 0,
             "active": sum(self.in_use.values()),
@@ -161,7 +175,10 @@
 
     # Orders.
 
-    def _answer_order(self, order: dict[str, Any], writer: asyncio.StreamWriter) -> bool:
+    async def _answer_order(
+        self, order: dict[str, Any], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        unanswered = self.fault.draw.random() < self.fault.unanswered_share
         held = len(self.loaded) + len(self.pending)
         status = self._carry_out(order)
         self.log(
@@ -174,6 +191,7 @@
             holder=order["holder"],
             fence=order["fence"],
             status=status,
+            answered=not unanswered,
             held_before=held,
             held=len(self.loaded) + len(self.pending),
             places=self.places,
@@ -181,6 +199,9 @@
         if self.crashed:
             self._crash()
             return False
+        if unanswered:
+            await reader.read()  # Until the caller gives up.
+            return False
         writer.write(http11.encode_response(status, {}))
         return True
 
@@ -190,10 +211,12 @@
         if order.get("expect", self.sequence) != self.sequence:
             return 409
         name = order.get("adapter", "")
-        if not name:
-            return 200
-        if self.waiting:
+        if self.loads_model or self.waiting:
             return 409
+        if not name:
+            return self._load_model()
+        if not self.has_model:
+            return 421
         if order["op"] == "unload":
             return self._unload(name)
         version = order.get("version") or self.newest.get(name, 1)
@@ -208,6 +231,19 @@
         self._begin_load(name, version)
         return 202
 
+    def _load_model(self) -> int:
+        if self.has_model:
+            return 200
+        self.sequence += 1
+        self.loads_model = True
+        self._spawn(self._end_model_load())
+        return 202
+
+    async def _end_model_load(self) -> None:
+        await asyncio.sleep(MODEL_LOAD_SECONDS)
+        self.loads_model = False
+        self.has_model = True
+
     def _begin_load(self, name: str, version: int) -> None:
         self.loaded.pop(name, None)
         self.pending[name] = version
@@ -241,7 +277,11 @@
         self.waiting = ""
 
     async def _load(self, name: str, version: int) -> None:
-        await asyncio.sleep(self.load_s())
+        seconds = self.load_s()
+        if name in self._held_before:
+            seconds /= WARM_SPEED
+        self._held_before.add(name)
+        await asyncio.sleep(seconds)
         if not self.crashed and self.pending.get(name) == version:
             del self.pending[name]
             self.loaded[name] = version
@@ -293,7 +333,9 @@
 
     def _refusal(self, request: http11.Request) -> tuple[int, dict[str, str]] | None:
         """Returns the status and headers with which a request is refused; None if it runs."""
-        _, _, adapter = request.headers.get("x-model", "").partition("/")
+        model, _, adapter = request.headers.get("x-model", "").partition("/")
+        if model and not self.has_model:
+            return 421, {"X-Instance-Id": self.name, "X-Not-Executed": "1"}
         wanted = request.headers.get("x-expect-version")
         if adapter and adapter not in self.loaded:
             return 421, {"X-Instance-Id": self.name, "X-Not-Executed": "1"}
@@ -330,7 +372,8 @@
         try:
             head = {**headers, "Content-Type": "text/event-stream"}
             writer.write(http11.encode_response(200, head, None))
-            for number in range(1, self.events + 1):
+            events = self.events if self.events_of is None else self.events_of(adapter)
+            for number in range(1, events + 1):
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
                 writer.write(http11.encode_chunk(event))
                 await writer.drain()
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -412,7 +412,7 @@
         try:
             async with asyncio.timeout(seconds):
                 found = await case(world)
-        except (CannotRunError, OSError, TimeoutError) as exc:
+        except (Exception, asyncio.CancelledError) as exc:
             world.log("cannot_run", reason=repr(exc))
             print(f"the case couldn't run: {exc!r}", file=sys.stderr)
             return CANNOT_RUN
