Decode bytes from outside in one place, from which only ValueErrors come

Cause: msgspec raises RecursionError, no ValueError, for values nested about as deep as the interpreter's stack, also in raw and unknown fields. The list of endpoints failed as a whole, the task that watches ended, and the process with it. The same exception got through wherever bytes are decoded; and one object on which the decoder fails in another way (a lone surrogate, a control character) made all others of its kind unknown.

Ruled out: only the way after the list (decoding of one object) fails too, but later; only one kind is concerned (all are listed alike).

Change: core.decoding, beyond which nobody decodes (the linter refuses it); contents of any form are bounded in depth and in integers, which could not be encoded for followers; a document that can't be decoded as a whole is split without looking into its members (core.json_members).

--- a/packages/wigeonarch-core/src/wigeonarch_core/messages.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/messages.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from wigeonarch_core.changelog import Change
+from wigeonarch_core.decoding import msgpack_decoder
 from wigeonarch_core.listing import ListUpdate
 from wigeonarch_core.outcomes import Reason
 from wigeonarch_core.records import LeaseRecord
@@ -392,7 +393,7 @@
 )
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Message)
+_decode = msgpack_decoder(Message)
 
 
 def encode(message: Message) -> bytes:
@@ -403,7 +404,7 @@
 def decode(frame: bytes) -> Message | None:
     """Returns the message in a frame; None if this version does not know such a message."""
     try:
-        decoded: Message = _decoder.decode(frame)
-    except msgspec.DecodeError:
+        decoded: Message = _decode(frame)
+    except ValueError:
         return None
     return decoded
--- a/packages/wigeonarch-core/src/wigeonarch_core/settings.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/settings.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from wigeonarch_core.decoding import decode_json
 from wigeonarch_core.options import Limits, Options, Timing
 from wigeonarch_core.policy_options import PolicyOptions
 from wigeonarch_core.refs import is_name
@@ -212,7 +213,7 @@
         The options, or the first error in them.
     """
     try:
-        opts = msgspec.json.decode(text, type=Options)
+        opts = decode_json(text, Options)
     except msgspec.ValidationError as exc:
         message, _, path = str(exc).partition(" - at `")
         return BadSettings(path.rstrip("`") or "$", message)
--- a/packages/wigeonarch-core/src/wigeonarch_core/snapshots.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/snapshots.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from wigeonarch_core.changelog import Result, Snapshot
+from wigeonarch_core.decoding import msgpack_decoder
 from wigeonarch_core.entries import Stored
 
 HEAD: Final = "head"
@@ -75,8 +76,8 @@
 
 
 _encoder: Final = msgspec.msgpack.Encoder()
-_preamble: Final = msgspec.msgpack.Decoder(_Preamble)
-_entries: Final = msgspec.msgpack.Decoder(list[Stored])
+_decode_preamble: Final = msgpack_decoder(_Preamble)
+_decode_entries: Final = msgpack_decoder(list[Stored])
 
 
 def newest_number(head: SnapshotHead | None) -> int:
@@ -146,9 +147,9 @@
     """Returns the snapshot in the complete compressed form; None if that is damaged."""
     try:
         frames = list(_iter_frames(zlib.decompress(data)))
-        preamble = _preamble.decode(frames[0])
-        entries = tuple(entry for frame in frames[1:] for entry in _entries.decode(frame))
-    except (zlib.error, msgspec.DecodeError, IndexError):
+        preamble = _decode_preamble(frames[0])
+        entries = tuple(entry for frame in frames[1:] for entry in _decode_entries(frame))
+    except (zlib.error, ValueError, IndexError):
         return None
     return Snapshot(preamble.applied, preamble.last, entries, preamble.results)
 
--- a/packages/wigeonarch-ctl/src/wigeonarch_ctl/routequery.py
+++ b/packages/wigeonarch-ctl/src/wigeonarch_ctl/routequery.py
@@ -169,7 +169,7 @@
     except (OSError, HTTPException) as exc:
         reason = getattr(exc, "reason", None) or exc
         return Reply(address, error=texts.INSTANCE_UNREACHABLE.format(address=address, why=reason))
-    except (ValueError, TypeError, AttributeError):
+    except (ValueError, TypeError, AttributeError, RecursionError):
         return Reply(address, error=texts.NO_ROUTE_ANSWER.format(address=address))
 
 
@@ -178,6 +178,6 @@
         return texts.NO_ROUTE_PAGE.format(address=address)
     try:
         why = str(json.loads(exc.read(MAX_ANSWER_BYTES))["error"])
-    except (ValueError, TypeError, KeyError, OSError):
+    except (ValueError, TypeError, KeyError, OSError, RecursionError):
         why = exc.reason
     return texts.ROUTE_REFUSED.format(address=address, status=exc.code, why=why)
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/completions.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/completions.py
@@ -13,6 +13,7 @@
 from typing import Any, Final, Literal, TypeVar
 
 import msgspec
+from wigeonarch_core.decoding import decode_json
 from wigeonarch_core.outcomes import Answered, NotRun, Reason
 
 from wigeonarch_entry.requests import Generate, Request
@@ -156,8 +157,8 @@
 
 def _decode(body: bytes, body_type: type[Body]) -> Body | NotRun:
     try:
-        return msgspec.json.decode(body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return decode_json(body, body_type)
+    except ValueError as exc:
         return NotRun(Reason.MALFORMED, detail=str(exc))
 
 
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/engines.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/engines.py
@@ -17,6 +17,7 @@
 
 import aiohttp
 import msgspec
+from wigeonarch_core.decoding import decode_json
 from wigeonarch_core.engine_report import EngineReport
 from wigeonarch_core.lifecycle import Event
 from wigeonarch_core.outcomes import Reason
@@ -223,8 +224,8 @@
             ):
                 if resp.status != _OK:
                     return None
-                return msgspec.json.decode(await resp.read(), type=EngineReport)
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError):
+                return decode_json(await resp.read(), EngineReport)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return None
 
     async def _send_order(
@@ -312,8 +313,8 @@
     if not line.endswith(b"\n"):
         return None
     try:
-        return msgspec.json.decode(line, type=Chunk)
-    except msgspec.DecodeError:
+        return decode_json(line, Chunk)
+    except ValueError:
         return None
 
 
@@ -326,7 +327,7 @@
 
 def _error_reason(body: bytes) -> str:
     try:
-        doc = msgspec.json.decode(body, type=dict[str, dict[str, str]])
-    except msgspec.DecodeError:
+        doc = decode_json(body, dict[str, dict[str, str]])
+    except ValueError:
         return ""
     return doc.get("error", {}).get("reason", "")
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/intake.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/intake.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-import msgspec
 from wigeonarch_core.catalogue import Catalogue
+from wigeonarch_core.decoding import decode_json
 from wigeonarch_core.engine_report import MS_PER_SECOND
 from wigeonarch_core.entries import ServiceKind
 from wigeonarch_core.idempotency import request_digest
@@ -177,7 +177,7 @@
 
 def _is_json(body: bytes) -> bool:
     try:
-        msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        decode_json(body, object)
+    except ValueError:
         return False
     return True
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/platform.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/platform.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Any, Final
 
 import aiohttp
 import msgspec
+from wigeonarch_core.decoding import decode_json_value
 from wigeonarch_core.listing import Listed
 from wigeonarch_core.serving_right import PlatformReachability
 from wigeonarch_runtime.clock import monotonic
@@ -206,7 +206,7 @@
                 while line := await _next_line(resp, silence):
                     self.reachability.record_answer(monotonic())
                     self._metrics.control_bytes.labels("platform", "in").inc(len(line))
-                    yield _watch_event(json.loads(line))
+                    yield _watch_event(decode_json_value(line))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
             self._next_address()
             yield Unavailable(False, repr(exc))
@@ -254,8 +254,13 @@
         self._metrics.control_bytes.labels("platform", "out").inc(len(body or b""))
         self._metrics.control_bytes.labels("platform", "in").inc(len(text))
         if status in (_OK, _NOT_FOUND, _PRECONDITION_FAILED):
+            try:
+                document = decode_json_value(text)
+            except ValueError as exc:
+                self._record_failure(call, "unreadable", called_at)
+                return Unavailable(True, repr(exc))
             self.reachability.record_answer(called_at)
-            return status, json.loads(text)
+            return status, document
         self.reachability.record_failure(called_at)
         self._next_address()
         return Unavailable(status >= 500, f"status {status}")
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/services.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/services.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 import aiohttp
-import msgspec
+from wigeonarch_core.decoding import decode_json
 from wigeonarch_core.lifecycle import Event
 from wigeonarch_core.outcomes import Reason
 from wigeonarch_runtime.clock import monotonic
@@ -147,7 +147,7 @@
     if status != 503:
         return None
     try:
-        doc = msgspec.json.decode(body, type=dict[str, dict[str, str]])
-    except msgspec.DecodeError:
+        doc = decode_json(body, dict[str, dict[str, str]])
+    except ValueError:
         return None
     return _DECLINE_REASONS.get(doc.get("error", {}).get("reason", ""))
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/messages.py
@@ -11,6 +11,7 @@
 from typing import Any, Final
 
 import msgspec
+from wigeonarch_core.decoding import check_plain_value, msgpack_decoder
 from wigeonarch_core.place_ledger import Statement
 
 Adapter = tuple[str, str, int]
@@ -615,7 +616,7 @@
 MAX_DECOMPRESSED_BYTES: Final = 1_000_000  # Bytes; the rest of a longer message is cut off.
 
 _encoder: Final = msgspec.msgpack.Encoder()
-_decoder: Final = msgspec.msgpack.Decoder(Message | CompressedFrame)
+_decode: Final = msgpack_decoder(Message | CompressedFrame)
 
 
 def encode(message: Message) -> bytes:
@@ -629,13 +630,14 @@
 def decode(frame: bytes) -> Message | None:
     """Returns the message in a frame; None if this version does not know such a message."""
     try:
-        decoded: Message | CompressedFrame = _decoder.decode(frame)
-        if not isinstance(decoded, CompressedFrame):
-            return decoded
-        unpacked: Message | CompressedFrame = _decoder.decode(_decompress(decoded.frame))
-    except (msgspec.DecodeError, zlib.error):
+        decoded: Message | CompressedFrame = _decode(frame)
+        if isinstance(decoded, CompressedFrame):
+            decoded = _decode(_decompress(decoded.frame))
+        if isinstance(decoded, StoreUpdate):
+            check_plain_value([spec for _, _, spec, _ in decoded.changes])
+    except (ValueError, zlib.error):
         return None
-    return None if isinstance(unpacked, CompressedFrame) else unpacked
+    return None if isinstance(decoded, CompressedFrame) else decoded
 
 
 def _decompress(packed: bytes) -> bytes:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_terms.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_terms.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 import msgspec
+from wigeonarch_core.decoding import decode_json
 
 # Statuses with which an instance itself refuses a request that has not run; those of endpoints are
 # never forwarded.
@@ -47,4 +48,4 @@
     Raises:
         ValueError: It can't be decoded.
     """
-    return msgspec.json.decode(value, type=HandoverTerms)
+    return decode_json(value, HandoverTerms)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/route_explanation.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/route_explanation.py
@@ -20,6 +20,7 @@
 
 import msgspec
 from msgspec.structs import asdict, replace
+from wigeonarch_core.decoding import decode_json
 from wigeonarch_core.engine_choice import EngineChoice, EngineState, estimate_engines
 from wigeonarch_core.routes import Route, RoutingTable
 from wigeonarch_core.service_choice import ServiceState
@@ -142,7 +143,7 @@
     def answer(self, question: bytes) -> tuple[int, bytes]:
         """Returns the status and the body of the answer to a question; both bodies are JSON."""
         try:
-            query = msgspec.json.decode(question, type=RouteQuery)
+            query = decode_json(question, RouteQuery)
         except ValueError:  # Its text may quote the question, which may hold a key.
             return 400, msgspec.json.encode(QueryError(UNREADABLE_QUERY))
         if len(query.headers) > MAX_HEADERS:
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -177,6 +177,76 @@
         assert reader.ready() == ["i-1", "i-2"]
 
 
+def nested(depth: int) -> bytes:
+    return b"[" * depth + b"]" * depth
+
+
+# Contents that are found among others only if nobody looks into them.
+UNDECODABLE_CONTENTS = {
+    "deep_lists": nested(1200),
+    "lists_as_deep_as_the_stack": nested(950),
+    "deep_objects": b'{"a":' * 1200 + b"1" + b"}" * 1200,
+    "deepest": nested(300_000),
+    "lone_surrogate": b'"mill\\udcff"',
+    "control_character": b'"mill\x01"',
+    "not_a_number": b"NaN",
+    "long_integer": b"9" * 25,
+}
+PLACES = {
+    "content": (b'"@"', b"%s"),
+    "field": (b'"models": "@"', b'"models": %s'),
+    "unknown_field": (b'"models": "@"', b'"colour": %s'),
+    "unknown_metadata": (b'"name": "i-2"', b'"name": "i-2", "labels": %s'),
+    "name": (b'"name": "i-2"', b'"name": %s'),
+}
+
+
+@pytest.mark.parametrize("place", PLACES)
+@pytest.mark.parametrize("content", UNDECODABLE_CONTENTS)
+async def test_a_content_on_which_decoders_fail_neither_hides_entries_nor_ends_the_watch(
+    content: str, place: str
+) -> None:
+    good, bad = PLACES[place]
+    async with instance() as (standin, reader):
+        standin.body_replacements = {good: bad % UNDECODABLE_CONTENTS[content]}
+        await standin.put("servers", "i-1", VALID)
+        since = await reader.read()
+        await standin.put("servers", "i-2", "@" if place == "content" else changed(models="@"))
+        await standin.put("servers", "i-3", VALID)
+        await reader.watch(since)
+        assert reader.ready() == ["i-1", "i-3"]
+        await reader.read()
+        assert reader.ready() == ["i-1", "i-3"]
+
+
+@pytest.mark.parametrize("content", UNDECODABLE_CONTENTS)
+async def test_an_endpoint_whose_entry_becomes_undecodable_is_dropped(content: str) -> None:
+    async with instance() as (standin, reader):
+        for name in ("i-1", "i-2"):
+            await standin.put("servers", name, VALID)
+        since = await reader.read()
+        standin.body_replacements = {
+            b'"models": "@"': b'"models": ' + UNDECODABLE_CONTENTS[content]
+        }
+        await standin.put("servers", "i-2", changed(models="@"))
+        await reader.watch(since)
+        assert reader.ready() == ["i-1"]
+        await reader.read()
+        assert reader.ready() == ["i-1"]
+
+
+async def test_pages_that_hold_undecodable_entries_only_do_not_end_a_list() -> None:
+    async with instance() as (standin, reader):
+        standin.body_replacements = {b'"@"': nested(1200)}
+        standin.page_size = 1
+        for name in ("i-2", "i-4"):
+            await standin.put("servers", name, "@")
+        for name in ("i-1", "i-3", "i-5"):
+            await standin.put("servers", name, VALID)
+        await reader.read()
+        assert reader.ready() == ["i-1", "i-3", "i-5"]
+
+
 async def test_an_entry_that_stays_invalid_is_logged_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
