Give engines no order without the number that they must have

Cause: the number in an order makes an engine refuse it unless it is in the state that the order was given for. After an accepted order without a response, the next one (to unload an old version) was refused, which makes the number unknown until the report is read; but the pass over the waiting loads went on, and the next load went out without a number, so that the engine had to obey.

Ruled out: places that unanswered orders may have taken are miscounted (an order with the same number is refused then; the simulation holds without a count of its own). Reports, restarts and takeovers read the report first.

Change: an order's number can't be left out, an order without a known number is not given, and a pass ends with the first order that was not accepted. The row of test_platform_adapter for an order without a number now has one, as there is no such order any more; has_place had no other use and its test asks copy_of.

--- a/packages/wigeonarch-core/src/wigeonarch_core/engine_places.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/engine_places.py
@@ -123,10 +123,6 @@
         place = self._places.get(key.name)
         return self.holds(key) and place is not None and place.state is PlaceState.READY
 
-    def has_place(self, name: AdapterName) -> bool:
-        """Tells whether some version of an adapter has a place, which a load would replace."""
-        return name in self._places
-
     def copy_of(self, name: AdapterName) -> AdapterKey | None:
         """Returns the copy of an adapter, of any version; None if there is none."""
         place = self._places.get(name)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_controller.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_controller.py
@@ -3,8 +3,9 @@
 Load requests wait in order of priority, and orders are given one at a time. Before each order is
 written to the connection, the authority to give it is checked once more. An order without an answer
 may take effect now, later or never. Each order therefore names the sequence number that the engine
-must have, so that only one of several orders with the same number takes effect. If the engine
-refuses an order because of its number, its report is read.
+must have, so that only one of several orders with the same number takes effect, and only on the
+state of the engine that the number stands for. If the engine refuses an order, for its number or
+otherwise, the state is not known any more, and no order is given until the report was read.
 """
 
 from __future__ import annotations
@@ -332,11 +333,14 @@
                 continue
             if self._places.loading_count(now) >= MAX_CONCURRENT_LOADS:
                 return min(left for _, left in self._places.loading_copies(now)) + TIMER_SLACK
-            if self._places.has_place(key.name):
-                if not await self._unload_other_version(record, key):
-                    if self._places.is_unloading(monotonic()):
-                        return RETRY_INTERVAL
+            old = self._places.copy_of(key.name)
+            if old is not None:
+                # If it were ordered to replace a version in use, the engine would accept no other
+                # order until the last request for it has completed, which takes seconds.
+                if key.name in self._context.in_use(self._endpoint):
                     continue
+                if not await self._unload(record, old):
+                    return RETRY_INTERVAL
             elif self._places.free_count() <= 0 and not await self._make_room(record):
                 return RETRY_INTERVAL
             if not await self._load(record, key):
@@ -345,17 +349,6 @@
             self._publish_update()
         return pause
 
-    async def _unload_other_version(self, record: EndpointRecord, key: AdapterKey) -> bool:
-        """Unloads another version of an adapter; returns False while requests use it.
-
-        If it were ordered to replace a version in use, the engine would accept no other order until
-        the last request for it has completed, which takes seconds.
-        """
-        if key.name in self._context.in_use(self._endpoint):
-            return False
-        old = self._places.copy_of(key.name)
-        return old is not None and await self._unload(record, old)
-
     def _load_requests_in_order(self) -> list[AdapterKey]:
         """Drops expired load requests; returns the others, the most urgent first."""
         now = monotonic()
@@ -437,10 +430,10 @@
 
     async def _send_order(self, record: EndpointRecord, load: bool, key: AdapterKey) -> OrderResult:
         """Sends an order if this instance still has the authority; returns the result."""
-        fence = self._authority.fence()
-        if not fence:
+        fence, sequence = self._authority.fence(), self._sequence
+        if not fence or sequence is None:
             return OrderResult.REFUSED
-        order = Order(load, key, self._authority.owner, fence, self._sequence)
+        order = Order(load, key, self._authority.owner, fence, sequence)
         body = self._context.dialect.order_body(order)
         path = self._context.dialect.order_path
         response = await self._call(
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
@@ -202,14 +202,14 @@
         key: What to load or unload; an empty adapter means the model itself.
         holder: Instance that gives the order.
         fence: Fencing token of that instance.
-        sequence: Sequence number that the engine must have; None for any.
+        sequence: Sequence number that the engine must have.
     """
 
     load: bool
     key: AdapterKey
     holder: str
     fence: int
-    sequence: int | None
+    sequence: int
 
 
 class RequestTerms(msgspec.Struct, frozen=True):
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -115,6 +115,7 @@
         resets_rejections: Whether the connection is reset in the midst of each rejection.
         response_end: How and where responses end; None to mark the end of whole ones.
         delays_orders: Whether orders get no response and are executed after `order_delay` seconds.
+        silent_loads: Number of next loads that are executed without a response.
         executed: Requests that it started to run.
         received: Requests addressed to it, except orders and reports.
         answer_delay: Seconds for which it holds each response back.
@@ -154,6 +155,7 @@
     extra_headers: dict[str, str] = field(default_factory=dict)
     response_end: ResponseEnd | None = None
     delays_orders: bool = False
+    silent_loads: int = 0
     order_delay: float = 0.6
     name: str = "i-1"
     executed: list[ReceivedRequest] = field(default_factory=list)
@@ -322,6 +324,9 @@
             await asyncio.sleep(3600)
         status = self._execute_order(body)
         self.orders.append((body, status))
+        if self.silent_loads and body["op"] == "load":
+            self.silent_loads -= 1
+            await asyncio.sleep(3600)
         _write_response(writer, status, self._state_headers())
         return True
 
--- a/tests/test_engine_places.py
+++ b/tests/test_engine_places.py
@@ -43,7 +43,7 @@
     places.adopt_report([key("a", 1)], [], 0.0)
     assert places.holds(key("a", 0))
     assert not places.holds(key("a", 2))
-    assert places.has_place(name("a"))
+    assert places.copy_of(name("a")) is not None
 
 
 def test_the_least_used_idle_copy_is_evicted() -> None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -308,7 +308,10 @@
             Order(True, AdapterKey("m", "a", 3), "n", 41, 2),
             {"op": "load", "model": "m", "adapter": "a", "version": 3, "expect": 2},
         ),
-        (Order(True, AdapterKey("m", "", 0), "n", 41, None), {"op": "load", "model": "m"}),
+        (
+            Order(True, AdapterKey("m", "", 0), "n", 41, 7),
+            {"op": "load", "model": "m", "expect": 7},
+        ),
         (
             Order(False, AdapterKey("m", "a", 0), "n", 41, 0),
             {"op": "unload", "model": "m", "adapter": "a", "expect": 0},
