Store at which software streams may have begun, not only that there were several

Callers saw (users' report, a system like ours): after all instances were killed at once and came back, streams that were taken up were joined from two versions, the first part from the one that had just left. It happens here.

Cause: leases stored only that a service has run several versions, once that was seen; a service without such a note was believed to have run one version for ever. If the older version left before the note was stored, or the instance that starts had never seen it, the newer one was "proved" to have begun every stream.

Ruled out: that the first look after the start hides the change (the version that left is not in it at all); that peers answer from memory (none is left).

Change: each instance stores, of its own streams, the software of each service whose streams may be resumed, or that there were several, and keeps the record of its last incarnation when it writes its first one. Who starts lists the leases once its state of the endpoints is confirmed and relies on one version only if all records agree; so after a gap, too, where before nothing was proved for a route's time limit. A lease that was not written for ten minutes, or by an older version of the product, says nothing. The list of a store's stand-in may be old, by kind. Entry keeps the lease's content in place of three of its fields; test_stream_origins hands over evidence in place of times.

--- a/packages/wigeonarch-core/src/wigeonarch_core/stream_origins.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/stream_origins.py
@@ -11,17 +11,22 @@
     age of the state that an instance relies on < settling time
     time for which software is known before streams begin there >= settling time
 
-So software that is not in an instance's state yet has begun no stream that may be resumed. The
-second wait is given up where no other endpoint can take a stream, and at an endpoint that restarted
-under its id before its record followed. Such a stream is known to those who were told of it, and
-only if they are all lost can the proof be wrong.
+So software that is not in an instance's state yet has begun no stream that may be resumed.
+
+An instance knows by itself only what ran since its state was first confirmed, and after a gap,
+since it was confirmed again. Of the time before, it relies on what all instances have stored: each
+one, of its own streams, the software at which they may have begun (`Evidence`).
+
+The wait for all instances is given up where no other endpoint can take a stream, and at an endpoint
+that restarted under its id before its record followed. Such a stream is known to those who were
+told of it, and only if they are all lost can the proof be wrong.
 """
 
 from __future__ import annotations
 
 import hashlib
 from collections import OrderedDict
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -32,6 +37,8 @@
 SEPARATOR: Final = b"\0"
 KNOWN_MARK: Final = "="
 UNKNOWN_MARK: Final = "?"
+SEVERAL: Final = ""  # In place of a software: there were several.
+NEVER: Final = float("-inf")  # Before all times.
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,16 +135,41 @@
             del self._entries[key]
 
 
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """At which software streams of a service may have begun, as instances have stored it.
+
+    Attributes:
+        software: The software that ran last; `SEVERAL` if there were several.
+        mixed_at: Time until which there may have been several, in seconds.
+    """
+
+    software: str
+    mixed_at: float = NEVER
+
+
+def combine_evidence(found: Iterable[tuple[str, Evidence]]) -> dict[str, Evidence]:
+    """Returns the evidence of several instances on each service."""
+    combined: dict[str, Evidence] = {}
+    for service, one in found:
+        other = combined.get(service, one)
+        software = one.software if one.software == other.software else SEVERAL
+        combined[service] = Evidence(software, max(one.mixed_at, other.mixed_at))
+    return combined
+
+
 class SoftwareHistory:
     """Which software the endpoints of each service have run, as one instance has seen it."""
 
     __slots__ = (
+        "_adopted_at",
+        "_before",
         "_complete_since",
         "_first_seen",
+        "_is_current",
         "_mixed_at",
         "_present",
         "_settling_time",
-        "_was_current",
     )
 
     def __init__(self, settling_time: float, now: float) -> None:
@@ -152,7 +184,9 @@
         self._present: dict[str, frozenset[str]] = {}
         self._mixed_at: dict[str, float] = {}
         self._complete_since = now
-        self._was_current = False  # Whether the state has ever been confirmed.
+        self._is_current = False  # Whether the state was confirmed lately.
+        self._before: dict[str, Evidence] | None = None  # Of the time before that.
+        self._adopted_at = NEVER
 
     def observe(self, services: Mapping[str, Collection[str]], age: float, now: float) -> None:
         """Records the software that runs now.
@@ -163,9 +197,10 @@
             now: The time, in seconds.
         """
         is_current = age < self._settling_time
-        if self._was_current and not is_current:
+        if not (is_current and self._is_current):
             self._complete_since = now
-        self._was_current = self._was_current or is_current
+            self._before = None
+        self._is_current = is_current
         for service, software in services.items():
             self._observe_service(service, frozenset(software), now)
 
@@ -178,26 +213,37 @@
         seen = self._first_seen.get(service)
         if seen is None:
             # What the first look shows may have run for long.
-            self._first_seen[service] = dict.fromkeys(present, float("-inf"))
+            self._first_seen[service] = dict.fromkeys(present, NEVER)
             return
         new = present - seen.keys()
         if new:
             self._mixed_at[service] = now
         self._first_seen[service] = {name: seen.get(name, now) for name in present} or seen
 
-    def adopt(self, mixed_at: Mapping[str, float]) -> None:
-        """Takes over what other instances have seen of the time before this one started.
+    def needs_evidence(self) -> bool:
+        """Tells whether the state is confirmed, but nothing is known of the time before."""
+        return self._is_current and self._before is None
+
+    def adopt(self, evidence: Mapping[str, Evidence], requested_at: float, now: float) -> None:
+        """Takes over what all instances have stored of the time before the state was confirmed.
 
         Args:
-            mixed_at: Time at which each service last ran several versions; none for the others.
+            evidence: What is stored of each service; none for one of which nothing is.
+            requested_at: Time at which it was requested, in seconds. Evidence that was requested
+                earlier than the state was confirmed is not relied on.
+            now: The time, in seconds.
         """
-        self._complete_since = float("-inf")
-        for service, at in mixed_at.items():
-            self._mixed_at[service] = max(at, self._mixed_at.get(service, at))
+        if self._is_current and requested_at >= self._complete_since:
+            self._before = dict(evidence)
+            self._adopted_at = now
+
+    def note_mixed(self, service: str, at: float) -> None:
+        """Records that streams may have begun at several versions until some time."""
+        self._mixed_at[service] = max(at, self._mixed_at.get(service, at))
 
-    def note_unsure(self, service: str, now: float) -> None:
-        """Records that streams began at software that may not be in anybody's state yet."""
-        self._mixed_at[service] = max(now, self._mixed_at.get(service, now))
+    def present(self, service: str) -> frozenset[str]:
+        """Returns the software that runs; what ran last if no endpoint is there."""
+        return self._present.get(service, frozenset())
 
     def mixed_at(self, now: float) -> dict[str, float]:
         """Returns the services that have run several versions lately, and when they last did."""
@@ -216,8 +262,20 @@
             window: Seconds in which a stream may have begun.
             now: The time, in seconds.
         """
-        present = self._present.get(service, frozenset())
-        alike_since = max(self._complete_since, self._mixed_at.get(service, self._complete_since))
-        if len(present) != 1 or now - alike_since < window:
+        present = self.present(service)
+        if len(present) != 1:
             return None
-        return Origin(service, next(iter(present)))
+        software = next(iter(present))
+        unlike_until = max(
+            self._unseen_until(service, software), self._mixed_at.get(service, NEVER)
+        )
+        return None if now - unlike_until < window else Origin(service, software)
+
+    def _unseen_until(self, service: str, software: str) -> float:
+        """Returns the time until which streams may have begun elsewhere without being seen here."""
+        if self._before is None:
+            return self._complete_since
+        found = self._before.get(service)
+        if found is None:
+            return NEVER
+        return found.mixed_at if found.software == software else self._adopted_at
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
@@ -9,7 +9,7 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
 from wigeonarch_core.revisions import era_of
@@ -32,6 +32,14 @@
 PRESENT_WITHIN: Final = 60.0  # Seconds within which an instance counts as present.
 
 
+@dataclass(frozen=True, slots=True)
+class ListedLease:
+    """An instance's own lease as a list of the store shows it."""
+
+    revision: int
+    content: LeaseContent
+
+
 @dataclass(slots=True)
 class Entry:
     """An instance according to its lease.
@@ -42,9 +50,7 @@
         address: Address for messages.
         zone: Availability zone.
         last_renewal: Time at which the lease was last seen to change, in seconds.
-        ended_under: Requests that crashed several endpoints, as in `LeaseContent`.
-        mixed: Services that have run several versions lately, as there.
-        ended_by_part: Parts of prompts that crashed several endpoints, as there.
+        content: Content of the lease when it last did.
     """
 
     revision: int
@@ -52,9 +58,7 @@
     address: str
     zone: str
     last_renewal: float
-    ended_under: list[tuple[str, list[str]]] = field(default_factory=list)
-    mixed: dict[str, int] = field(default_factory=dict)
-    ended_by_part: list[tuple[str, str, list[str]]] = field(default_factory=list)
+    content: LeaseContent
 
 
 class Directory:
@@ -89,9 +93,7 @@
                     content.address,
                     content.zone,
                     last_renewal,
-                    content.ended_under,
-                    content.mixed,
-                    content.ended_by_part,
+                    content,
                 )
                 changed.append(entry)
             entry.revision = lease.revision
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/discovery.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/discovery.py
@@ -24,6 +24,7 @@
     PRESENT_WITHIN,
     Directory,
     Entry,
+    ListedLease,
 )
 from wigeonarch_gateway.messages import PeerAddresses, PeerQuery
 from wigeonarch_gateway.options import Options
@@ -48,7 +49,6 @@
     Attributes:
         directory: The instances according to their leases in the store.
         on_entry: Called with each lease that is new or changed.
-        on_listed: Called after each list of the leases.
         started: Time at which this instance started to look for others.
     """
 
@@ -62,7 +62,6 @@
         "_zones",
         "directory",
         "on_entry",
-        "on_listed",
         "started",
     )
 
@@ -77,7 +76,6 @@
         self._seeds: list[str] = []
         self.directory = Directory()
         self.on_entry: Callable[[Entry], None] = lambda entry: None
-        self.on_listed: Callable[[], None] = lambda: None
         self.started = monotonic()
         self.set_seeds(opts.seeds)
 
@@ -188,12 +186,11 @@
         for entry in self.directory.take_leases(leases, monotonic()):
             self.note_address(entry.address, entry.zone)
             self.on_entry(entry)
-        self.on_listed()
 
-    async def own_lease_revision(self) -> int:
-        """Returns the revision of this instance's lease in the first list; 0 if it has none."""
+    async def own_lease(self) -> ListedLease | None:
+        """Returns this instance's lease in the first list; None if it has none."""
         with contextlib.suppress(TimeoutError):
             async with timeout_after(FIRST_LIST_TIMEOUT):
                 await self._first_list_done.wait()
         entry = self.directory.entries.get(self._opts.instance)
-        return entry.revision if entry is not None else 0
+        return None if entry is None else ListedLease(entry.revision, entry.content)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
@@ -17,9 +17,10 @@
 import msgspec
 from wigeonarch_core.lease import HeldLease
 from wigeonarch_core.promises import PromisesHeld
-from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.clock import monotonic, unix_time
 from wigeonarch_runtime.logs import log
 
+from wigeonarch_gateway.directory import ListedLease
 from wigeonarch_gateway.messages import LeaseRenewed, LeaseSupportPromise, LeaseSupportRequest
 from wigeonarch_gateway.object_contents import LeaseContent, content, read_lease
 from wigeonarch_gateway.options import LeaseOptions
@@ -31,6 +32,7 @@
     StoredObject,
     Unavailable,
 )
+from wigeonarch_gateway.software_records import MS, SoftwareRecord, mixed_to_store
 from wigeonarch_gateway.suspect_parts import CrashesByPart
 from wigeonarch_gateway.suspects import CrashesByContent
 
@@ -77,6 +79,20 @@
     restore_parts: Callable[[CrashesByPart], None] = lambda stored: None
 
 
+class SoftwareMemory(msgspec.Struct, frozen=True):
+    """Access to the software at which streams of this instance may have begun.
+
+    Attributes:
+        record: Returns the record to store.
+        restore: Takes over the record in a lease of the last incarnation, before it is replaced.
+        on_stored: Called with each record that the store has accepted.
+    """
+
+    record: Callable[[], SoftwareRecord] = SoftwareRecord
+    restore: Callable[[LeaseContent], None] = lambda lease: None
+    on_stored: Callable[[SoftwareRecord], None] = lambda record: None
+
+
 class OwnLease:
     """This instance's lease.
 
@@ -87,10 +103,9 @@
     __slots__ = (
         "_crash_memory",
         "_is_needed",
-        "_listed_revision",
+        "_listed_lease",
         "_logged_as_held",
         "_me",
-        "_mixed_services",
         "_opts",
         "_possible_successors",
         "_promises",
@@ -98,6 +113,7 @@
         "_request_support",
         "_revision",
         "_revision_conflict",
+        "_software_memory",
         "_store",
         "_urgent",
         "lease",
@@ -111,9 +127,9 @@
         request_support: Callable[[LeaseSupportRequest], None],
         possible_successors: Callable[[], Collection[str]],
         is_needed: Callable[[], bool],
-        listed_revision: Callable[[], Awaitable[int]],
+        listed_lease: Callable[[], Awaitable[ListedLease | None]],
         memory: CrashMemory,
-        mixed_services: Callable[[], dict[str, int]] = dict,
+        software_memory: SoftwareMemory | None = None,
     ) -> None:
         """Creates a lease that is not in force yet.
 
@@ -124,20 +140,20 @@
             request_support: Sends a request for lease support to all peers.
             possible_successors: Returns the instances that could take over from this one.
             is_needed: Tells whether this instance owns endpoints, or may have to.
-            listed_revision: Returns the revision of the lease according to a list that may be
-                old; 0 if it has none.
+            listed_lease: Returns the lease according to a list that may be old; None if there is
+                none.
             memory: Requests that crashed several endpoints, stored for later incarnations.
-            mixed_services: Returns what to store as `LeaseContent.mixed`.
+            software_memory: Software at which streams began, stored for all instances.
         """
         self._store = store
         self._opts = opts
         self._me = me
         self._crash_memory = memory
-        self._mixed_services = mixed_services
+        self._software_memory = software_memory or SoftwareMemory()
         self._request_support = request_support
         self._possible_successors = possible_successors
         self._is_needed = is_needed
-        self._listed_revision = listed_revision
+        self._listed_lease = listed_lease
         self._promises = PromisesHeld(opts.term)
         self._renewal_count = 0
         self._revision = 0
@@ -154,7 +170,10 @@
         """
         began = float("-inf")
         urgent = False
-        self._revision = await self._listed_revision()
+        listed = await self._listed_lease()
+        if listed is not None:
+            self._revision = listed.revision
+            self._software_memory.restore(listed.content)
         while True:
             urgent = urgent or self._urgent.is_set()
             idle = not self._is_needed() and monotonic() - began < IDLE_RENEWAL_INTERVAL
@@ -246,14 +265,17 @@
         self.lease.record_attempt(sent)
         self._renewal_count += 1
         me = self._me
+        record = self._software_memory.record()
         lease = LeaseContent(
             me.address,
             me.zone,
             me.incarnation,
             self._renewal_count,
             self._crash_memory.crashes(),
-            self._mixed_services(),
+            mixed_to_store(record, sent, unix_time()),
             self._crash_memory.part_crashes(),
+            dict(record.software),
+            int(unix_time() * MS),
         )
         spec = content(lease)
         result: StoredObject | Absent | Conflict | Unavailable
@@ -266,6 +288,7 @@
         if isinstance(result, StoredObject):
             self._revision = result.revision
             self.lease.record_renewal(sent, result.revision, monotonic())
+            self._software_memory.on_stored(record)
             return True
         self._revision_conflict = not isinstance(result, Unavailable)
         return False
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -43,7 +43,7 @@
 from wigeonarch_gateway.granter_choice import GranterChoice
 from wigeonarch_gateway.http_server import HttpServer
 from wigeonarch_gateway.instrumented_store import InstrumentedStore
-from wigeonarch_gateway.leasing import CrashMemory, Identity, OwnLease
+from wigeonarch_gateway.leasing import CrashMemory, Identity, OwnLease, SoftwareMemory
 from wigeonarch_gateway.limits import EndpointLimits
 from wigeonarch_gateway.load_requests import LoadRequests
 from wigeonarch_gateway.members import Members
@@ -124,6 +124,9 @@
 DRAIN_POLL_INTERVAL: Final = 0.05  # Seconds between checks whether all requests have ended.
 # Seconds before the end of the grace period, when the process is killed, at which draining stops.
 SHUTDOWN_MARGIN: Final = 0.7
+# Writes of all instances together when the software of a service changes. At 370 instances they
+# take less than the time for which new software waits for its first streams.
+SOFTWARE_RECORDS_PER_SECOND: Final = 100.0
 DEFAULT_MAX_BODY_BYTES: Final = 4 * 1024 * 1024  # Applies until a configuration is known.
 
 
@@ -179,14 +182,18 @@
                 {opts.zone, *self._engine_ownership.zones()}
             ),
             lambda: self._members.roles.is_delegate() or bool(self._engine_ownership.owned()),
-            lambda: self._members.discovery.own_lease_revision(),
+            lambda: self._members.discovery.own_lease(),
             CrashMemory(
                 lambda: self._suspects.crashes_to_store(),
                 lambda stored: self._suspects.adopt_stored_crashes(stored),
                 lambda: self._suspects.part_crashes_to_store(),
                 lambda stored: self._suspects.adopt_stored_parts(stored),
             ),
-            lambda: self._streams.services_to_store(),
+            SoftwareMemory(
+                lambda: self._streams.record_to_store(),
+                lambda lease: self._streams.restore(lease),
+                lambda record: self._streams.note_stored(record),
+            ),
         )
         self._members = Members(
             opts,
@@ -253,7 +260,6 @@
             self._reach,
         )
         self._members.discovery.on_entry = self._take_lease
-        self._members.discovery.on_listed = lambda: self._streams.adopt_stored()
         self._sharing = WatchSharing(
             opts.instance,
             opts.store,
@@ -292,7 +298,7 @@
             self._links.send,
             lambda: self._catalogue.table,
             lambda: self._sharing.age(ObjectKind.ENDPOINTS),
-            self._store_mixed_services,
+            self._store_software_record,
         )
         load_requests = LoadRequests(
             opts.instance, self._views, self._engine_ownership, self._members.send
@@ -532,6 +538,7 @@
         tasks["lease"] = self._own_lease.keep_renewed()
         tasks["clock"] = self._own_lease.watch_clock()
         tasks["holders"] = self._engine_ownership.claim_engines()
+        tasks["stream_evidence"] = self._streams.gather_evidence(self._store)
         tasks["reach"] = self._reach.keep_probing()
         tasks["tick"] = self._tick()
         return tasks
@@ -621,14 +628,14 @@
 
     def _take_lease(self, entry: Entry) -> None:
         """Takes over what another instance stored in its lease."""
-        self._suspects.adopt_stored_crashes(entry.ended_under)
-        self._suspects.adopt_stored_parts(entry.ended_by_part)
-        self._streams.take_stored(entry.mixed)
-
-    def _store_mixed_services(self) -> None:
-        """Stores which services run several versions; some instances of a zone are enough."""
-        if self._members.roles.is_delegate():
-            self._own_lease.renew_soon()
+        self._suspects.adopt_stored_crashes(entry.content.ended_under)
+        self._suspects.adopt_stored_parts(entry.content.ended_by_part)
+
+    def _store_software_record(self) -> None:
+        """Stores at which software streams may begin here; all instances do at about one time."""
+        spread = self._members.roles.instance_count() / SOFTWARE_RECORDS_PER_SECOND
+        delay = random.uniform(0.0, spread)
+        asyncio.get_running_loop().call_later(delay, self._own_lease.renew_soon)
 
     def _limiter(self, endpoint: str) -> str:
         """Returns the instance that grants permits for an endpoint."""
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/object_contents.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/object_contents.py
@@ -27,6 +27,9 @@
             Unix time at which they last did, in milliseconds.
         ended_by_part: Parts of prompts and software versions under which several endpoints crashed,
             and the crashed incarnations.
+        software: Software at which streams of this instance may have begun, by service; empty text
+            for several. None if an older version of the product wrote the lease.
+        written_ms: Unix time at which the instance wrote it, in milliseconds.
     """
 
     address: str
@@ -36,6 +39,8 @@
     ended_under: list[tuple[str, list[str]]] = []
     mixed: dict[str, int] = {}
     ended_by_part: list[tuple[str, str, list[str]]] = []
+    software: dict[str, str] | None = None
+    written_ms: int = 0
 
 
 class OwnerContent(msgspec.Struct):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/stream_origins.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/stream_origins.py
@@ -10,8 +10,8 @@
 if only one origin is possible (see `core.stream_origins`), and else is refused: a guess could join
 what two versions wrote.
 
-Leases store which services have run several versions lately. So an instance that starts knows of a
-service without such a note that it has run one, also when all instances start at once.
+Leases store at which software streams of each instance may have begun (see `software_records`). So
+an instance that starts can prove that there was one only, also when all instances start at once.
 """
 
 from __future__ import annotations
@@ -20,12 +20,13 @@
 import enum
 import random
 from collections import deque
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
 from wigeonarch_core.routes import Route, RoutingTable
 from wigeonarch_core.stream_origins import (
+    SEVERAL,
     Origin,
     OriginMemory,
     SoftwareHistory,
@@ -38,7 +39,19 @@
 from wigeonarch_gateway.endpoints import EndpointRegistry
 from wigeonarch_gateway.jobs import Job
 from wigeonarch_gateway.messages import Message, OriginQuery, OriginReply, StreamsBegun
-from wigeonarch_gateway.ports import EndpointRecord
+from wigeonarch_gateway.object_contents import LeaseContent, read_lease
+from wigeonarch_gateway.ports import (
+    EndpointRecord,
+    Listing,
+    ObjectKind,
+    ObjectStore,
+    StoredObject,
+)
+from wigeonarch_gateway.software_records import (
+    SoftwareRecord,
+    evidence_in_leases,
+    record_in_lease,
+)
 
 # Seconds to wait for the instances that should know a stream, and then for all others.
 HOLDER_TIMEOUT: Final = 0.04
@@ -47,7 +60,7 @@
 FIRST_CONTACT_TIME: Final = 1.5
 CONTACT_POLL_INTERVAL: Final = 0.05  # Seconds.
 MAX_STREAMS_PER_MESSAGE: Final = 100
-CLOCK_DIFFERENCE: Final = 10.0  # Seconds by which the clocks of instances may differ.
+EVIDENCE_RETRY: Final = 1.0  # Seconds until leases are listed again after that failed.
 UNSURE_SOFTWARE: Final = ""  # Like no software that a stream can go on at.
 # Seconds after which all are told again that streams of a service begin at unsure software.
 UNSURE_INTERVAL: Final = 1.0
@@ -113,20 +126,23 @@
         "_begun_at",
         "_endpoints",
         "_history",
-        "_history_adopted",
         "_holders",
         "_instance",
+        "_last_record",
         "_memory",
-        "_mixed_elsewhere",
+        "_needs_evidence",
         "_noted",
         "_peers",
         "_queries",
         "_query_number",
         "_send_to",
+        "_services",
         "_settling_time",
         "_started",
         "_store_soon",
+        "_stored",
         "_table",
+        "_table_noted",
         "_unsure_told_at",
         "_untold",
     )
@@ -156,7 +172,7 @@
             send_to: Sends a message to an address.
             table: Returns the routing table in force.
             age: Returns the seconds since the store last confirmed the state of endpoints.
-            store_soon: Called when `services_to_store` has changed.
+            store_soon: Called when `record_to_store` has something new.
         """
         self._instance = instance
         self._address = address
@@ -171,9 +187,14 @@
         self._started = monotonic()
         self._memory = OriginMemory()
         self._history = SoftwareHistory(settling_time, self._started)
-        self._history_adopted = False
-        self._mixed_elsewhere: dict[str, float] = {}
-        self._noted: frozenset[str] = frozenset()
+        self._needs_evidence = asyncio.Event()
+        # Services of routes whose streams may be resumed, now or since this instance started.
+        self._services: set[str] = set()
+        self._table_noted: RoutingTable | None = None
+        # Record of the last incarnation, of the services that have not been seen here yet.
+        self._last_record: dict[str, str] = {}
+        self._stored = SoftwareRecord()
+        self._noted: frozenset[tuple[str, str]] = frozenset()
         self._begun_at: deque[_Begun] = deque()
         self._untold: dict[bytes, Origin] = {}
         self._unsure_told_at: dict[str, float] = {}
@@ -239,10 +260,7 @@
         """Notes which software runs now, and tells what others must know for it."""
         now = monotonic()
         present = self._observe(now)
-        mixed_services = frozenset(self._history.mixed_at(now))
-        if not mixed_services <= self._noted:
-            self._store_soon()
-        self._noted = mixed_services
+        self._request_record(now)
         while self._begun_at and now - self._begun_at[0].at >= self._settling_time:
             self._begun_at.popleft()
         self._memory.expire(now)
@@ -260,32 +278,81 @@
         for record in self._endpoints.all():
             present.setdefault(record.service, set()).add(software_of(record))
         self._history.observe(present, self._age(), now)
+        if self._history.needs_evidence():
+            self._needs_evidence.set()
         return present
 
     # What instances leave to those that start later.
 
-    def services_to_store(self) -> dict[str, int]:
-        """Returns the services that have run several versions lately, as leases store them."""
-        now, unix_now = monotonic(), unix_time()
-        mixed = self._history.mixed_at(now)
-        return {service: int((unix_now - (now - at)) * 1000) for service, at in mixed.items()}
+    def _request_record(self, now: float) -> None:
+        """Has the record stored if it has something that is needed before streams begin there."""
+        record = self.record_to_store()
+        needed = {(service, SEVERAL) for service in record.mixed}
+        for service in self._services:
+            for software in self._history.present(service):
+                if not self._stored.covers(service, software):
+                    needed.add((service, software))
+        if not needed <= self._noted:
+            self._store_soon()
+        self._noted = frozenset(needed)
+
+    def record_to_store(self) -> SoftwareRecord:
+        """Returns at which software streams of this instance may have begun lately.
 
-    def take_stored(self, mixed: Mapping[str, int]) -> None:
-        """Notes what another instance stored, if this one just started."""
-        if self._history_adopted:
+        Those of its last incarnation count, too, as its record is replaced by this one.
+        """
+        self._note_services()
+        software = dict(self._last_record)
+        for service in self._services:
+            present = self._history.present(service)
+            if not present:
+                continue
+            software[service] = next(iter(present)) if len(present) == 1 else SEVERAL
+            last = self._last_record.pop(service, software[service])
+            if last != software[service]:
+                self._history.note_mixed(service, self._started)
+        return SoftwareRecord(software, self._history.mixed_at(monotonic()))
+
+    def _note_services(self) -> None:
+        """Notes the services of a new configuration whose streams may be resumed."""
+        table = self._table()
+        if table is None or table is self._table_noted:
             return
-        now, unix_now = monotonic(), unix_time()
-        for service, at_ms in mixed.items():
-            # A time in the future, by a clock that differs, counts as now.
-            ago = max(0.0, unix_now - at_ms / 1000 - CLOCK_DIFFERENCE)
-            before = self._mixed_elsewhere.get(service, float("-inf"))
-            self._mixed_elsewhere[service] = max(before, now - ago)
-
-    def adopt_stored(self) -> None:
-        """Relies on what the leases of all instances stored, once they were listed."""
-        if not self._history_adopted:
-            self._history_adopted = True
-            self._history.adopt(self._mixed_elsewhere)
+        self._table_noted = table
+        for route in table.routes():
+            if route.resumable:
+                self._services.update(share.service for share in route.split)
+
+    def restore(self, lease: LeaseContent) -> None:
+        """Takes over the record of the last incarnation, before it is replaced."""
+        record = record_in_lease(lease, monotonic(), unix_time())
+        self._last_record |= record.software
+        for service, at in record.mixed.items():
+            self._history.note_mixed(service, at)
+
+    def note_stored(self, record: SoftwareRecord) -> None:
+        """Notes the record that the store has accepted."""
+        self._stored = record
+
+    async def gather_evidence(self, store: ObjectStore) -> None:
+        """Reads what all instances have stored whenever it is needed; runs until cancelled."""
+        while True:
+            await self._needs_evidence.wait()
+            requested_at = monotonic()
+            found = await store.list(ObjectKind.LEASES, stale=True)
+            if isinstance(found, Listing):
+                self._adopt_leases(found.objects, requested_at)
+            else:
+                await asyncio.sleep(EVIDENCE_RETRY)
+            self._needs_evidence.clear()
+
+    def _adopt_leases(self, objects: Iterable[StoredObject], requested_at: float) -> None:
+        """Takes over what all instances have stored in their leases."""
+        now = monotonic()
+        leases = [lease for lease in map(read_lease, objects) if lease is not None]
+        evidence = evidence_in_leases(leases, now, unix_time())
+        self._history.adopt(evidence, requested_at, now)
+        log("software_evidence", services=len(evidence), leases=len(leases))
 
     def _tell(self, streams: dict[bytes, Origin]) -> None:
         """Tells the origins of streams to the instances that keep them."""
@@ -303,7 +370,7 @@
 
         All are told now and then, as a caller need not name the attempt that began its stream.
         """
-        self._history.note_unsure(origin.service, now)
+        self._history.note_mixed(origin.service, now)
         if now - self._unsure_told_at.get(origin.service, float("-inf")) < UNSURE_INTERVAL:
             self._tell({key: origin})
             return
@@ -316,7 +383,7 @@
         for key, service, software in message.streams:
             self._memory.record(key, Origin(service, software), now)
             if software == UNSURE_SOFTWARE:
-                self._history.note_unsure(service, now)
+                self._history.note_mixed(service, now)
 
     # Streams that callers take up.
 
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -5,7 +5,9 @@
 import asyncio
 import enum
 import json
+import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
@@ -28,6 +30,15 @@
     RESET = "reset"
 
 
+@dataclass(frozen=True)
+class _State:
+    """The objects by kind and name after a change; the time is monotonic, in seconds."""
+
+    at: float
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+
+
 class StoreStandIn:
     """The store.
 
@@ -39,6 +50,7 @@
         body_replacements: Byte strings replaced in each response's body, with their replacements.
         page_size: Objects in one page of a list.
         after_page: Called after a page that others follow.
+        stale_lags: Seconds by which lists of a kind are old whose callers accept that.
         era: Number of times that an older copy was restored; None if responses name no era.
         revision: Revision of the last change.
         objects: Stored documents by kind and name.
@@ -52,11 +64,13 @@
         self.body_replacements: dict[bytes, bytes] = {}
         self.page_size = 500
         self.after_page: Callable[[], Awaitable[None]] = _do_nothing
+        self.stale_lags: dict[str, float] = {}
         self.era: int | None = 0
         self.revision = 1
         self._saved_copy: tuple[int, dict[tuple[str, str], dict[str, Any]]] = (1, {})
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self._states: list[_State] = []  # After each change, the oldest first.
         self._changed = asyncio.Condition()
         self._runner: web.ServerRunner | None = None
         self.address = ""
@@ -122,6 +136,7 @@
         stored = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
         self.objects[kind, name] = stored
         self._events.append((self.revision, kind, stored, False))
+        self._note_state()
         return stored
 
     def _remove(self, kind: str, name: str) -> None:
@@ -129,6 +144,10 @@
         if stored is not None:
             self.revision += 1
             self._events.append((self.revision, kind, stored, True))
+            self._note_state()
+
+    def _note_state(self) -> None:
+        self._states.append(_State(time.monotonic(), self.revision, dict(self.objects)))
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         _, _, path = request.path.partition("/wigeonarch/objects/")
@@ -160,7 +179,9 @@
         if request.method == "GET" and "watch" in request.query:
             return await self._watch(kind, request)
         if request.method == "GET" and not name:
-            return 200, await self._list(kind, request.query.get("after", ""))
+            lag = self.stale_lags.get(kind, 0.0) if "stale_ok" in request.query else 0.0
+            state = self._state_before(time.monotonic() - lag)
+            return 200, await self._list(kind, request.query.get("after", ""), state)
         if request.method == "GET":
             stored = self.objects.get((kind, name))
             return (200, stored) if stored else (404, {})
@@ -169,13 +190,21 @@
             return 200, {}
         return await self._handle_write(request, kind, name)
 
-    async def _list(self, kind: str, after: str) -> Any:
-        names = sorted(n for k, n in self.objects if k == kind and n > after)
-        items = [self.objects[kind, name] for name in names[: self.page_size]]
+    def _state_before(self, at: float) -> _State:
+        """Returns the state at a time; the present one if nothing has changed since."""
+        earlier = [state for state in self._states if state.at <= at]
+        is_present = earlier == self._states
+        if is_present or not earlier:
+            return _State(at, self.revision, self.objects)
+        return earlier[-1]
+
+    async def _list(self, kind: str, after: str, state: _State) -> Any:
+        names = sorted(n for k, n in state.objects if k == kind and n > after)
+        items = [state.objects[kind, name] for name in names[: self.page_size]]
         page = {
             "items": items,
             "truncated": len(items) < len(names),
-            "as_of": self.revision,
+            "as_of": state.revision,
         }
         if page["truncated"]:
             await self.after_page()
--- a/tests/test_lease_memory.py
+++ b/tests/test_lease_memory.py
@@ -41,7 +41,7 @@
         lambda request: None,
         lambda: ["edge-1"],
         lambda: needed,
-        _no_listed_revision,
+        _no_listed_lease,
         CrashMemory(
             lambda: memory.crashes,
             memory.restored.extend,
@@ -58,8 +58,8 @@
         await client.close()
 
 
-async def _no_listed_revision() -> int:
-    return 0
+async def _no_listed_lease() -> None:
+    return None
 
 
 def stored_crashes(store: StoreStandIn) -> CrashesByContent:
--- a/tests/test_lease_support.py
+++ b/tests/test_lease_support.py
@@ -23,13 +23,13 @@
         sent.append,
         lambda: ["edge-1"],
         lambda: True,
-        _no_listed_revision,
+        _no_listed_lease,
         CrashMemory(lambda: [], lambda found: None),
     )
 
 
-async def _no_listed_revision() -> int:
-    return 0
+async def _no_listed_lease() -> None:
+    return None
 
 
 @pytest.mark.parametrize(
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -6,9 +6,12 @@
 from wigeonarch_core.stream_origins import (
     MAX_ORIGINS,
     ORIGIN_TTL,
+    SEVERAL,
+    Evidence,
     Origin,
     OriginMemory,
     SoftwareHistory,
+    combine_evidence,
     describe_software,
     stream_key,
 )
@@ -112,18 +115,83 @@
 
 
 @pytest.mark.parametrize(
-    ("mixed_at", "now", "expected"),
-    [({}, 1.0, OLD), ({"llm": -5.0}, WINDOW - 6.0, None), ({"llm": -5.0}, WINDOW - 1.0, OLD)],
+    ("evidence", "now", "expected"),
+    [
+        ({}, 1.0, OLD),  # Nobody has begun a stream of the service.
+        ({"llm": Evidence("=v1")}, 1.0, OLD),
+        ({"llm": Evidence("=v1", -5.0)}, WINDOW - 6.0, None),
+        ({"llm": Evidence("=v1", -5.0)}, WINDOW - 1.0, OLD),
+        ({"llm": Evidence("=v0")}, WINDOW, None),
+        ({"llm": Evidence(SEVERAL, -30.0)}, WINDOW, None),
+        ({"llm": Evidence("=v0")}, WINDOW + 1.0, OLD),
+        ({"desk": Evidence("=v0")}, 1.0, OLD),
+    ],
 )
-def test_instance_that_starts_relies_on_what_others_have_seen(
-    mixed_at: dict[str, float], now: float, expected: Origin | None
+def test_instance_that_starts_relies_on_what_all_have_stored(
+    evidence: dict[str, Evidence], now: float, expected: Origin | None
 ) -> None:
     history = observed((0.5, ONE, 0.0))
-    assert history.only_origin("llm", WINDOW, now) is None
-    history.adopt(mixed_at)
+    assert history.only_origin("llm", WINDOW, 1.0) is None
+    history.adopt(evidence, 0.5, 0.8)
     assert history.only_origin("llm", WINDOW, now) == expected
 
 
+@pytest.mark.parametrize(
+    ("looks", "requested_at", "expected"),
+    [
+        ([(0.5, ONE, 0.0)], 0.4, None),  # A stream could begin in between and never be seen.
+        ([(0.5, ONE, 0.0)], 0.5, OLD),
+        ([(0.5, ONE, SETTLING)], 0.5, None),
+        ([(0.5, ONE, 0.0), (0.6, ONE, SETTLING), (0.7, ONE, 0.0)], 0.5, None),
+    ],
+)
+def test_evidence_is_relied_on_only_if_it_was_requested_once_the_state_was_confirmed(
+    looks: list[tuple[float, set[str], float]], requested_at: float, expected: Origin | None
+) -> None:
+    history = observed(*looks)
+    history.adopt({}, requested_at, 0.8)
+    assert history.only_origin("llm", WINDOW, 1.0) == expected
+
+
+def test_evidence_is_needed_again_after_a_gap() -> None:
+    history = observed((0.5, ONE, 0.0))
+    assert history.needs_evidence()
+    history.adopt({}, 0.5, 0.6)
+    assert not history.needs_evidence()
+    history.observe({"llm": ONE}, SETTLING, 10.0)
+    assert not history.needs_evidence()
+    assert history.only_origin("llm", WINDOW, 10.0) is None
+    history.observe({"llm": ONE}, 0.0, 11.0)
+    assert history.needs_evidence()
+    history.adopt({}, 11.0, 11.1)
+    assert history.only_origin("llm", WINDOW, 11.2) == OLD
+
+
+@pytest.mark.parametrize(
+    ("found", "expected"),
+    [
+        ([], {}),
+        ([("llm", Evidence("=v1", 3.0))], {"llm": Evidence("=v1", 3.0)}),
+        (
+            [("llm", Evidence("=v1", 3.0)), ("llm", Evidence("=v1", 7.0))],
+            {"llm": Evidence("=v1", 7.0)},
+        ),
+        (
+            [("llm", Evidence("=v1", 3.0)), ("llm", Evidence("=v1.1"))],
+            {"llm": Evidence(SEVERAL, 3.0)},
+        ),
+        (
+            [("llm", Evidence("=v1")), ("desk", Evidence("=v2"))],
+            {"llm": Evidence("=v1"), "desk": Evidence("=v2")},
+        ),
+    ],
+)
+def test_evidence_of_several_instances(
+    found: list[tuple[str, Evidence]], expected: dict[str, Evidence]
+) -> None:
+    assert combine_evidence(found) == expected
+
+
 @pytest.mark.parametrize(
     ("software", "now", "settled"),
     [
