Keep the last incarnation's record of software when the first write conflicts

Cause: an instance that can't list the leases at its start writes its own anew; the store refuses that, as there is one, and the instance reads its revision and writes again, without what the lease said of its streams. With all instances back, no lease tells of the older version any more.

Evidence: the three new cases (store refuses or is silent for the first half second, three instances and one) join before this commit.

Change: what is read after a conflict is taken over first, if an earlier incarnation wrote it.

After: the three cases pass.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/leasing.py
@@ -304,4 +304,6 @@
             lease = read_lease(result)
             self._crash_memory.restore(lease.ended_under if lease is not None else [])
             self._crash_memory.restore_parts(lease.ended_by_part if lease is not None else [])
+            if lease is not None and lease.incarnation != self._me.incarnation:
+                self._software_memory.restore(lease)
         return True
--- a/tests/test_streams_after_loss_of_all.py
+++ b/tests/test_streams_after_loss_of_all.py
@@ -115,6 +115,9 @@
     "old_lists": Loss(stale_lags=OLD_LISTS),
     "old_lists_of_one_instance": Loss(instances=1, stale_lags=OLD_LISTS),
     "old_lists_after_side_by_side": Loss(side_by_side=1.0, stale_lags=OLD_LISTS),
+    "store_refuses": Loss(store_fault=StoreFault.BUSY),
+    "store_is_silent": Loss(store_fault=StoreFault.SILENT),
+    "store_is_silent_to_one": Loss(instances=1, store_fault=StoreFault.SILENT),
     "old_leases": Loss(side_by_side=1.0, stale_lags=OLD_LEASES),
     "old_leases_of_one_instance": Loss(instances=1, side_by_side=1.0, stale_lags=OLD_LEASES),
 }
