Begin streams at a version only once the store has the record of it

Callers saw: nothing yet; by the proof (`core.stream_origins`) streams could be joined after the loss of all instances if a version began streams, left, and no lease had it, for instance while the store refused an instance's writes.

Cause: streams began at software that all instances know of, whether or not a record for those that start later was stored.

Evidence: the new test (records are never accepted) has streams begin at the new version, which is nearer, before this commit.

Change: an endpoint of which the stored record tells nothing gets no stream that may be resumed while another one can take it, as it is for software that others may not know yet.

--- a/packages/wigeonarch-core/src/wigeonarch_core/stream_origins.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/stream_origins.py
@@ -15,11 +15,19 @@
 
 An instance knows by itself only what ran since its state was first confirmed, and after a gap,
 since it was confirmed again. Of the time before, it relies on what all instances have stored: each
-one, of its own streams, the software at which they may have begun (`Evidence`).
+one, of its own streams, the software at which they may have begun (`Evidence`). That is safe
+because of three orders:
 
-The wait for all instances is given up where no other endpoint can take a stream, and at an endpoint
-that restarted under its id before its record followed. Such a stream is known to those who were
-told of it, and only if they are all lost can the proof be wrong.
+    an instance's record of a software is stored < its first stream begins there
+    state of the endpoints confirmed < evidence requested, and answered by the store itself
+    record of the last incarnation is known < the first record of the next one replaces it
+
+So what began before the evidence was read is in the evidence, and what began later ran when the
+state was confirmed or after. A service of which nobody has stored anything has begun no stream.
+
+The wait for all instances, and the first order, are given up where no other endpoint can take a
+stream; the wait also at an endpoint that restarted under its id before its record followed. Such a
+stream is known to those who were told of it, and only if they are all lost can the proof be wrong.
 """
 
 from __future__ import annotations
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/stream_origins.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/stream_origins.py
@@ -204,11 +204,16 @@
     # Streams that begin.
 
     def is_settled(self, record: EndpointRecord) -> bool:
-        """Tells whether all instances in touch with the store know of an endpoint's software.
+        """Tells whether streams that may be resumed may begin at an endpoint.
 
-        They could take a stream of software that they do not know for one of what they know.
+        All instances in touch with the store must know of its software, as they could take a stream
+        of software that they do not know for one of what they know. And the store must have the
+        record of it, for those that start later.
         """
-        return self._history.is_settled(record.service, software_of(record), monotonic())
+        service, software = record.service, software_of(record)
+        return self._stored.covers(service, software) and self._history.is_settled(
+            service, software, monotonic()
+        )
 
     def record_begun(self, job: Job, record: EndpointRecord, is_certain: bool) -> None:
         """Records what began a stream, before its caller has the first event.
--- a/tests/test_streams_after_loss_of_all.py
+++ b/tests/test_streams_after_loss_of_all.py
@@ -11,9 +11,11 @@
 from dataclasses import dataclass, field
 
 import pytest
-from gateway_world import CallerResponse, World, until, world
+from gateway_world import CallerResponse, World, until, until_true, world
+from standins.replica import Replica
 from standins.store import StoreFault
 from version_streams import (
+    DRAFT,
     LONG,
     NEW,
     OLD,
@@ -27,7 +29,12 @@
     remove_engine,
     set_length,
     take_up,
+    until_preferred,
 )
+from wigeonarch_gateway.node import Node
+from wigeonarch_gateway.ports import EndpointRecord
+from wigeonarch_gateway.stream_origins import StreamOrigins, software_of
+from wigeonarch_runtime import clock
 
 STREAMS = 4
 LAG = 4.0  # Seconds by which lists are old.
@@ -115,11 +122,11 @@
     "old_lists": Loss(stale_lags=OLD_LISTS),
     "old_lists_of_one_instance": Loss(instances=1, stale_lags=OLD_LISTS),
     "old_lists_after_side_by_side": Loss(side_by_side=1.0, stale_lags=OLD_LISTS),
+    "old_leases": Loss(side_by_side=1.0, stale_lags=OLD_LEASES),
+    "old_leases_of_one_instance": Loss(instances=1, side_by_side=1.0, stale_lags=OLD_LEASES),
     "store_refuses": Loss(store_fault=StoreFault.BUSY),
     "store_is_silent": Loss(store_fault=StoreFault.SILENT),
     "store_is_silent_to_one": Loss(instances=1, store_fault=StoreFault.SILENT),
-    "old_leases": Loss(side_by_side=1.0, stale_lags=OLD_LEASES),
-    "old_leases_of_one_instance": Loss(instances=1, side_by_side=1.0, stale_lags=OLD_LEASES),
 }
 
 
@@ -168,6 +175,33 @@
         assert not [stream for stream, answer in found if answer.status == 200]
 
 
+async def test_streams_begin_at_a_new_version_only_once_the_store_has_its_record(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with world() as deployment:
+        [node] = deployment.nodes
+        await place_first_engine(deployment, "b")
+        await until_true(lambda: node._streams._stored.software)
+        monkeypatch.setattr(StreamOrigins, "note_stored", lambda self, record: None)
+        other = await add_engine(deployment, "i-other", NEW)  # It is nearer.
+        software = software_of(other_record(node, other))
+        await until_true(
+            lambda: node._streams._history.is_settled("llm", software, clock.monotonic())
+        )
+        for _ in range(5):
+            answer = await deployment.send_request(DRAFT, adapter="a1")
+            assert answer.status == 200
+        assert not other.executed
+        monkeypatch.undo()
+        await until_preferred(deployment, other, 0)
+
+
+def other_record(node: Node, engine: Replica) -> EndpointRecord:
+    record = node._endpoints.get(engine.name)
+    assert record is not None
+    return record
+
+
 @pytest.mark.parametrize("instances", [1, 3])
 async def test_streams_of_the_only_version_go_on_after_the_loss_of_all(instances: int) -> None:
     loss = Loss(instances=instances)
