Bound the digits of whole numbers that others send

Cause: whole numbers in headers were read without a bound, so that a heartbeat could not be encoded (more than 64 bits) or a division overflowed. Likewise the era in the store's answers, versions of adapters in entries and reports, and the sequence number and start time of a report, which end the task that reads.

--- a/packages/wigeonarch-core/src/wigeonarch_core/decoding.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/decoding.py
@@ -21,6 +21,9 @@
 MAX_DEPTH: Final = 64  # Lists and objects within one another; documents here have up to 6.
 MIN_INTEGER: Final = -(2**63)
 MAX_INTEGER: Final = 2**64 - 1
+# Digits of a number in a text. Sums of thousands of such numbers fit into 64 bits, and quotients
+# into a float.
+MAX_DIGITS: Final = 12
 
 Value = TypeVar("Value")
 
@@ -98,6 +101,13 @@
     raise NestingError
 
 
+def read_whole_number(text: str) -> int | None:
+    """Returns a number of decimal digits; None if it is none or has more than `MAX_DIGITS`."""
+    if not (text.isascii() and text.isdecimal()) or len(text) > MAX_DIGITS:
+        return None
+    return int(text)
+
+
 def _guarded(decode: Callable[[bytes], Value]) -> Callable[[bytes], Value]:
     def decode_guarded(data: bytes) -> Value:
         try:
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -24,8 +24,9 @@
 from wigeonarch_entry import completions, engines, intake, services
 from wigeonarch_gateway import messages
 from wigeonarch_gateway.peer_terms import decode_terms
-from wigeonarch_platform import records
+from wigeonarch_platform import dialect, names, records
 from wigeonarch_platform.documents import WireEvents, WireList
+from wigeonarch_platform.store import Store
 
 # Some values are too deep for what is left of the interpreter's stack only, others for all of it.
 DEPTHS = [sys.getrecursionlimit() * 9 // 10, 5 * sys.getrecursionlimit()]
@@ -185,3 +186,49 @@
         for number in (0, 1, 2):
             await deployment.wait_until_served("/ask/x", node=number)
         assert not any(task.done() for task in deployment.tasks)
+
+
+LONG_NUMBERS = [digits + "0" * 25 for digits in ("1", "9")] + ["9" * 400, "9" * 5000]
+
+
+@pytest.mark.parametrize("number", LONG_NUMBERS, ids=len)
+@pytest.mark.parametrize(
+    ("header", "value"),
+    [
+        (names.TOKEN_COUNTS, "{},80"),
+        (names.TOKEN_COUNTS, "80,{}"),
+        (names.DEADLINE_MS, "{}"),
+        (names.PREFIX_PARTS, "a:{},b:1"),
+    ],
+)
+def test_a_long_number_in_a_callers_header_counts_as_not_sent(
+    header: str, value: str, number: str
+) -> None:
+    terms = dialect.read_terms({header: value.format(number)})
+    assert terms == dialect.read_terms({header: value.format("x")})
+
+
+@pytest.mark.parametrize("number", LONG_NUMBERS, ids=len)
+@pytest.mark.parametrize(
+    "report",
+    [
+        '{{"models": [], "seq": {}}}',
+        '{{"models": [], "seq": 1, "born": {}}}',
+        '{{"models": [], "seq": 1, "pending": ["m/a@{}"]}}',
+        '{{"models": [{{"name": "m", "adapters": ["a@{}"]}}], "seq": 1}}',
+        '{{"models": [{{"name": "m", "adapters": ["a@-{}"]}}], "seq": 1}}',
+    ],
+)
+def test_a_report_with_a_long_number_is_a_value_error(report: str, number: str) -> None:
+    with pytest.raises(ValueError):
+        records.decode_report(report.format(number).encode())
+
+
+@pytest.mark.parametrize("number", LONG_NUMBERS, ids=len)
+async def test_a_long_era_in_an_answer_of_the_store_counts_as_not_sent(number: str) -> None:
+    store = Store("127.0.0.1:1")
+    try:
+        assert store._read_era("3") == 3
+        assert store._read_era(number) == 3
+    finally:
+        await store.close()
