Bound how often a pause doubles

Callers saw: nothing yet; by reading (review), a process, an engine's controller or a request ends at the 1,024th failure in a row, minutes into an outage.

Cause: 2.0**n overflows a float from n = 1,024 on, before the bound of the pause is applied; six places had it.

Evidence: the new tests (an endpoint that is unreachable 2,000 times, pauses of a watch after 5,000 failures) raise OverflowError before this commit.

Change: core.retry.doubled, used in all six places; the entry instance's two loops of a few attempts stay as they are.

After: they pass.

--- a/packages/wigeonarch-core/src/wigeonarch_core/backoff.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/backoff.py
@@ -12,6 +12,7 @@
 from wigeonarch_core.policy_options import PolicyOptions
 from wigeonarch_core.refs import AdapterVersion
 from wigeonarch_core.rendezvous import score
+from wigeonarch_core.retry import doubled
 
 MIN_JITTER: Final = 0.5  # Smallest share of the backoff that is waited.
 HASH_RANGE: Final = 1 << 64
@@ -55,7 +56,7 @@
     def record_failure(self, target: AdapterVersion, now: float) -> None:
         """Counts a failed load and sets the time of the next try."""
         failures = self._failures.setdefault(target, _Failures())
-        wait = min(self._policy.load_backoff * 2.0**failures.count, self._policy.load_backoff_limit)
+        wait = doubled(self._policy.load_backoff, failures.count, self._policy.load_backoff_limit)
         failures.count += 1
         failures.retry_at = now + wait * self._jitter(target, failures.count)
 
--- a/packages/wigeonarch-core/src/wigeonarch_core/circuit.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/circuit.py
@@ -12,7 +12,7 @@
 from random import Random
 from typing import Final
 
-from wigeonarch_core.retry import full_jitter
+from wigeonarch_core.retry import doubled, full_jitter
 
 FAILURES_TO_OPEN: Final = 3
 MIN_PAUSE: Final = 0.5  # Seconds.
@@ -111,7 +111,7 @@
         if circuit.state is State.OPEN and before is not State.OPEN:
             # Full jitter alone could give a pause near 0, so half of the bound is always waited.
             jitter = full_jitter(circuit.times_opened, MIN_PAUSE, MAX_PAUSE, self._rng)
-            half_bound = min(MAX_PAUSE, MIN_PAUSE * 2.0**circuit.times_opened) / 2
+            half_bound = doubled(MIN_PAUSE, circuit.times_opened, MAX_PAUSE) / 2
             circuit.retry_at = now + half_bound + jitter / 2
             circuit.times_opened += 1
 
--- a/packages/wigeonarch-core/src/wigeonarch_core/endpoint_health.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/endpoint_health.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from wigeonarch_core.retry import doubled
+
 MIN_PAUSE: Final = 0.5  # Seconds; about the latency objective of the most urgent requests.
 MAX_PAUSE: Final = 4.0  # Seconds; a crashed endpoint restarts within a few seconds.
 ANSWER_WEIGHT: Final = 0.15  # Of one response in the failure share: about the last ten count.
@@ -82,7 +84,7 @@
         was_probe, found.probing = found.probing, False
         if now < found.paused_until and not was_probe:
             return  # Sent before the pause began, so it is no new evidence.
-        found.paused_until = now + min(MAX_PAUSE, MIN_PAUSE * 2.0**found.pauses)
+        found.paused_until = now + doubled(MIN_PAUSE, found.pauses, MAX_PAUSE)
         found.pauses += 1
 
     def failure_share(self, endpoint: str) -> float:
--- a/packages/wigeonarch-core/src/wigeonarch_core/retry.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/retry.py
@@ -16,6 +16,7 @@
 RESERVE: Final = 10.0  # Retries.
 MIN_PAUSE: Final = 0.02  # Seconds.
 MAX_PAUSE: Final = 1.0  # Seconds.
+MAX_DOUBLINGS: Final = 60  # Of a pause; a float overflows at 1,024.
 
 
 class RetryBudget:
@@ -48,6 +49,17 @@
         return True
 
 
+def doubled(first: float, times: int, most: float) -> float:
+    """Returns a pause that doubles up to a bound, however often it did.
+
+    Args:
+        first: The first pause, in seconds.
+        times: Number of pauses before this one.
+        most: The longest pause, in seconds.
+    """
+    return min(most, first * 2.0 ** min(times, MAX_DOUBLINGS))
+
+
 def full_jitter(attempt: int, first_bound: float, max_bound: float, rng: Random) -> float:
     """Returns a pause in seconds, uniform between 0 and a bound that doubles with each attempt.
 
@@ -57,4 +69,4 @@
         max_bound: Greatest bound, in seconds.
         rng: Source of random numbers.
     """
-    return rng.uniform(0.0, min(max_bound, first_bound * 2.0**attempt))
+    return rng.uniform(0.0, doubled(first_bound, attempt, max_bound))
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_controller.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_controller.py
@@ -19,6 +19,7 @@
 from wigeonarch_core.engine_choice import MAX_CONCURRENT_LOADS
 from wigeonarch_core.engine_places import AdapterKey, AdapterName, AdapterPlaces
 from wigeonarch_core.load_time import LoadTimeEstimate
+from wigeonarch_core.retry import doubled
 from wigeonarch_core.routes import EngineSpec, ModelSpec
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.logs import log
@@ -506,7 +507,7 @@
             return
         # What is known of the engine may be wrong.
         self._sequence = None
-        pause = min(MAX_CONFLICT_PAUSE, MIN_CONFLICT_PAUSE * 2.0 ** (self._failed_orders - 1))
+        pause = doubled(MIN_CONFLICT_PAUSE, self._failed_orders - 1, MAX_CONFLICT_PAUSE)
         self._blocked_until = monotonic() + pause
 
     async def _read_report(self, record: EndpointRecord) -> bool:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
@@ -20,6 +20,7 @@
 from typing import Final
 
 import msgspec
+from wigeonarch_core.retry import doubled
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.logs import log
 
@@ -200,7 +201,7 @@
     """
     if sharing.is_watcher():
         return opts.retry
-    return min(opts.retry * 2.0**failures, opts.retry_most)
+    return doubled(opts.retry, failures, opts.retry_most)
 
 
 async def _list(
--- a/tests/test_endpoint_health.py
+++ b/tests/test_endpoint_health.py
@@ -68,3 +68,14 @@
         health.record_answer("e", failed=False)
     assert health.failure_share("e") < 0.02
     assert health.failure_share("other") == 0.0
+
+
+def test_an_endpoint_may_be_unreachable_for_hours() -> None:
+    health = EndpointHealth()
+    now = 0.0
+    for _ in range(2000):
+        now += 2 * MAX_PAUSE
+        health.record_send("e", now)
+        health.record_unreachable("e", now)
+    assert health.is_paused("e", now + MAX_PAUSE / 2)
+    assert not health.is_paused("e", now + MAX_PAUSE)
--- a/tests/test_gateway_watching.py
+++ b/tests/test_gateway_watching.py
@@ -333,3 +333,11 @@
 
 def test_the_watch_of_the_configuration_is_shorter_than_its_bound() -> None:
     assert OPTS.watch_configuration < 2.0
+
+
+def test_the_pause_between_calls_is_bounded_in_an_outage_of_hours() -> None:
+    sharing = WatchSharing(
+        "me", OPTS, lambda: ["other"], lambda name, frame: True, new_store_contact()
+    )
+    opts = StoreOptions()
+    assert watching_module._retry_pause(opts, sharing, 5000) == opts.retry_most
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,7 +8,7 @@
 from wigeonarch_core.admission import Admission
 from wigeonarch_core.circuit import MAX_PAUSE, CircuitBreakers, State
 from wigeonarch_core.outcomes import Reason
-from wigeonarch_core.retry import RetryBudget, full_jitter
+from wigeonarch_core.retry import RetryBudget, doubled, full_jitter
 
 
 @pytest.mark.parametrize(
@@ -127,3 +127,13 @@
         assert admission.try_admit("a") is None
         admission.release("a")
     assert admission.in_progress == admission.count_of("a") == 0
+
+
+@pytest.mark.parametrize(
+    ("times", "expected"), [(0, 0.1), (1, 0.2), (3, 0.8), (4, 1.0), (1023, 1.0), (100_000, 1.0)]
+)
+def test_a_pause_doubles_up_to_its_bound_however_long_an_outage_lasts(
+    times: int, expected: float
+) -> None:
+    assert doubled(0.1, times, 1.0) == expected
+    assert full_jitter(times, 0.1, 1.0, Random(1)) <= expected
