Count an answer of the store that can't be used as an answer

Cause: in an outage only the kind of objects that failed first calls the store, the others wait for its answer. An answer that can't be decoded counted as a failure of that sort, so that the others waited for as long as it lasted.

Evidence: a deployment whose list of endpoints is malformed, an outage of all calls, a new configuration: two of three cases never get it before this commit (the third, a lone surrogate, is mended since the list is split by members).

Change: `Unavailable.answered`; such a result shows no outage and lets the others call at once. It is logged as store_answer_unusable.

After: all three get it.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
@@ -77,10 +77,12 @@
     Attributes:
         reason: Reason for the log.
         no_effect: Whether it is certain that the call had and will have no effect.
+        answered: Whether the store did answer, but the answer can't be used.
     """
 
     reason: str
     no_effect: bool = False
+    answered: bool = False
 
 
 class ObjectStore(Protocol):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/watching.py
@@ -85,7 +85,7 @@
         """Waits until a call that failed should be repeated.
 
         In an outage only the kind that failed first calls the store; the others wait for its
-        answer.
+        answer. A kind whose answers can't be used shows no outage, and no other waits for it.
         """
         if next(iter(self._failing_kinds), kind) is kind:
             await asyncio.sleep(pause)
@@ -94,6 +94,10 @@
 
     def note_failure(self, kind: ObjectKind, result: Unavailable) -> None:
         """Notes a failed call for a kind."""
+        if result.answered:
+            self.note_answer(kind)
+            log("store_answer_unusable", "WARNING", kind=kind.value, reason=result.reason)
+            return
         if kind not in self._failing_kinds:
             self._failing_kinds[kind] = None
             log("store_lost", "WARNING", kind=kind.value, reason=result.reason)
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -13,9 +13,10 @@
 
 import msgspec
 import pytest
-from gateway_world import until_true, world
+from gateway_world import configuration, until_true, world
 from hypothesis import given
 from hypothesis import strategies as st
+from standins.store import StoreFault
 from wigeonarch_core import messages as entry_messages
 from wigeonarch_core import settings, snapshots
 from wigeonarch_core.decoding import MAX_DEPTH, check_plain_value, decode_json_value
@@ -188,6 +189,28 @@
         assert not any(task.done() for task in deployment.tasks)
 
 
+@pytest.mark.parametrize(
+    "content", [b'"mill\\udcff"', b'"mill', b"]"], ids=["lone_surrogate", "no_end", "no_begin"]
+)
+async def test_configurations_come_into_force_after_an_outage_beside_unreadable_endpoints(
+    content: bytes,
+) -> None:
+    async with world() as deployment:
+        [node], store = deployment.nodes, deployment.store
+        await deployment.wait_until_served("/ask/x")
+        store.body_replacements = {b'"@"': content}
+        await store.put("servers", "i-foreign", {**deployment.replicas[1].record(), "models": "@"})
+        calls = len(store.calls)
+        await until_true(lambda: len(store.calls) > calls + 10)
+        store.fault = StoreFault.SILENT
+        await until_true(
+            lambda: len(node._store_state._failing_kinds) == len(node._sharing.kinds())
+        )
+        store.fault = StoreFault.NONE
+        await store.put("config", "main", configuration(2))
+        await until_true(lambda: node._catalogue.table.version == 2)  # type: ignore[union-attr]
+
+
 LONG_NUMBERS = [digits + "0" * 25 for digits in ("1", "9")] + ["9" * 400, "9" * 5000]
 
 
--- a/tests/test_gateway_watching.py
+++ b/tests/test_gateway_watching.py
@@ -341,3 +341,17 @@
     )
     opts = StoreOptions()
     assert watching_module._retry_pause(opts, sharing, 5000) == opts.retry_most
+
+
+async def test_a_kind_whose_answers_can_not_be_used_keeps_no_other_from_being_read() -> None:
+    state = StoreReachability()
+    for kind in (ObjectKind.ENDPOINTS, ObjectKind.CONFIGURATION):
+        state.note_failure(kind, Unavailable("timeout"))
+    waiting = asyncio.create_task(state.wait_before_retry(ObjectKind.CONFIGURATION, OPTS.retry))
+    await asyncio.sleep(0)
+    state.note_failure(ObjectKind.ENDPOINTS, Unavailable("undecodable response", answered=True))
+    async with asyncio.timeout(10.0):
+        await waiting
+    assert state.is_away
+    state.note_answer(ObjectKind.CONFIGURATION)
+    assert not state.is_away
