Keep the pause after a takeover when the new owner's lease begins anew

Cause: an owner whose lease has lapsed writes its owner objects again. The time from which it may give orders was kept only within a generation of its lease; in the next one it came from the object's mark, which is ignored for engines that the process owns, so that the pause was over at once. The object lost its mark, too, so that a process that started again did not wait either.

Ruled out: an engine whose entry goes and comes back (the mark is read then); an owner of an earlier era (Era.settled_at is added as before).

Change: the time until which a process has to wait counts in each claim of it.

`lose` moved to version_streams for two files.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_ownership.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/engine_ownership.py
@@ -374,15 +374,21 @@
             self._note_owned(wanted, spec, result.revision, generation)
 
     def _orders_from(self, wanted: Claim) -> float:
-        """Returns the time from which orders may be given if a write is accepted now."""
-        from_now = monotonic() + wanted.pause
+        """Returns the time from which orders may be given if a write is accepted now.
+
+        What this process has to wait for it goes on waiting for, also in a new generation of its
+        lease: the owner object doesn't tell when the pause after a takeover began.
+        """
+        earliest = monotonic() + wanted.pause
         owned = self._owned.get(wanted.endpoint)
-        if owned is not None and self._owned_throughout(owned):
-            return max(from_now, owned.not_before)
+        if owned is not None:
+            earliest = max(earliest, owned.not_before)
+            if self._owned_throughout(owned):
+                return earliest
         if wanted.no_earlier_owner:
-            return from_now
+            return earliest
         opts = self._opts
-        return max(from_now, self._era.settled_at(opts.term, opts.margin, opts.pause))
+        return max(earliest, self._era.settled_at(opts.term, opts.margin, opts.pause))
 
     def _note_owned(self, wanted: Claim, spec: EngineSpec, fence: int, generation: int) -> None:
         endpoint = wanted.endpoint
--- a/tests/test_streams_after_loss_of_all.py
+++ b/tests/test_streams_after_loss_of_all.py
@@ -24,7 +24,7 @@
     begin_at,
     events,
     is_ready,
-    kill,
+    lose,
     place_first_engine,
     remove_engine,
     set_length,
@@ -73,17 +73,6 @@
         await lose(deployment, 0)
 
 
-async def lose(deployment: World, number: int) -> None:
-    """Ends an instance without its shutdown, and leaves its sockets to its next incarnation."""
-    await kill(deployment, number)
-    node = deployment.nodes.pop(number)
-    del deployment.tasks[number], deployment.options[number]
-    await node._peer_server.close()
-    for status in (node._ready_server, node._metrics_server):
-        await status.close()
-    await node._store.close()
-
-
 async def start_all(deployment: World, loss: Loss) -> None:
     """Starts all instances again under their own names."""
     for number in range(loss.instances):
--- a/tests/version_streams.py
+++ b/tests/version_streams.py
@@ -171,5 +171,16 @@
     await gone._http_server.close()
 
 
+async def lose(deployment: World, number: int) -> None:
+    """Ends an instance without its shutdown, and leaves its sockets to its next incarnation."""
+    await kill(deployment, number)
+    node = deployment.nodes.pop(number)
+    del deployment.tasks[number], deployment.options[number]
+    await node._peer_server.close()
+    for status in (node._ready_server, node._metrics_server):
+        await status.close()
+    await node._store.close()
+
+
 async def is_ready(deployment: World, node: int) -> bool:
     return await deployment.readiness_status(node) == 200
