Log over which connection a request was refused, and by which answer

Cause: open; logs could not tell a late second copy of a refusal, a refusal that names no request and a wrong note of the instance from one another.

Change: connections have numbers and count what was sent on them. `sent` tells both, `turned_away` also the status, the time since the dispatch, whether the answer names the request and whether the request had been on that connection before. New lines for answers that are skipped and for bytes that nobody waits for. The stand-in of an endpoint names the request in its refusals, as the protocol says of all answers, can refuse the next few requests, and can send refusals again; `Connection.unused` had no use. No decision is changed.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/connections.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/connections.py
@@ -25,6 +25,7 @@
 
 import httptools
 from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway.answer_bounds import (
     MAX_BODY_BYTES,
@@ -75,19 +76,22 @@
     """A connection to an endpoint.
 
     Attributes:
+        number: Its number among the connections that its pool has opened, for log lines.
+        sent_count: Requests and calls sent on it so far.
         connected_at: Time at which it was opened, in seconds of the monotonic clock.
         idle_since: Time at which the last response was read, in seconds of the event loop's clock.
         process_born: Start time of the process at its other end, as that one reported it; 0 if
             it has not been asked.
         keep_alive_timeout: Seconds for which the endpoint keeps an idle connection; None if it did
             not say.
-        unused: Whether no request was sent on it yet.
         received: Bytes received since the last request was sent.
         body_bytes: Those of them that are part of the response's body.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, number: int = 0) -> None:
         self._loop = loop
+        self.number = number
+        self.sent_count = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._response = _ResponseState()
@@ -105,7 +109,6 @@
         self.idle_since = 0.0
         self.process_born = 0
         self.keep_alive_timeout: float | None = None
-        self.unused = True
         self.received = 0
         self.body_bytes = 0
         self._skipped = 0  # Responses that were skipped since the last request was sent.
@@ -125,6 +128,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; closes the connection if no request waits for a response."""
         if self._head_future is None:
+            log("unexpected_bytes", conn=self.number, size=len(data), sent=self.sent_count)
             self._invalidate("bytes received without a request")
             return
         self.received += len(data)
@@ -186,6 +190,8 @@
         if self._is_foreign is not None and self._is_foreign(head):
             self._response.foreign = True
             self._skipped += 1
+            if self._skipped == 1:
+                log("answer_skipped", conn=self.number, status=head.status, sent=self.sent_count)
             return
         self._note_keep_alive(head)
         if self._head_future is not None and not self._head_future.done():
@@ -244,7 +250,7 @@
         self._is_foreign = is_foreign
         self._no_body = no_body
         self._complete = False
-        self.unused = False
+        self.sent_count += 1
         self.received = self.body_bytes = self._skipped = 0
         self._excess = ""
         if self._transport is not None:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -376,10 +376,14 @@
             pace=self._selector.pace(record),
             waited=monotonic() - job.request.received,
             parts=_logged_parts(job),
+            conn=conn.number,
+            sent_before=conn.sent_count,
             **self._stream_fields(job),
         )
         judge = self._dialect.classify_response
         job.may_have_run_on.append(record.endpoint)
+        is_resent = conn.number in job.connections
+        job.connections.add(conn.number)
         conn.send_request(
             self._encode_request(job, record),
             lambda head: judge(job.request_id, head) is Verdict.FOREIGN,
@@ -399,6 +403,7 @@
             self._outcomes.record_notice(job, record, notice, verdict)
         if verdict in (Verdict.NOT_RUN, Verdict.MISDIRECTED):
             job.may_have_run_on.remove(record.endpoint)
+            self._log_refusal(job, record, conn, head, is_resent)
             return await self._handle_refusal(job, record, conn, in_flight, verdict)
         if job.note_head():
             waited = monotonic() - job.request.received
@@ -423,6 +428,26 @@
             return None
         return RESPONSE_TIMEOUT_SHARE * job.route.objective
 
+    def _log_refusal(
+        self, job: Job, record: EndpointRecord, conn: Connection, head: ResponseHead, resent: bool
+    ) -> None:
+        """Logs a refusal, with what tells whether it is the answer to the last dispatch."""
+        log(
+            "turned_away",
+            request=job.request_id,
+            endpoint=record.endpoint,
+            status=head.status,
+            sends=job.dispatch_count,
+            running=self._traffic.load_at(record.endpoint).running,
+            slots=record.slots,
+            waited=monotonic() - job.request.received,
+            took=monotonic() - job.dispatched_at,
+            conn=conn.number,
+            sent_before=conn.sent_count - 1,
+            resent=resent,
+            named=self._dialect.answered_id(head) is not None,
+        )
+
     async def _handle_refusal(
         self,
         job: Job,
@@ -435,15 +460,6 @@
         self._pools.release(record.endpoint, conn)
         self._outcomes.record_refusal(record, verdict)
         self._metrics.turned_away.labels(job.service, str(job.dispatch_count == 1).lower()).inc()
-        log(
-            "turned_away",
-            request=job.request_id,
-            endpoint=record.endpoint,
-            sends=job.dispatch_count,
-            running=self._traffic.load_at(record.endpoint).running,
-            slots=record.slots,
-            waited=monotonic() - job.request.received,
-        )
         if in_flight.adapter is None:
             return DispatchFailure.NOT_RUN
         # The response does not always say whether the adapter is missing: its load may not have
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/jobs.py
@@ -51,6 +51,7 @@
         dispatched_at: Time of the last dispatch.
         writing_since: Time of the first event of the last dispatch; 0 before.
         may_have_run_on: Endpoints on which it may have run, in order of dispatch.
+        connections: Numbers of the connections on which it was sent to endpoints.
         refusal_count: Number of dispatches after which it certainly had not run.
         avoided_endpoints: Endpoints to which it should not be sent again.
         splitter: Splits the event stream and counts the events that were forwarded.
@@ -86,6 +87,7 @@
     dispatched_at: float = 0.0
     writing_since: float = 0.0
     may_have_run_on: list[str] = field(default_factory=list)
+    connections: set[int] = field(default_factory=set)
     refusal_count: int = 0
     avoided_endpoints: set[str] = field(default_factory=set)
     splitter: EventSplitter = field(default_factory=EventSplitter)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/pools.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/pools.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import enum
+import itertools
 from typing import Final
 
 from wigeonarch_runtime.timeouts import timeout_after
@@ -34,7 +35,7 @@
 class ConnectionPools:
     """The connections of this instance to all endpoints."""
 
-    __slots__ = ("_idle", "_loop", "_opened_count", "_source")
+    __slots__ = ("_idle", "_loop", "_numbers", "_opened_count", "_source")
 
     def __init__(self, loop: asyncio.AbstractEventLoop, source: str) -> None:
         """Creates empty pools.
@@ -47,6 +48,7 @@
         self._source = source
         self._idle: dict[str, list[Connection]] = {}
         self._opened_count = 0
+        self._numbers = itertools.count(1)
 
     @property
     def opened_count(self) -> int:
@@ -133,9 +135,10 @@
         """
         host, _, port = address.rpartition(":")
         source = (self._source, 0) if self._source else None
+        number = next(self._numbers)
         async with timeout_after(CONNECT_TIMEOUT):
             _, conn = await self._loop.create_connection(
-                lambda: Connection(self._loop), host, int(port), local_addr=source
+                lambda: Connection(self._loop, number), host, int(port), local_addr=source
             )
         self._opened_count += 1
         return conn
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/ports.py
@@ -326,6 +326,7 @@
         endpoint_headers: Converts a caller's request headers to those for the endpoint.
         classify_response: Determines the verdict on a response from the id of the request and the
             head of the response.
+        answered_id: Reads the id of the request that a response names; None if it names none.
         read_notice: Reads what the endpoint states about itself from a response head; None if
             another endpoint may have sent it.
         order_body: Encodes an order as a request body.
@@ -344,6 +345,7 @@
     read_key: Callable[[Headers], str | None]
     endpoint_headers: Callable[[Headers, Dispatch], list[tuple[bytes, bytes]]]
     classify_response: Callable[[str, ResponseHead], Verdict]
+    answered_id: Callable[[ResponseHead], str | None]
     read_notice: Callable[[ResponseHead], Notice | None]
     order_body: Callable[[Order], bytes]
     order_result: Callable[[int], OrderResult]
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -74,6 +74,24 @@
     size: int | None = None
 
 
+@dataclass(frozen=True)
+class LateCopies:
+    """Further copies of each rejection, sent on its connection.
+
+    Attributes:
+        count: Number of copies.
+        delay: Seconds after the rejection at which the first is sent, and between two; None to send
+            all when the next response on the connection is due.
+        size: Bytes of each copy that are sent; None for all.
+        named: Whether the copies name the request.
+    """
+
+    count: int = 1
+    delay: float | None = 0.25
+    size: int | None = None
+    named: bool = True
+
+
 @dataclass
 class ReceivedRequest:
     """A received request.
@@ -92,6 +110,11 @@
     peer: str = ""
     incarnation: int = 0
 
+    @property
+    def id(self) -> str:
+        """Returns the request's id; empty if it has none."""
+        return self.headers.get("x-request-id", "")
+
     def shared_parts(self) -> set[str]:
         """Returns the ids of all parts of its prompt but the last."""
         parts = self.headers.get("x-prefix-hash", "").split(",")
@@ -112,6 +135,8 @@
         signs: Whether its responses bear its signature.
         software: Version of its software, which marks its events.
         extra_headers: Headers that its answers bear besides.
+        rejects_next: Number of requests that it rejects next, whatever its fault.
+        late_copies: Copies of its rejections that follow; None for none.
         resets_rejections: Whether the connection is reset in the midst of each rejection.
         response_end: How and where responses end; None to mark the end of whole ones.
         delays_orders: Whether orders get no response and are executed after `order_delay` seconds.
@@ -149,6 +174,8 @@
     load_time: float = 0.05
     events: int = 6
     fault: ReplicaFault = ReplicaFault.NONE
+    rejects_next: int = 0
+    late_copies: LateCopies | None = None
     resets_rejections: bool = False
     signs: bool = True
     software: str = DEFAULT_SOFTWARE
@@ -195,6 +222,7 @@
     restart_delay: float = 0.3  # Seconds until it listens again.
     on_restarted: Callable[[], Awaitable[None]] | None = None
     room: Room | None = None
+    _due_copies: dict[asyncio.StreamWriter, list[bytes]] = field(default_factory=dict)
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _connection_tasks: set[asyncio.Task[None]] = field(default_factory=set)  # One per connection.
@@ -276,6 +304,7 @@
         finally:
             self._tasks.discard(task)
             self._connection_tasks.discard(task)
+            self._due_copies.pop(writer, None)
             writer.close()
 
     async def _handle_request(
@@ -283,7 +312,7 @@
     ) -> bool:
         expected = request.headers.get("x-expect-instance", self.name)
         if expected != self.name:
-            _write_response(writer, 421, {"X-Instance-Id": self.name, **self._state_headers()})
+            self._write_misdirected(request, writer)
             return True
         if request.target == "/wigeonarch/report":
             self.control_requests.append((time.monotonic(), request.peer))
@@ -431,31 +460,29 @@
         is_missing = (adapter and adapter not in self.loaded) or (model and self.model_missing)
         is_other_version = adapter and version and self.loaded.get(adapter) != int(version)
         if (model and model != self.model) or is_missing or is_other_version:
-            _write_response(writer, 421, {"X-Instance-Id": self.name, **self._state_headers()})
+            self._write_misdirected(request, writer)
             return True
         if self.fault is ReplicaFault.SHED and self.resets_rejections:
             self.rejections.append((time.monotonic(), request.peer))
-            writer.write(_encode_head(503, {"X-Not-Executed": "1"}, 10) + b"ful")
+            head = {"X-Not-Executed": "1", **_echoed_id(request)}
+            writer.write(_encode_head(503, head, 10) + b"ful")
             await writer.drain()
             await asyncio.sleep(0.05)  # So that the head arrives before the reset.
             writer.transport.abort()
             return False
-        if self.fault is ReplicaFault.SHED:
-            self.rejections.append((time.monotonic(), request.peer))
-            cooldown = {"Retry-After": self.retry_after} if self.retry_after else {}
+        if self.fault is ReplicaFault.SHED or self.rejects_next:
+            self.rejects_next = max(0, self.rejects_next - 1)
             if self.retry_after:
                 self.cooldowns.append((request, float(self.retry_after)))
-            _write_response(
-                writer, 503, {"X-Not-Executed": "1", **cooldown, **self._state_headers()}
-            )
+            self._reject(request, writer, {"Retry-After": self.retry_after})
             return True
         if self.room is None:
             return await self._run(request, reader, writer, adapter)
         if not self.room.has_room():
-            self.rejections.append((time.monotonic(), request.peer))
             if self.room.reject():
+                self.rejections.append((time.monotonic(), request.peer))
                 await self._crash()
-            _write_response(writer, 503, {"X-Not-Executed": "1", **self._state_headers()})
+            self._reject(request, writer, {})
             return True
         await self.room.enter()
         try:
@@ -466,6 +493,30 @@
         finally:
             await self.room.leave()
 
+    def _write_misdirected(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        headers = {"X-Instance-Id": self.name, **_echoed_id(request), **self._state_headers()}
+        _write_response(writer, 421, headers)
+
+    def _reject(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter, headers: dict[str, str]
+    ) -> None:
+        """Rejects a request with 503, also by the late copies."""
+        self.rejections.append((time.monotonic(), request.peer))
+        found = {name: value for name, value in headers.items() if value} | self._state_headers()
+        found["X-Not-Executed"] = "1"
+        _write_response(writer, 503, {**found, **_echoed_id(request)})
+        late = self.late_copies
+        if late is None:
+            return
+        named = _echoed_id(request) if late.named else {}
+        copy = _encode_head(503, {**found, **named}, 0)[: late.size]
+        if late.delay is None:
+            self._due_copies.setdefault(writer, []).extend([copy] * late.count)
+            return
+        for number in range(late.count):
+            when = (number + 1) * late.delay
+            asyncio.get_running_loop().call_later(when, _write_if_open, writer, copy)
+
     async def _run(
         self,
         request: ReceivedRequest,
@@ -505,6 +556,7 @@
         if self.answer_delay and await _wait_for_close(reader, self.answer_delay):
             self.cancelled += 1
             return False
+        writer.writelines(self._due_copies.pop(writer, ()))
         if self.fault is ReplicaFault.SILENT:
             await asyncio.sleep(3600)
         if self.fault is ReplicaFault.RESET:
@@ -645,6 +697,15 @@
     return None
 
 
+def _echoed_id(request: ReceivedRequest) -> dict[str, str]:
+    return {"X-Request-Id": request.id} if request.id else {}
+
+
+def _write_if_open(writer: asyncio.StreamWriter, data: bytes) -> None:
+    if not writer.is_closing():
+        writer.write(data)
+
+
 def _encode_head(
     status: int, headers: dict[str, str], length: int | None, chunked: bool = False
 ) -> bytes:
