Take no late answer to a request for the answer to an order or a report

Cause: requests, orders and requests for reports share connections. A call accepted whatever came next, so that a second, late answer to a request counted as the answer to an order (200 "holds", 202 "started") or as a report.

Ruled out: harm by an order's answer that comes again itself: it has no id, but the order's number makes the engine refuse the next one, and the report is read.

Change: a call's answer names no request; one that does is skipped.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/calls.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/calls.py
@@ -65,7 +65,7 @@
         return CallResult(0, b"", False)
     try:
         async with timeout_after(timeout):
-            head, found = await _exchange(conn, request)
+            head, found = await _exchange(conn, dialect, request)
     except (ConnectionLost, TimeoutError):
         conn.close()
         return CallResult(0, b"", True)
@@ -94,7 +94,7 @@
     request = _encode_call(dialect, endpoint, "GET", dialect.report_path, b"")
     try:
         async with timeout_after(timeout):
-            head, body = await _exchange(conn, request)
+            head, body = await _exchange(conn, dialect, request)
         if head.status != OK or not conn.finish():
             return False
         conn.process_born = dialect.decode_report(body).born
@@ -117,8 +117,13 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-async def _exchange(conn: Connection, request: bytes) -> tuple[ResponseHead, bytes]:
-    """Sends a call and reads the response."""
-    conn.send_request(request, None)
+async def _exchange(
+    conn: Connection, dialect: Dialect, request: bytes
+) -> tuple[ResponseHead, bytes]:
+    """Sends a call and reads the response.
+
+    A call has no id. So a response that names one belongs to a request that was sent before.
+    """
+    conn.send_request(request, lambda head: dialect.answered_id(head) is not None)
     head = await conn.read_head()
     return head, await conn.read_all(MAX_REPORT_BYTES)
