Read ports in one place that raises for no text

Cause: `is_address` read a port with `int`, which raises ValueError for more than 4,300 digits. Where an endpoint's entry is decoded that is expected; where leases are listed and where seeds answer, it was not: the task that lists the leases would have ended, and with it the process, again after each start.

Change: one module reads addresses, for settings, entries, leases and messages; there were two copies.

--- a/packages/wigeonarch-core/src/wigeonarch_core/settings.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/settings.py
@@ -6,19 +6,18 @@
 
 from __future__ import annotations
 
-import ipaddress
 import math
 from collections.abc import Callable, Iterator
 from typing import Final
 
 import msgspec
 
+from wigeonarch_core.addresses import is_address, parse_ip
 from wigeonarch_core.decoding import decode_json
 from wigeonarch_core.options import Limits, Options, Timing
 from wigeonarch_core.policy_options import PolicyOptions
 from wigeonarch_core.refs import is_name
 
-MAX_PORT: Final = 65535
 LOG_LEVELS: Final = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -106,24 +105,10 @@
 }
 
 
-def _parse_ip(host: str) -> ipaddress.IPv4Address | ipaddress.IPv6Address | None:
-    try:
-        return ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-    except ValueError:
-        return None
-
-
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    if _parse_ip(host) is None or not (port.isascii() and port.isdigit()):
-        return False
-    return 0 < int(port) <= MAX_PORT
-
-
 def _is_reachable(text: str) -> bool:
     """Returns whether others can connect to an address, so it must not mean all of a host's."""
     host, _, _ = text.rpartition(":")
-    ip = _parse_ip(host)
+    ip = parse_ip(host)
     return ip is not None and not ip.is_unspecified
 
 
@@ -139,17 +124,17 @@
         "$.instance", lambda o: is_name(o.instance), "must be a name: printable, no space, / or @"
     ),
     Check("$.zone", lambda o: is_name(o.zone), "must be a name: printable, no space, / or @"),
-    Check("$.http", lambda o: _is_address(o.http), ADDRESS),
-    Check("$.rpc", lambda o: _is_address(o.rpc), ADDRESS),
-    Check("$.peer", lambda o: _is_address(o.peer), ADDRESS),
-    Check("$.peer_public", lambda o: not o.peer_public or _is_address(o.peer_public), ADDRESS),
+    Check("$.http", lambda o: is_address(o.http), ADDRESS),
+    Check("$.rpc", lambda o: is_address(o.rpc), ADDRESS),
+    Check("$.peer", lambda o: is_address(o.peer), ADDRESS),
+    Check("$.peer_public", lambda o: not o.peer_public or is_address(o.peer_public), ADDRESS),
     Check("$.http", lambda o: _is_reachable(o.http), REACHABLE),
     Check("$.rpc", lambda o: _is_reachable(o.rpc), REACHABLE),
     Check("$.peer", lambda o: _is_reachable(o.peer_public or o.peer), REACHABLE),
     Check("$.peer", _are_distinct, "http, rpc and peer must be three different addresses"),
-    Check("$.source", lambda o: not o.source or _parse_ip(o.source) is not None, "must be an IP"),
+    Check("$.source", lambda o: not o.source or parse_ip(o.source) is not None, "must be an IP"),
     Check("$.platform", lambda o: bool(o.platform), "must name at least one address"),
-    Check("$.platform", lambda o: all(map(_is_address, o.platform)), "must be IP:PORT each"),
+    Check("$.platform", lambda o: all(map(is_address, o.platform)), "must be IP:PORT each"),
     Check(
         "$.log_level",
         lambda o: o.log_level in LOG_LEVELS,
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/directory.py
@@ -12,10 +12,10 @@
 from dataclasses import dataclass
 from typing import Final
 
+from wigeonarch_core.addresses import is_ipv4_address
 from wigeonarch_core.revisions import era_of
 
 from wigeonarch_gateway.object_contents import LeaseContent, read_lease
-from wigeonarch_gateway.peer_socket import is_address
 from wigeonarch_gateway.ports import StoredObject
 
 LIST_INTERVAL: Final = 5.0  # Seconds between lists of the leases by a delegate.
@@ -83,7 +83,7 @@
         changed = []
         for lease in leases:
             content = read_lease(lease)
-            if content is None or not is_address(content.address):
+            if content is None or not is_ipv4_address(content.address):
                 continue
             entry = before.get(lease.name)
             if entry is None or _is_renewed(entry, lease.revision, content):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/discovery.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/discovery.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
+from wigeonarch_core.addresses import is_ipv4_address
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.timeouts import timeout_after
 
@@ -28,7 +29,7 @@
 )
 from wigeonarch_gateway.messages import PeerAddresses, PeerQuery
 from wigeonarch_gateway.options import Options
-from wigeonarch_gateway.peer_socket import PeerSocket, is_address
+from wigeonarch_gateway.peer_socket import PeerSocket
 from wigeonarch_gateway.ports import Listing, ObjectKind, ObjectStore, StoredObject
 
 FIRST_LIST_TIMEOUT: Final = 0.5  # Seconds to wait for the first list of the leases.
@@ -142,7 +143,7 @@
 
     def answer_query(self, query: PeerQuery) -> None:
         """Sends an instance that just started the addresses of the others in its zone."""
-        if not is_address(query.address):
+        if not is_ipv4_address(query.address):
             return
         self.note_address(query.address, query.zone)
         nearby = [address for address, zone in self._zones.items() if zone == query.zone]
@@ -154,7 +155,7 @@
     def take_addresses(self, reply: PeerAddresses) -> None:
         """Notes the addresses in a seed's reply; heartbeats will bring the rest."""
         for address in reply.addresses:
-            if is_address(address):
+            if is_ipv4_address(address):
                 self.note_address(address, reply.zone)
 
     # Leases.
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_socket.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_socket.py
@@ -12,7 +12,6 @@
 
 import asyncio
 from collections.abc import Callable
-from ipaddress import IPv4Address
 from typing import Final, cast
 
 from wigeonarch_runtime.logs import log
@@ -22,7 +21,6 @@
 # Bytes of one message; less than the largest datagram. The operating system splits datagrams into
 # packets.
 MAX_MESSAGE_BYTES: Final = 60_000
-MAX_PORT: Final = 65_535
 
 
 class PeerSocket(asyncio.DatagramProtocol):
@@ -95,13 +93,3 @@
     """Returns the host and port of `IP:PORT`."""
     host, _, port = address.rpartition(":")
     return host, int(port)
-
-
-def is_address(text: str) -> bool:
-    """Tells whether a text has the form `IP:PORT`."""
-    host, _, port = text.rpartition(":")
-    try:
-        IPv4Address(host)
-    except ValueError:
-        return False
-    return port.isascii() and port.isdecimal() and 0 < int(port) <= MAX_PORT
