Decode the platform's list of instances item by item

Cause: the entry instance decoded the platform's list as a whole. An item of another form raised an error that nobody expected, which ends the process; one that is nested deep or holds a number of more than 64 bits made the whole list unusable, so that the instance followed it no more.

Ruled out: connecting to an odd address (reports and orders to 13 odd addresses gave no exception, on both event loops).

Change: items are decoded one by one, also where they can only be told by their brackets; one that can't be used is logged once and left out.

--- a/packages/wigeonarch-entry/src/wigeonarch_entry/platform.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/platform.py
@@ -7,17 +7,20 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Any, Final
 
 import aiohttp
 import msgspec
-from wigeonarch_core.decoding import decode_json_value
+from wigeonarch_core.addresses import is_address
+from wigeonarch_core.decoding import decode_json, decode_json_value
+from wigeonarch_core.json_members import decode_by_member
 from wigeonarch_core.listing import Listed
 from wigeonarch_core.serving_right import PlatformReachability
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.http_client import NO_TIMEOUT
+from wigeonarch_runtime.logs import log
 from wigeonarch_runtime.timeouts import timeout_after
 
 from wigeonarch_entry.metrics import Metrics
@@ -89,7 +92,9 @@
 
 
 class _ListReply(msgspec.Struct):
-    items: tuple[Listed, ...]
+    """The platform's list; its items are decoded one by one."""
+
+    items: list[msgspec.Raw]
 
 
 WriteResult = Written | Conflict | Unavailable
@@ -102,7 +107,15 @@
         reachability: Tracks whether the platform has been answering.
     """
 
-    __slots__ = ("_address_index", "_addresses", "_metrics", "_session", "_timeout", "reachability")
+    __slots__ = (
+        "_address_index",
+        "_addresses",
+        "_metrics",
+        "_session",
+        "_timeout",
+        "_unusable_items",
+        "reachability",
+    )
 
     def __init__(
         self,
@@ -117,6 +130,7 @@
         """Makes the client; `source` is the local IP to connect from, empty for any."""
         self._addresses = addresses
         self._address_index = 0
+        self._unusable_items: frozenset[bytes] = frozenset()
         self._metrics = metrics
         self.reachability = reachability
         self._timeout = timeout
@@ -168,11 +182,28 @@
         return _write_result(await self._call("delete", "DELETE", path, None, headers))
 
     async def list_instances(self) -> tuple[Listed, ...] | Unavailable:
-        """Reads the platform's list of instances, which lags behind the real state."""
-        reply = await self._call("instances", "GET", "/v1/instances")
+        """Reads the platform's list of instances, which lags behind the real state.
+
+        Anyone may write to the list, so items that can't be used are left out.
+        """
+        reply = await self._call("instances", "GET", "/v1/instances", decode=_read_items)
         if isinstance(reply, Unavailable):
             return reply
-        return msgspec.convert(reply[1], _ListReply).items
+        found: list[Listed] = []
+        unusable: dict[bytes, str] = {}
+        for raw in reply[1]:
+            try:
+                found.append(_read_listed(bytes(raw)))
+            except ValueError as exc:
+                unusable[bytes(raw)] = str(exc)
+        self._log_unusable_items(unusable)
+        return tuple(found)
+
+    def _log_unusable_items(self, reasons: dict[bytes, str]) -> None:
+        """Logs items that can't be used, each once for as long as it is on the list."""
+        for text in reasons.keys() - self._unusable_items:
+            log("listed_item_unusable", "ERROR", bytes=len(text), reason=reasons[text])
+        self._unusable_items = frozenset(reasons)
 
     async def register(self, item: Listed) -> WriteResult:
         """Puts this instance on the list."""
@@ -227,9 +258,18 @@
         path: str,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
+        decode: Callable[[bytes], Any] = decode_json_value,
     ) -> tuple[int, Any] | Unavailable:
         """Makes one call.
 
+        Args:
+            call: Name of the call, for the metrics.
+            method: HTTP method.
+            path: HTTP path and query.
+            body: Body of the request.
+            headers: Headers of the request.
+            decode: Decodes the body of the response; raises ValueError if that can't be done.
+
         Returns:
             The status and the document if the platform answered the call (200, 404, 412).
         """
@@ -255,7 +295,7 @@
         self._metrics.control_bytes.labels("platform", "in").inc(len(text))
         if status in (_OK, _NOT_FOUND, _PRECONDITION_FAILED):
             try:
-                document = decode_json_value(text)
+                document = decode(text)
             except ValueError as exc:
                 self._record_failure(call, "unreadable", called_at)
                 return Unavailable(True, repr(exc))
@@ -277,6 +317,22 @@
         self._address_index += 1
 
 
+def _read_items(text: bytes) -> list[msgspec.Raw]:
+    """Returns the items of a list, not decoded; raises ValueError if this is no list."""
+    try:
+        return decode_json(text, _ListReply).items
+    except ValueError:
+        return decode_by_member(text, _ListReply).items
+
+
+def _read_listed(text: bytes) -> Listed:
+    """Returns an item of the list; raises ValueError if it can't be used."""
+    item = decode_json(text, Listed)
+    if not is_address(item.address):
+        raise ValueError("its address is not IP:PORT")
+    return item
+
+
 async def _next_line(resp: aiohttp.ClientResponse, silence: float) -> bytes:
     """Returns the next line of a watch; empty at its end."""
     async with timeout_after(silence):
