Tests that no answer whose head broke off is taken for one

Callers saw: nothing; another operator's report (an endpoint stops within its answer's head and closes; callers get a 200 with an empty or short body, framed as whole), looked for here. Not reproduced.

--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -67,11 +67,14 @@
         framing: How the end is marked.
         ending: How the response really ends.
         size: Bytes of the body that are sent; None for all.
+        head_size: Bytes of the head that are sent, from its end if negative; None for all. Nothing
+            follows a head that is cut.
     """
 
     framing: Framing
     ending: Ending
     size: int | None = None
+    head_size: int | None = None
 
 
 @dataclass(frozen=True)
@@ -596,7 +599,10 @@
         if end.framing is Framing.LENGTH:
             length = len(body) if marked else len(whole)
         is_chunked = end.framing is Framing.CHUNKS
-        writer.write(_encode_head(200, headers, length, chunked=is_chunked))
+        head = _encode_head(200, headers, length, chunked=is_chunked)
+        writer.write(head[: end.head_size])
+        if end.head_size is not None:
+            body, is_chunked = b"", False
         if is_chunked and body:
             writer.write(b"%x\r\n%s\r\n" % (len(body), body))
         elif body:
