--- a/tests/soak.py
+++ b/tests/soak.py
@@ -32,6 +32,7 @@
 from gateway_world import HOST, configuration
 from ports import free_port
 from soak_brittle import POURING_PATH, BrittleChecks
+from soak_copies import RefusalCopies
 from soak_endpoints import FATAL_BODY, EndpointChecks
 from soak_parts import PartChecks
 from soak_teams import SETTINGS, UNLIMITED_TEAM, Teams
@@ -633,6 +634,7 @@
     versions: bool = False,
     parts: bool = False,
     brittle: bool = False,
+    copies: bool = False,
 ) -> tuple[Soak, list[str]]:
     """Runs one seed; returns the soak and the violated invariants."""
     with tempfile.TemporaryDirectory(prefix="soak-") as name:
@@ -642,11 +644,14 @@
         soak.part_checks = PartChecks(random.Random(seed)) if parts else None
         soak.stream_checks = StreamChecks(random.Random(seed)) if versions else None
         soak.brittle_checks = BrittleChecks(random.Random(seed)) if brittle else None
+        refusal_copies = RefusalCopies(random.Random(seed)) if copies else None
         await soak.start(gateways)
         tasks = [asyncio.create_task(soak.send_requests(number)) for number in range(callers)]
         if soak.endpoint_checks is not None:
             tasks.append(asyncio.create_task(soak.send_fatal_requests()))
             tasks.append(asyncio.create_task(soak.endpoint_checks.vary_rate_limit(seconds)))
+        if refusal_copies is not None:
+            tasks.append(asyncio.create_task(refusal_copies.vary(soak.replicas, seconds)))
         if soak.part_checks is not None:
             tasks.append(asyncio.create_task(soak.send_parts()))
         if soak.brittle_checks is not None:
@@ -692,12 +697,13 @@
     parser.add_argument(
         "--brittle", action="store_true", help="with --needs: endpoints fall, and one pours"
     )
+    parser.add_argument("--copies", action="store_true", help="endpoints repeat refusals late")
     args = parser.parse_args()
     failed = 0
     for seed in range(args.seed, args.seed + args.seeds):
         options = (args.seconds, args.gateways, args.callers)
         kinds = (args.all_faults, args.teams, args.needs, args.versions, args.parts)
-        coroutine = run(seed, *options, *kinds, brittle=args.brittle)
+        coroutine = run(seed, *options, *kinds, brittle=args.brittle, copies=args.copies)
         soak, violations = asyncio.run(coroutine)
         statuses = Counter(response.status for response in soak.responses.values())
         print(f"seed={seed} requests={len(soak.responses)} statuses={dict(statuses)}", flush=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -135,6 +135,19 @@
     assert any(one.was_left and one.complete for one in finished_soak.stream_checks.streams)
 
 
+# With endpoints that refuse requests now and then, and send each refusal again late.
+COPIES_SEEDS = [(41000, 8.0)]
+
+
+@pytest.mark.timeout(240)
+@pytest.mark.parametrize(("seed", "seconds"), COPIES_SEEDS)
+async def test_no_request_runs_after_a_refusal_that_was_sent_twice(
+    seed: int, seconds: float
+) -> None:
+    _, violations = await soak.run(seed, seconds, gateways=3, callers=8, copies=True)
+    assert not violations
+
+
 async def test_a_process_that_a_signal_ends_before_its_program_ran_is_started_again(
     tmp_path: Path,
 ) -> None:
