Review: IPv4 addresses in brackets are none; kept connections are found from the end

Found reading the diff: the module that reads addresses took brackets off version 4, too, which the gateway's own function before it did not. A lease with such an address would have been sent to, which the event loop refuses.

--- a/packages/wigeonarch-core/src/wigeonarch_core/addresses.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/addresses.py
@@ -16,8 +16,9 @@
 
 def parse_ip(host: str) -> IpAddress | None:
     """Returns an IP address, version 6 also in brackets; None if the text is none."""
+    in_brackets = host.startswith("[") and host.endswith("]")
     try:
-        return ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        return ipaddress.IPv6Address(host[1:-1]) if in_brackets else ipaddress.ip_address(host)
     except ValueError:
         return None
 
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/pools.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/pools.py
@@ -80,13 +80,15 @@
     def _take_kept(self, name: str, may_use: Callable[[Connection], bool]) -> Connection | None:
         """Returns the connection used last of those that may be reused; None if there is none."""
         kept = self._idle.get(name, [])
-        for conn in reversed(kept.copy()):
-            if not (conn.usable and self._is_within_idle_timeout(conn)):
-                kept.remove(conn)
-                conn.close()
-            elif may_use(conn):
-                kept.remove(conn)
+        for index in range(len(kept) - 1, -1, -1):
+            conn = kept[index]
+            is_usable = conn.usable and self._is_within_idle_timeout(conn)
+            if is_usable and not may_use(conn):
+                continue
+            del kept[index]
+            if is_usable:
                 return conn
+            conn.close()
         return None
 
     async def probe(self, endpoint: EndpointRecord) -> ProbeResult:
