--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -315,3 +315,20 @@
     for message in first.messages:
         second.suspects.receive_report(message)
     assert not second.suspects.parts.admit(["fa"], "")
+
+
+# Seconds from the moment at which an endpoint counts as gone to that at which its run is given up.
+@pytest.mark.parametrize("given_up_after", [0.4, 2.0])
+async def test_a_run_that_is_given_up_after_its_endpoint_is_gone_counts_as_a_crash(
+    clock: Clock, given_up_after: float
+) -> None:
+    instance = Instance(probe_result=ProbeResult.UNKNOWN)
+    for number in range(CRASHES_TO_QUARANTINE):
+        dispatched_at = clock.now
+        clock.now += 3.0
+        instance.suspects.endpoint_ended(f"e{number}")
+        clock.now += given_up_after
+        instance.suspects.record_abandoned("x", endpoint(f"e{number}"), dispatched_at)
+        await finish_probe()
+        clock.now += 1.0
+    assert instance.suspects.quarantine_left("x")
