--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,8 @@
 	$(BIN)/mypy tests
 
 unit: $(READY)
-	$(BIN)/pytest -n $(WORKERS)
+	$(BIN)/pytest -n $(WORKERS) -m "not alone"
+	$(BIN)/pytest -m alone
 
 test: check unit
 
