Count all that is held for callers in one sum, and end what holds most for longest

What callers saw: many large bodies at once, whole or stopping before their end, made a gateway run out of memory; its callers lost their requests.

Cause: a body was bounded, their sum was not, and nothing ended one that did not come. A large body was copied for each dispatch, an answer that nobody read stayed in its connection's buffer for ever.

Change: runtime.caller_memory is one account for all connections, a fifth of the machine's memory. When it is full, the connection with the greatest product of bytes and seconds is ended, if nothing of it can have run whose answer is still to come; a body gets 503 with Retry-After, which is true, as nothing was sent. Whole large requests are let in up to three quarters, so that small ones find room. A body that does not come by the request's own deadline gets 408. A caller that reads nothing for 30 s is reset. Large bodies are sent without a copy, a refused body closes its connection.

Ruled out: ending the newest (a crowd that came first keeps all others out), a least rate (no figure that every slow link keeps, and no bound on the sum).

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/connections.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/connections.py
@@ -37,6 +37,8 @@
 
 # Unread bytes of a response above which reading is paused, so that the endpoint has to wait.
 READ_AHEAD_BYTES: Final = 262_144
+# Largest body that is joined to its head; a larger one is not copied.
+MAX_JOINED_BYTES: Final = 16_384
 # Milliseconds after which sent bytes without a TCP acknowledgement mean that the endpoint can't be
 # reached.
 UNACKNOWLEDGED_MS: Final = 1_500
@@ -235,16 +237,18 @@
 
     def send_request(
         self,
-        request: bytes,
+        head: bytes,
         is_foreign: Callable[[ResponseHead], bool] | None,
         no_body: bool = False,
+        body: bytes = b"",
     ) -> None:
         """Sends a request, which may have run from now on.
 
         Args:
-            request: Head and body of the request.
+            head: Head of the request.
             is_foreign: Tells whether a response belongs to another request; None to accept any.
             no_body: Whether the response has no body whatever its headers say.
+            body: Body of the request.
         """
         self._head_future = self._loop.create_future()
         self._is_foreign = is_foreign
@@ -253,8 +257,12 @@
         self.sent_count += 1
         self.received = self.body_bytes = self._skipped = 0
         self._excess = ""
-        if self._transport is not None:
-            self._transport.write(request)
+        if self._transport is None:
+            return
+        if len(body) <= MAX_JOINED_BYTES:
+            self._transport.write(head + body)
+        else:
+            self._transport.writelines((head, body))
 
     async def read_head(self) -> ResponseHead:
         """Waits for the head of the response and returns it.
@@ -370,10 +378,10 @@
             self._data_ready.set_result(None)
 
 
-def encode_request(method: str, target: str, headers: Headers, body: bytes) -> bytes:
-    """Returns a request as it is sent: its head, with the length of the body, and the body."""
+def encode_head(method: str, target: str, headers: Headers, body: bytes) -> bytes:
+    """Returns the head of a request as it is sent, with the length of its body."""
     lines = [f"{method} {target} HTTP/1.1".encode("latin-1")]
     lines += [name + b": " + value for name, value in headers]
     if body or method in ("POST", "PUT", "PATCH"):
         lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/forwarding.py
@@ -26,7 +26,7 @@
     Connection,
     ConnectionLost,
     Framing,
-    encode_request,
+    encode_head,
 )
 from wigeonarch_gateway.dispatch_outcomes import DispatchOutcomes
 from wigeonarch_gateway.endpoints import EndpointRegistry
@@ -345,7 +345,7 @@
         prompt_tokens = job.terms.prompt_tokens
         return expected_first_token(load.waiting_tokens, prompt_tokens, load.running, batch)
 
-    def _encode_request(self, job: Job, record: EndpointRecord) -> bytes:
+    def _encode_head(self, job: Job, record: EndpointRecord) -> bytes:
         request = job.request
         to_engine = bool(job.terms.model)
         dispatch = Dispatch(
@@ -358,7 +358,7 @@
             job.team.name if job.team is not None else "",
         )
         headers = self._dialect.endpoint_headers(request.raw_headers, dispatch)
-        return encode_request(request.method, request.target, headers, request.body)
+        return encode_head(request.method, request.target, headers, request.body)
 
     async def _exchange(
         self, job: Job, record: EndpointRecord, conn: Connection, in_flight: InFlightRequest
@@ -387,9 +387,10 @@
         job.may_have_run_on.append(record.endpoint)
         job.connections.add(conn.number)
         conn.send_request(
-            self._encode_request(job, record),
+            self._encode_head(job, record),
             lambda head: judge(job.request_id, head) is Verdict.FOREIGN,
             no_body=job.request.method == "HEAD",
+            body=job.request.body,
         )
         try:
             async with timeout_after(self._head_timeout(job)):
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/http_server.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/http_server.py
@@ -1,5 +1,7 @@
 """The HTTP server for callers: aiohttp's low-level server with one handler for all paths.
 
+What callers make it hold is bounded (see `runtime.guarded_server`).
+
 When a caller disconnects, its handler is cancelled, which also stops the endpoint's work on the
 request. If a response can't be completed, its connection is closed, so that the caller does not
 take it for complete. A caller that does not know chunks recognises the end of a stream only by that
@@ -23,9 +25,17 @@
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.guarded_server import (
+    LINGER_TIME,
+    BodyRefusal,
+    GuardedServer,
+    connection_of,
+    read_body,
+)
 from wigeonarch_runtime.logs import log
 
 from wigeonarch_gateway import texts
+from wigeonarch_gateway.caller_guard import CallerGuard
 from wigeonarch_gateway.exchange import CallerRequest, ResponseWriter
 from wigeonarch_gateway.ports import Headers
 
@@ -38,6 +48,15 @@
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 END_ON_CLOSE: Final = struct.pack("ii", 0, 0)
 
+UNAVAILABLE: Final = 503
+BODY_RETRY_AFTER: Final = b"1.00"  # Seconds.
+# Text and status for each refusal; 408 and 503 state that the request has not run.
+REFUSALS: Final = {
+    BodyRefusal.TOO_LARGE: (texts.BODY_TOO_LARGE, 413),
+    BodyRefusal.TOO_SLOW: (texts.BODY_TOO_SLOW, 408),
+    BodyRefusal.NO_ROOM: (texts.NO_ROOM_FOR_BODY, UNAVAILABLE),
+}
+
 RequestHandlerFunction = Callable[[CallerRequest, ResponseWriter], Awaitable[None]]
 
 
@@ -64,6 +83,7 @@
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends a complete response."""
         self._response = web.Response(status=status, headers=_header_multidict(headers), body=body)
+        connection_of(self._request).hold_answer(len(body))
         await self._prepare()
         await self._response.write_eof()
 
@@ -109,7 +129,8 @@
 
     async def _prepare(self) -> None:
         assert self._response is not None
-        if self._is_draining():
+        # After a body that was not taken, the connection can't carry another request.
+        if self._is_draining() or not self._request.content.is_eof():
             self._response.force_close()
         await self._response.prepare(self._request)
 
@@ -122,28 +143,37 @@
         draining: Whether each response closes its connection, so that callers go elsewhere.
     """
 
-    def __init__(self, serve: RequestHandlerFunction, max_body_bytes: Callable[[], int]) -> None:
+    def __init__(self, serve: RequestHandlerFunction, guard: CallerGuard) -> None:
         """Creates a server that does not listen yet.
 
         Args:
             serve: Handles a request and sends its response.
-            max_body_bytes: Returns the largest request body that is allowed, in bytes.
+            guard: Bounds what callers make the server hold.
         """
         self._serve = serve
-        self._max_body_bytes = max_body_bytes
+        self._guard = guard
         self._server: asyncio.Server | None = None
         self._aiohttp_server = web.Server(
             self._handle,
             request_factory=self._make_request,
             handler_cancellation=True,
-            keepalive_timeout=KEEP_ALIVE_TIMEOUT,
-            auto_decompress=False,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            access_log=None,
+        )
+        self._connections = GuardedServer(
+            self._aiohttp_server,
+            guard.memory,
+            guard.bounds,
+            {
+                "keepalive_timeout": KEEP_ALIVE_TIMEOUT,
+                "lingering_time": LINGER_TIME,
+                "auto_decompress": False,
+                "max_line_size": MAX_HEADER_BYTES,
+                "max_field_size": MAX_HEADER_BYTES,
+            },
+            guard.on_ended,
         )
         self._busy_connections: set[RequestHandler] = set()
-        self._seen_connections: set[RequestHandler] = set()  # By the last `stop_accepting`.
+        # By the last `stop_accepting`.
+        self._seen_connections: set[RequestHandler] = set()
         self._stopped_accepting = False
         self.in_progress = 0
         self.draining = False
@@ -152,7 +182,7 @@
         """Starts to accept connections."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._aiohttp_server, host, port, backlog=LISTEN_BACKLOG
+            self._connections, host, port, backlog=LISTEN_BACKLOG
         )
 
     def stop_accepting(self) -> bool:
@@ -191,8 +221,8 @@
         self.in_progress += 1
         try:
             body = await self._read_body(request)
-            if body is None:
-                await response.send(413, [], texts.BODY_TOO_LARGE.encode())
+            if isinstance(body, BodyRefusal):
+                await self._refuse(request, response, body)
             else:
                 await self._serve(_caller_request(request, body, received), response)
         except (ConnectionError, RuntimeError) as exc:
@@ -202,6 +232,7 @@
         finally:
             self.in_progress -= 1
             self._busy_connections.discard(request.protocol)
+            connection_of(request).request_ended()
         return response.response or web.Response(status=500)
 
     def _make_request(
@@ -216,20 +247,22 @@
         loop = asyncio.get_running_loop()
         return web.BaseRequest(message, payload, protocol, writer, task, loop)
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes | None:
-        """Returns the complete body, or None when it is too large."""
-        if request.headers.get("Expect", "").lower() == "100-continue" and request.transport:
-            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if not request.body_exists:
-            return b""
-        parts: list[bytes] = []
-        size = 0
-        async for part in request.content.iter_any():
-            parts.append(part)
-            size += len(part)
-            if size > self._max_body_bytes():
-                return None
-        return b"".join(parts)
+    async def _read_body(self, request: web.BaseRequest) -> bytes | BodyRefusal:
+        """Returns the complete body, or why it is not taken."""
+        seconds = self._guard.body_time(
+            request.headers.get("Host", ""), request.path, request.headers
+        )
+        return await read_body(request, self._guard.max_body_bytes(), seconds)
+
+    async def _refuse(
+        self, request: web.BaseRequest, response: _ResponseWriter, refusal: BodyRefusal
+    ) -> None:
+        """Responds to a request whose body was not taken, and that has not run."""
+        text, status = REFUSALS[refusal]
+        log("body_refused", "INFO", reason=refusal.value, length=request.content_length)
+        self._guard.on_refused(refusal)
+        retry_after = [(b"Retry-After", BODY_RETRY_AFTER)] if status == UNAVAILABLE else []
+        await response.send(status, retry_after, text.encode())
 
 
 def _caller_request(request: web.BaseRequest, body: bytes, received: float) -> CallerRequest:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/metrics.py
@@ -31,6 +31,17 @@
         self.refusals = Counter(
             "wigeonarch_gateway_refusals", "Requests not run, by reason", ["reason"], registry=reg
         )
+        self.callers_ended = Counter(
+            "wigeonarch_gateway_callers_ended",
+            "Connections of callers that were ended before their answer, by reason",
+            ["reason"],
+            registry=reg,
+        )
+        self.caller_memory = Gauge(
+            "wigeonarch_gateway_caller_memory_bytes",
+            "Bytes held for callers: requests, and answers that they have not read",
+            registry=reg,
+        )
         self.service_refusals = Counter(
             "wigeonarch_gateway_service_refusals",
             "Requests that overloaded plain services did not take, by service and reason",
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -13,7 +13,8 @@
 import asyncio
 import os
 import random
-from collections.abc import Callable, Coroutine
+import sys
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, Final
 
 from wigeonarch_core.cooldowns import Cooldowns
@@ -23,13 +24,17 @@
 from wigeonarch_core.load_time import LoadTimeEstimate
 from wigeonarch_core.quota_ledger import QuotaLedger
 from wigeonarch_core.retry_window import RetryWindow
-from wigeonarch_core.routes import EngineSpec, RoutingTable
+from wigeonarch_core.routes import ClientLimits, EngineSpec, RoutingTable
 from wigeonarch_core.store_contact import LapseTimes, StoreContact
+from wigeonarch_runtime.caller_memory import CallerMemory
 from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.guarded_server import ServerBounds
 from wigeonarch_runtime.logs import dropped_lines, log
 
 from wigeonarch_gateway.admission import Admission
 from wigeonarch_gateway.brittle_endpoints import BrittleEndpoints
+from wigeonarch_gateway.caller_bounds import DEFAULT_BODY_TIME, memory_for_callers
+from wigeonarch_gateway.caller_guard import CallerGuard
 from wigeonarch_gateway.catalogue import Catalogue
 from wigeonarch_gateway.directory import Entry
 from wigeonarch_gateway.dispatch_outcomes import DispatchOutcomes
@@ -103,7 +108,7 @@
 from wigeonarch_gateway.route_explanation import RouteExplainer
 from wigeonarch_gateway.selection import EndpointSelector
 from wigeonarch_gateway.service_reach import ServiceReach
-from wigeonarch_gateway.serving import RequestPipeline
+from wigeonarch_gateway.serving import RequestPipeline, time_limit
 from wigeonarch_gateway.sharing import WatchSharing
 from wigeonarch_gateway.status import Page, QueryPage, StatusServer
 from wigeonarch_gateway.store_updates import StoreUpdateHandlers
@@ -127,6 +132,7 @@
 # Writes of all instances together when the software of a service changes. At 370 instances they
 # take less than the time for which new software waits for its first streams.
 SOFTWARE_RECORDS_PER_SECOND: Final = 100.0
+UNBOUNDED: Final = ServerBounds(sys.maxsize, sys.maxsize, head_time=3600.0)
 DEFAULT_MAX_BODY_BYTES: Final = 4 * 1024 * 1024  # Applies until a configuration is known.
 
 
@@ -406,8 +412,19 @@
             selector,
             self._peer_forwarder,
         )
-        self._http_server = HttpServer(pipeline.serve, self._max_body_bytes)
-        self._peer_server = HttpServer(peer_requests.serve, self._max_body_bytes)
+        self._caller_memory = CallerMemory(
+            lambda: memory_for_callers(opts.memory_mb, self._max_body_bytes())
+        )
+        guard = CallerGuard(
+            self._caller_memory,
+            lambda: UNBOUNDED,
+            self._max_body_bytes,
+            self._body_time,
+            lambda reason: self._metrics.callers_ended.labels(reason.value).inc(),
+            lambda refusal: self._metrics.refusals.labels(refusal.value).inc(),
+        )
+        self._http_server = HttpServer(pipeline.serve, guard)
+        self._peer_server = HttpServer(peer_requests.serve, guard)
         self._ready_server = StatusServer([Page(dialect.ready_path, self._readiness_page)])
         self._metrics_server = StatusServer(
             [
@@ -572,6 +589,7 @@
             self._brittle.expire(lambda endpoint: self._endpoints.get(endpoint) is not None)
             self._places.refresh()
             self._metrics.log_lines_dropped.set(dropped_lines())
+            self._metrics.caller_memory.set(self._caller_memory.held)
             self._retries.note_instance_count(self._members.roles.instance_count())
             self._quotas.refresh()
             table = self._catalogue.table
@@ -611,6 +629,8 @@
             load_time=self._load_time_estimate.base_seconds,
             store_calls=",".join(f"{call}:{n}" for call, n in self._store.calls.items()),
             connections=self._pools.opened_count,
+            callers_hold=self._caller_memory.held,
+            callers_ended=self._caller_memory.ended,
             peer_messages_dropped=self._links.dropped,
             log_lines_dropped=dropped_lines(),
         )
@@ -802,9 +822,21 @@
         self._views.apply_update(update)
         self._members.send_all(update)
 
+    def _client_limits(self) -> ClientLimits | None:
+        table = self._catalogue.table
+        return table.limits if table is not None else None
+
     def _max_body_bytes(self) -> int:
+        limits = self._client_limits()
+        return limits.body_bytes if limits is not None else DEFAULT_MAX_BODY_BYTES
+
+    def _body_time(self, host: str, path: str, headers: Mapping[str, str]) -> float:
+        """Returns the seconds after which a request is refused anyway: its deadline."""
         table = self._catalogue.table
-        return table.limits.body_bytes if table is not None else DEFAULT_MAX_BODY_BYTES
+        route = table.find(host, path) if table is not None else None
+        if route is None:
+            return DEFAULT_BODY_TIME
+        return time_limit(self._dialect.read_terms(headers), route)
 
     def _readiness_page(self) -> tuple[int, bytes]:
         ready = self._catalogue.table is not None and not self._stopping.is_set()
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/options.py
@@ -138,6 +138,8 @@
             here, in seconds. It checks every second and removes an instance after two failed
             checks.
         log_level: Lowest level of events that are logged.
+        memory_mb: Memory of this machine, in MB; 0 for that of the smallest known.
+        descriptors: Descriptors that this process may open; 0 to ask the operating system.
         zones: Availability zones of the deployment, which share each quota equally.
         quotas: Bounds on how far all instances together may exceed a quota.
         retries: Retry budget.
@@ -157,6 +159,8 @@
     grace: float = 8.0
     unready_detection_time: float = 2.6
     log_level: str = "INFO"
+    memory_mb: float = 0.0
+    descriptors: int = 0
     zones: int = 1
     quotas: QuotaBounds = msgspec.field(default_factory=QuotaBounds)
     retries: RetryOptions = msgspec.field(default_factory=RetryOptions)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_forwarding.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/peer_forwarding.py
@@ -16,7 +16,7 @@
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.logs import log
 
-from wigeonarch_gateway.connections import Connection, ConnectionLost, Framing, encode_request
+from wigeonarch_gateway.connections import Connection, ConnectionLost, Framing, encode_head
 from wigeonarch_gateway.internal_headers import NOT_RUN_HEADER, TERMS_HEADER
 from wigeonarch_gateway.jobs import DispatchFailure, Job
 from wigeonarch_gateway.member import Member
@@ -150,10 +150,11 @@
         return failure
 
     async def _exchange(self, job: Job, peer: Member, conn: Connection) -> DispatchFailure | None:
-        message = self._encode(job)
+        request_head = self._encode_head(job)
         job.dispatch_count += 1
         job.may_have_run_on.append(peer.name)
-        conn.send_request(message, None, no_body=job.request.method == "HEAD")
+        is_head = job.request.method == "HEAD"
+        conn.send_request(request_head, None, no_body=is_head, body=job.request.body)
         head = await conn.read_head()
         if head.get(NOT_RUN_HEADER) is not None:
             job.may_have_run_on.remove(peer.name)
@@ -189,7 +190,7 @@
             job.record_events(monotonic())
             await job.response.write(data)
 
-    def _encode(self, job: Job) -> bytes:
+    def _encode_head(self, job: Job) -> bytes:
         now = monotonic()
         terms = HandoverTerms(
             self._instance,
@@ -208,4 +209,4 @@
         headers = self._dialect.endpoint_headers(job.request.raw_headers, dispatch)
         headers.append((TERMS_HEADER, encode_terms(terms)))
         request = job.request
-        return encode_request(request.method, request.target, headers, request.body)
+        return encode_head(request.method, request.target, headers, request.body)
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/serving.py
@@ -187,7 +187,6 @@
         team: Its team; None if it has none.
         draw: Uniform in [0, 1), decides on a service of a split route; drawn if not given.
     """
-    timeout = route.timeout if terms.wait is None else min(terms.wait, route.timeout)
     service = pick_service(route, random.random() if draw is None else draw)
     return Job(
         request,
@@ -196,12 +195,17 @@
         route,
         service,
         content_key(request.method, request.host, request.target, request.body),
-        request.received + timeout,
+        request.received + time_limit(terms, route),
         table.services.get(service),
         requires_key=table.teams is not None,
         team=team,
     )
 
 
+def time_limit(terms: RequestTerms, route: Route) -> float:
+    """Returns the seconds from a request's head to its deadline."""
+    return route.timeout if terms.wait is None else min(terms.wait, route.timeout)
+
+
 def _loop_time(when: float) -> float:
     return asyncio.get_running_loop().time() + when - monotonic()
--- a/packages/wigeonarch-runtime/src/wigeonarch_runtime/timeouts.py
+++ b/packages/wigeonarch-runtime/src/wigeonarch_runtime/timeouts.py
@@ -50,6 +50,12 @@
             self._handle.cancel()
         await self._scope.__aexit__(exc_type, exc, traceback)
 
+    def expire(self) -> None:
+        """Ends the wait now, as if its time were over."""
+        if self._handle is not None:
+            self._handle.cancel()
+        self._scope.reschedule(self._loop.time())
+
     def _expire_after(self, iterations: int) -> None:
         """Ends the wait after some iterations of the event loop, unless it is over by then."""
         if iterations:
--- a/tests/test_late_answers_to_calls.py
+++ b/tests/test_late_answers_to_calls.py
@@ -7,7 +7,7 @@
 
 import pytest
 from wigeonarch_gateway.calls import call_endpoint, learn_incarnation
-from wigeonarch_gateway.connections import encode_request
+from wigeonarch_gateway.connections import encode_head
 from wigeonarch_gateway.pools import ConnectionPools
 from wigeonarch_gateway.ports import EndpointRecord, EndpointState
 from wigeonarch_platform.dialect import DIALECT
@@ -66,7 +66,7 @@
     async with server:
         conn = await pools.acquire(record)
         assert conn is not None
-        conn.send_request(encode_request("POST", "/x", [(b"X-Request-Id", b"r1")], b""), None)
+        conn.send_request(encode_head("POST", "/x", [(b"X-Request-Id", b"r1")], b""), None)
         await conn.read_head()
         await conn.read_all()
         pools.release("i-1", conn)
