Parse what is much of one request in turn with others

What callers saw: beside callers that send chunks of two bytes, an ordinary request had no answer for seconds.

Cause: a chunk costs the same whatever it carries, and all that a socket held was parsed at once, 256 KB of each connection in each iteration of the event loop.

Change: what a request sends beyond 64 KB waits for its turn; one piece of 16 KB of one connection is parsed in each iteration.

Ruled out: a least size of chunks, as the users' pages have none.

--- a/packages/wigeonarch-runtime/src/wigeonarch_runtime/guarded_server.py
+++ b/packages/wigeonarch-runtime/src/wigeonarch_runtime/guarded_server.py
@@ -8,6 +8,8 @@
   when the account is full: with a response that refuses if its request is not whole yet;
 - is closed when its head, or what comes beside its body, is too large, or its head takes too long,
   or its caller reads nothing of an answer;
+- takes turns with others as soon as one request sends more than a little, so that none keeps the
+  event loop for long, however small the pieces are that have to be parsed;
 - may be closed for a new one when there are too many.
 
 Nothing of this is met by a caller whose requests keep to the limits, while the process has room.
@@ -20,7 +22,7 @@
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Final, cast
 
 from aiohttp import web
@@ -33,8 +35,10 @@
 from wigeonarch_runtime.logs import log
 from wigeonarch_runtime.timeouts import Timeout
 
-# Bytes that are parsed at once.
+# Bytes that are parsed at once, before other connections have their turn.
 SLICE_BYTES: Final = 16_384
+# Bytes of one request that are parsed as they come; what follows takes turns with others.
+DIRECT_BYTES: Final = 65_536
 # Unread bytes of a body above which no more is read from its connection.
 READ_AHEAD_BYTES: Final = 32_768
 # Bytes that a parsed head takes beside those that were sent.
@@ -83,6 +87,31 @@
     unread_time: float = 30.0
 
 
+class Turns:
+    """Lets connections with much to parse do so one after the other, a slice in each iteration."""
+
+    __slots__ = ("_is_scheduled", "_loop", "_waiting")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._waiting: deque[Callable[[], None]] = deque()
+        self._is_scheduled = False
+
+    def request(self, parse: Callable[[], None]) -> None:
+        """Calls a function when its turn has come."""
+        self._waiting.append(parse)
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            self._loop.call_soon(self._run)
+
+    def _run(self) -> None:
+        self._waiting.popleft()()
+        self._is_scheduled = bool(self._waiting)
+        if self._is_scheduled:
+            # The sockets are read before the next turn, as in each iteration of the event loop.
+            self._loop.call_soon(self._run)
+
+
 @dataclass(slots=True)
 class _Message:
     """A request whose head was parsed and that has not ended yet."""
@@ -95,10 +124,32 @@
         return self.head_bytes + self.payload.total_bytes
 
 
+@dataclass(slots=True)
+class _Backlog:
+    """Bytes that were received and wait for their turn to be parsed."""
+
+    parts: deque[bytes] = field(default_factory=deque)
+    size: int = 0
+    is_waiting: bool = False  # Whether a turn was requested.
+
+    def append(self, data: bytes) -> None:
+        self.parts.append(data)
+        self.size += len(data)
+
+    def take(self, size: int) -> bytes:
+        first = self.parts.popleft()
+        if len(first) > size:
+            self.parts.appendleft(first[size:])
+            first = first[:size]
+        self.size -= len(first)
+        return first
+
+
 class GuardedConnection(RequestHandler):
     """A connection of a caller; see the module docstring."""
 
     __slots__ = (
+        "_backlog",
         "_beside",
         "_body_scope",
         "_end_reason",
@@ -117,6 +168,7 @@
         super().__init__(guard.web_server, loop=loop, **options)
         self._guard = guard
         self._live: deque[_Message] = deque()
+        self._backlog = _Backlog()
         # Bytes of the request that is being received: all, and those since the last of its body.
         self._received = 0
         self._beside = 0
@@ -143,17 +195,25 @@
         self._guard.remove(self._holding)
         self._guard.memory.close(self._holding)
         self._cancel_timers()
+        self._backlog = _Backlog()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Parses what was received."""
+        """Parses what was received, in turns with other connections if it is much."""
         if self._is_deaf or self._end_reason is not None:
             return
         if not data:
             self._parse(data)  # The library goes on with bytes that it has kept.
             return
-        for start in range(0, len(data), SLICE_BYTES):
-            self._parse(data[start : start + SLICE_BYTES])
+        if not self._backlog.size and self._received + len(data) <= DIRECT_BYTES:
+            self._parse(data[:SLICE_BYTES])
+            for start in range(SLICE_BYTES, len(data), SLICE_BYTES):
+                self._parse(data[start : start + SLICE_BYTES])
+            return
+        self._backlog.append(data)
+        self._pause_transport_reading()
+        self._count()
+        self._request_turn()
 
     def pause_writing(self) -> None:
         """Begins to watch whether the caller reads its answer."""
@@ -171,8 +231,32 @@
         self._holding.may_end = not self._is_serving()
         self._count()
 
+    def _resume_transport_reading(self) -> None:
+        if self._backlog.size:
+            self._request_turn()
+        else:
+            super()._resume_transport_reading()
+
     # Parsing.
 
+    def _request_turn(self) -> None:
+        if not self._backlog.is_waiting:
+            self._backlog.is_waiting = True
+            self._guard.turns.request(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._backlog.is_waiting = False
+        if self._end_reason is not None or self.transport is None:
+            self._backlog = _Backlog()
+        # While the body is paused, its reader asks for the next turn.
+        elif self._backlog.size and not (self._reading_paused or self._buffer_paused):
+            self._parse(self._backlog.take(SLICE_BYTES))
+            if self._backlog.size:
+                self._request_turn()
+                return
+        if not (self._reading_paused or self._buffer_paused or self._backlog.size):
+            super()._resume_transport_reading()
+
     def _parse(self, data: bytes) -> None:
         before = self._request_count
         payload = self._live[-1].payload if self._live else None
@@ -224,7 +308,7 @@
             self.end(EndReason.HEAD_TOO_LARGE)
 
     def _count(self) -> None:
-        size = self._beside
+        size = self._backlog.size + self._beside
         if self._paused and not self._live and self._socket is not None:
             size += self._socket.get_write_buffer_size()
         for message in self._live:
@@ -270,6 +354,8 @@
             self._is_deaf = not self._live.popleft().payload.is_eof() or self._is_deaf
         self._holding.since = monotonic()
         self._guard.memory.stop_serving(self._holding)
+        if self._is_deaf:
+            self._drop_backlog()
         self._count()
         if self._socket is not None and self._unread_timer is None:
             # What is left of the answer is small, but its connection must not stay for ever.
@@ -293,9 +379,11 @@
         if self._paused or reason in (EndReason.NOT_READING, EndReason.TOO_MANY):
             self._abort()
         elif self._body_scope is not None:
+            self._drop_backlog()
             self._body_scope.expire()
         elif self._live:
             # Its response is still to come. What follows it on the connection is not read.
+            self._drop_backlog()
             self.close()
         else:
             self._refuse_head(reason)
@@ -305,6 +393,12 @@
         if self._socket is not None:
             self._socket.abort()
 
+    def _drop_backlog(self) -> None:
+        """Drops what was received, and goes on to read, so that the caller can send the rest."""
+        if self._backlog.size:
+            self._backlog = _Backlog()
+            super()._resume_transport_reading()
+
     def _refuse_head(self, reason: EndReason) -> None:
         """Responds to a head that is not whole; a connection that has sent nothing is closed."""
         status = HEAD_STATUSES.get(reason)
@@ -358,6 +452,7 @@
         web_server: aiohttp's server, which calls the handlers.
         memory: Account of the process.
         bounds: Returns the bounds in force.
+        turns: Lets connections with much to parse take turns.
         on_ended: Called when a connection is ended, with the reason.
     """
 
@@ -376,6 +471,7 @@
         self.on_ended = on_ended
         self._options = options
         self._loop = asyncio.get_running_loop()
+        self.turns = Turns(self._loop)
         self._conns: dict[Holding, GuardedConnection] = {}
 
     def __call__(self) -> GuardedConnection:
