Bound a head as a whole, its time, and what comes beside a body

What callers saw: header lines or trailers of legal length, many of them, made a gateway hold several MB for each connection that sent them.

Cause: the HTTP library bounds a line and the number of lines, not their sum; header_timeout_ms of the configuration was not read; bytes beside a body (chunk lines, extensions, trailers) had no bound.

--- a/packages/wigeonarch-core/src/wigeonarch_core/routes.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/routes.py
@@ -124,11 +124,13 @@
         header_bytes: Largest request head, in bytes.
         body_bytes: Largest body, in bytes.
         idle_time: Seconds for which an idle connection is kept.
+        header_time: Seconds that a request head may take.
     """
 
     header_bytes: int
     body_bytes: int
     idle_time: float
+    header_time: float = 5.0
 
 
 class RoutingTable:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -13,7 +13,6 @@
 import asyncio
 import os
 import random
-import sys
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, Final
 
@@ -28,12 +27,15 @@
 from wigeonarch_core.store_contact import LapseTimes, StoreContact
 from wigeonarch_runtime.caller_memory import CallerMemory
 from wigeonarch_runtime.clock import monotonic
-from wigeonarch_runtime.guarded_server import ServerBounds
 from wigeonarch_runtime.logs import dropped_lines, log
 
 from wigeonarch_gateway.admission import Admission
 from wigeonarch_gateway.brittle_endpoints import BrittleEndpoints
-from wigeonarch_gateway.caller_bounds import DEFAULT_BODY_TIME, memory_for_callers
+from wigeonarch_gateway.caller_bounds import (
+    DEFAULT_BODY_TIME,
+    bounds_in_force,
+    memory_for_callers,
+)
 from wigeonarch_gateway.caller_guard import CallerGuard
 from wigeonarch_gateway.catalogue import Catalogue
 from wigeonarch_gateway.directory import Entry
@@ -132,7 +134,6 @@
 # Writes of all instances together when the software of a service changes. At 370 instances they
 # take less than the time for which new software waits for its first streams.
 SOFTWARE_RECORDS_PER_SECOND: Final = 100.0
-UNBOUNDED: Final = ServerBounds(sys.maxsize, sys.maxsize, head_time=3600.0)
 DEFAULT_MAX_BODY_BYTES: Final = 4 * 1024 * 1024  # Applies until a configuration is known.
 
 
@@ -417,7 +418,7 @@
         )
         guard = CallerGuard(
             self._caller_memory,
-            lambda: UNBOUNDED,
+            bounds_in_force(self._client_limits),
             self._max_body_bytes,
             self._body_time,
             lambda reason: self._metrics.callers_ended.labels(reason.value).inc(),
