Keep descriptors for endpoints, the store and peers from callers' connections

What callers saw: connections that say nothing, half a head, or nothing more after their answer took all descriptors of a gateway; others were reset, and the gateway could reach nobody.

Cause: nothing counted connections, and limits.max_fds was not read.

Evidence: 700 connections, 512 descriptors allowed, bound 312: 512 open in silent_connections, half_a_head and idle_after_a_request on.

Change: callers' connections have 0.42 of the descriptors less the 200 that the users' pages keep for files, as each request may take one more for its endpoint.

Ruled out: a share of a half, with which 330 were open after 700 requests at once; closing the newest, which shuts ordinary callers out.

After: all three within the bound, an ordinary request answered beside them.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -33,6 +33,7 @@
 from wigeonarch_gateway.brittle_endpoints import BrittleEndpoints
 from wigeonarch_gateway.caller_bounds import (
     DEFAULT_BODY_TIME,
+    ServerRole,
     bounds_in_force,
     memory_for_callers,
 )
@@ -418,7 +419,7 @@
         )
         guard = CallerGuard(
             self._caller_memory,
-            bounds_in_force(self._client_limits),
+            bounds_in_force(ServerRole.CALLERS, opts.descriptors, self._client_limits),
             self._max_body_bytes,
             self._body_time,
             lambda reason: self._metrics.callers_ended.labels(reason.value).inc(),
