Refuse at the port for peers without reading strangers' bodies, and say "not run"

What callers saw: the port for peers read whole bodies from whoever reached it before it said that it serves only instances, and took all descriptors; a request that was handed over to a peer without room would have ended with 502 although nothing had run.

Cause: the sender was checked after the body; the refusals of the HTTP server itself (413, 408, 503) lacked the mark by which an instance tells a peer's "not run" from an endpoint's answer.

A refused request goes to another peer.

Found on the way: a request of over 64 KB in one read was queued whole, so that its head was not known when it was ended for room, and it was closed without an answer. Its first 64 KB are now parsed as they come.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/caller_guard.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/caller_guard.py
@@ -8,6 +8,8 @@
 from wigeonarch_runtime.caller_memory import CallerMemory
 from wigeonarch_runtime.guarded_server import BodyRefusal, EndReason, ServerBounds
 
+from wigeonarch_gateway.ports import Headers
+
 
 class CallerGuard(msgspec.Struct, frozen=True):
     """The bounds of one server.
@@ -20,6 +22,8 @@
             headers.
         on_ended: Called when a connection is ended.
         on_refused: Called when a request is refused because of its body.
+        reads_body: Tells whether bodies from an IP address are read at all.
+        refusal_headers: Further headers of such a refusal.
     """
 
     memory: CallerMemory
@@ -28,3 +32,5 @@
     body_time: Callable[[str, str, Mapping[str, str]], float]
     on_ended: Callable[[EndReason], None]
     on_refused: Callable[[BodyRefusal], None]
+    reads_body: Callable[[str], bool] = lambda sender: True
+    refusal_headers: Headers = ()
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/http_server.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/http_server.py
@@ -170,6 +170,7 @@
                 "max_field_size": MAX_HEADER_BYTES,
             },
             guard.on_ended,
+            guard.refusal_headers,
         )
         self._busy_connections: set[RequestHandler] = set()
         # By the last `stop_accepting`.
@@ -248,7 +249,9 @@
         return web.BaseRequest(message, payload, protocol, writer, task, loop)
 
     async def _read_body(self, request: web.BaseRequest) -> bytes | BodyRefusal:
-        """Returns the complete body, or why it is not taken."""
+        """Returns the complete body, or why it is not taken; a body for nobody is not read."""
+        if not self._guard.reads_body(request.remote or ""):
+            return b""
         seconds = self._guard.body_time(
             request.headers.get("Host", ""), request.path, request.headers
         )
@@ -262,7 +265,7 @@
         log("body_refused", "INFO", reason=refusal.value, length=request.content_length)
         self._guard.on_refused(refusal)
         retry_after = [(b"Retry-After", BODY_RETRY_AFTER)] if status == UNAVAILABLE else []
-        await response.send(status, retry_after, text.encode())
+        await response.send(status, [*retry_after, *self._guard.refusal_headers], text.encode())
 
 
 def _caller_request(request: web.BaseRequest, body: bytes, received: float) -> CallerRequest:
--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, Final
 
+from msgspec.structs import replace
 from wigeonarch_core.cooldowns import Cooldowns
 from wigeonarch_core.endpoint_health import EndpointHealth
 from wigeonarch_core.engine_latency import EngineLatency
@@ -51,6 +52,7 @@
 from wigeonarch_gateway.granter_choice import GranterChoice
 from wigeonarch_gateway.http_server import HttpServer
 from wigeonarch_gateway.instrumented_store import InstrumentedStore
+from wigeonarch_gateway.internal_headers import NOT_RUN_HEADER
 from wigeonarch_gateway.leasing import CrashMemory, Identity, OwnLease, SoftwareMemory
 from wigeonarch_gateway.limits import EndpointLimits
 from wigeonarch_gateway.load_requests import LoadRequests
@@ -426,7 +428,15 @@
             lambda refusal: self._metrics.refusals.labels(refusal.value).inc(),
         )
         self._http_server = HttpServer(pipeline.serve, guard)
-        self._peer_server = HttpServer(peer_requests.serve, guard)
+        self._peer_server = HttpServer(
+            peer_requests.serve,
+            replace(
+                guard,
+                bounds=bounds_in_force(ServerRole.PEERS, opts.descriptors, self._client_limits),
+                reads_body=self._members.has_address,
+                refusal_headers=((NOT_RUN_HEADER, b"1"),),
+            ),
+        )
         self._ready_server = StatusServer([Page(dialect.ready_path, self._readiness_page)])
         self._metrics_server = StatusServer(
             [
--- a/packages/wigeonarch-runtime/src/wigeonarch_runtime/guarded_server.py
+++ b/packages/wigeonarch-runtime/src/wigeonarch_runtime/guarded_server.py
@@ -20,7 +20,7 @@
 import asyncio
 import enum
 from collections import deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any, Final, cast
@@ -205,12 +205,13 @@
         if not data:
             self._parse(data)  # The library goes on with bytes that it has kept.
             return
-        if not self._backlog.size and self._received + len(data) <= DIRECT_BYTES:
-            self._parse(data[:SLICE_BYTES])
-            for start in range(SLICE_BYTES, len(data), SLICE_BYTES):
-                self._parse(data[start : start + SLICE_BYTES])
+        direct = 0 if self._backlog.size else max(0, DIRECT_BYTES - self._received)
+        for start in range(0, min(direct, len(data)), SLICE_BYTES):
+            self._parse(data[start : min(start + SLICE_BYTES, direct)])
+        rest = data[direct:]
+        if not rest or self._is_deaf or self._end_reason is not None:
             return
-        self._backlog.append(data)
+        self._backlog.append(rest)
         self._pause_transport_reading()
         self._count()
         self._request_turn()
@@ -403,8 +404,9 @@
         """Responds to a head that is not whole; a connection that has sent nothing is closed."""
         status = HEAD_STATUSES.get(reason)
         if self._beside and status and self.transport is not None:
-            lines = f"HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-            self.transport.write(lines.encode())
+            lines = [b"HTTP/1.1 " + status, b"Connection: close", b"Content-Length: 0"]
+            lines += [name + b": " + value for name, value in self._guard.refusal_headers]
+            self.transport.write(b"\r\n".join(lines) + b"\r\n\r\n")
         self.force_close()
 
     def _end_for_room(self) -> None:
@@ -439,9 +441,9 @@
 
 # What a caller is told whose head is not whole: each status states that nothing has run.
 HEAD_STATUSES: Final = {
-    EndReason.HEAD_TOO_LARGE: "431 Request Header Fields Too Large",
-    EndReason.HEAD_TOO_SLOW: "408 Request Timeout",
-    EndReason.NO_ROOM: "503 Service Unavailable\r\nRetry-After: 1",
+    EndReason.HEAD_TOO_LARGE: b"431 Request Header Fields Too Large",
+    EndReason.HEAD_TOO_SLOW: b"408 Request Timeout",
+    EndReason.NO_ROOM: b"503 Service Unavailable\r\nRetry-After: 1",
 }
 
 
@@ -454,6 +456,7 @@
         bounds: Returns the bounds in force.
         turns: Lets connections with much to parse take turns.
         on_ended: Called when a connection is ended, with the reason.
+        refusal_headers: Further headers where a head is refused that is not whole.
     """
 
     def __init__(
@@ -463,12 +466,14 @@
         bounds: Callable[[], ServerBounds],
         options: dict[str, Any],
         on_ended: Callable[[EndReason], None] = lambda reason: None,
+        refusal_headers: Sequence[tuple[bytes, bytes]] = (),
     ) -> None:
         """Creates a server whose connections get aiohttp's options."""
         self.web_server = web_server
         self.memory = memory
         self.bounds = bounds
         self.on_ended = on_ended
+        self.refusal_headers = refusal_headers
         self._options = options
         self._loop = asyncio.get_running_loop()
         self.turns = Turns(self._loop)
@@ -516,14 +521,14 @@
         seconds: Time in which it must have come.
     """
     conn = connection_of(request)
+    if conn.end_reason is not None:
+        return END_REFUSALS.get(conn.end_reason, BodyRefusal.TOO_SLOW)
     if (request.content_length or 0) > max_bytes:
         return BodyRefusal.TOO_LARGE
     if request.headers.get("Expect", "").lower() == "100-continue" and request.transport:
         request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
     if request.content.is_eof():
         body = request.content.read_nowait() if request.body_exists else b""
-    elif conn.end_reason is not None:
-        return END_REFUSALS.get(conn.end_reason, BodyRefusal.TOO_SLOW)
     else:
         try:
             async with conn.reading_body(seconds):
