Bound the connections and heads of the readiness and metrics pages

What callers saw: whoever reached the readiness port or the metrics port could fill the gateway's memory with heads and take all its descriptors.

Cause: these servers had no bound of their own; idle connections stayed for an hour.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/node.py
@@ -437,12 +437,18 @@
                 refusal_headers=((NOT_RUN_HEADER, b"1"),),
             ),
         )
-        self._ready_server = StatusServer([Page(dialect.ready_path, self._readiness_page)])
+        self._ready_server = StatusServer(
+            [Page(dialect.ready_path, self._readiness_page)],
+            self._caller_memory,
+            bounds_in_force(ServerRole.READINESS, opts.descriptors, self._client_limits),
+        )
         self._metrics_server = StatusServer(
             [
                 Page("/metrics", self._metrics_page),
                 QueryPage("/route", MAX_QUERY_BYTES, self._explainer.answer),
-            ]
+            ],
+            self._caller_memory,
+            bounds_in_force(ServerRole.METRICS, opts.descriptors, self._client_limits),
         )
 
     async def start(self) -> None:
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -10,7 +10,9 @@
 from standins.replica import Replica
 from standins.store import StoreFault
 from wigeonarch_core.load_time import COLD_LOAD
+from wigeonarch_runtime.caller_memory import CallerMemory
 from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.guarded_server import ServerBounds
 
 
 def owners_of_orders(replica: Replica) -> list[str]:
@@ -165,7 +167,9 @@
         opts = deployment.options[0]
         listening = deployment.nodes[0]._metrics_server._server
         assert listening is not None
-        other_server = type(deployment.nodes[0]._metrics_server)([])
+        other_server = type(deployment.nodes[0]._metrics_server)(
+            [], CallerMemory(lambda: 0), lambda: ServerBounds(1)
+        )
         with pytest.raises(OSError):
             await other_server.listen(opts.ip, opts.metrics_port)
         await deployment.nodes[0]._open_metrics()
--- a/tests/test_gateway_stopping.py
+++ b/tests/test_gateway_stopping.py
@@ -72,7 +72,7 @@
     """Sends a request on a connection of its own; returns all bytes of the response."""
     caller, accepted = socket.socketpair()
     loop = asyncio.get_running_loop()
-    await loop.connect_accepted_socket(server._aiohttp_server, accepted)
+    await loop.connect_accepted_socket(server._connections, accepted)
     reader, writer = await asyncio.open_connection(sock=caller)
     await asyncio.sleep(delay)
     writer.write(REQUEST)
