Bound what HTTP callers make an entry instance hold

What callers saw: large bodies, heads, trailers or many connections made an entry instance hold up to 1.8 GB, take all its descriptors, or leave an ordinary request without an answer.

Cause: request slots count requests, not bytes: 2,000 slots of 1 MB. Heads, connections and the time of a head had no bound.

Change: the HTTP server is guarded as the gateway's is, by the same code. Settings limits.caller_bytes (32 MB), head_bytes (64 KB), connections (a share of the descriptors); caller_bytes must hold two of the largest bodies. A body for which there is no room is refused as `concurrency`, which is not run.

--- a/packages/wigeonarch-core/src/wigeonarch_core/options.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/options.py
@@ -62,6 +62,9 @@
     Attributes:
         body_bytes: Largest body of a caller's request.
         header_bytes: Largest header line of a caller's request.
+        head_bytes: Largest head of a caller's request, and what comes beside a body.
+        caller_bytes: Bytes that the instance holds for all callers together.
+        connections: Connections of callers to each server; 0 for a share of the descriptors.
         requests: Requests in progress at the same time.
         streams: Concurrent streams on one RPC connection.
         event_streams: Streamed responses in progress at the same time at the HTTP server.
@@ -75,6 +78,9 @@
 
     body_bytes: int = 1 << 20
     header_bytes: int = 8190
+    head_bytes: int = 65_536
+    caller_bytes: int = 32 << 20
+    connections: int = 0
     requests: int = 2000
     streams: int = 1000
     event_streams: int = 1000
--- a/packages/wigeonarch-core/src/wigeonarch_core/settings.py
+++ b/packages/wigeonarch-core/src/wigeonarch_core/settings.py
@@ -81,6 +81,9 @@
 RANGES: Final[dict[str, Range]] = {
     "$.limits.body_bytes": COUNT,
     "$.limits.header_bytes": Range(least=256),
+    "$.limits.head_bytes": Range(least=256),
+    "$.limits.caller_bytes": COUNT,
+    "$.limits.connections": NOT_NEGATIVE,
     "$.limits.requests": COUNT,
     "$.limits.streams": COUNT,
     "$.limits.event_streams": COUNT,
@@ -155,6 +158,16 @@
         lambda o: o.timing.peer_timeout > 2 * o.timing.heartbeat,
         "must be more than two heartbeats",
     ),
+    Check(
+        "$.limits.caller_bytes",
+        lambda o: o.limits.caller_bytes >= 2 * o.limits.body_bytes,
+        "must be at least twice body_bytes, or the largest request could not be served",
+    ),
+    Check(
+        "$.limits.head_bytes",
+        lambda o: o.limits.head_bytes >= o.limits.header_bytes,
+        "must be at least header_bytes",
+    ),
     Check(
         "$.timing.max_deadline",
         lambda o: o.timing.max_deadline >= o.timing.default_deadline,
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/httpserver.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/httpserver.py
@@ -1,7 +1,8 @@
 """HTTP server for callers: OpenAI-compatible completions, service calls, models, metrics, probes.
 
 Every handler of requests takes a request slot before it reads the body, so that bodies still being
-received count towards the limit too. When a caller disconnects, or reads nothing for
+received count towards the limit too. What callers make the instance hold is bounded besides (see
+`runtime.guarded_server`). When a caller disconnects, or reads nothing for
 `timing.write_timeout`, its request is cancelled, which also frees the engine it was using.
 """
 
@@ -21,10 +22,20 @@
 from wigeonarch_core.entries import Adapter, EntryKey, EntryKind
 from wigeonarch_core.options import Options
 from wigeonarch_core.outcomes import Answered, NotRun, Outcome, Reason
+from wigeonarch_runtime.caller_memory import CallerMemory
 from wigeonarch_runtime.clock import monotonic
+from wigeonarch_runtime.guarded_server import (
+    LINGER_TIME,
+    BodyRefusal,
+    GuardedServer,
+    ServerBounds,
+    connection_of,
+    read_body,
+)
 from wigeonarch_runtime.timeouts import timeout_after
 
 from wigeonarch_entry.admission_gate import AdmissionGate
+from wigeonarch_entry.caller_bounds import HTTP_SHARE, connection_bound
 from wigeonarch_entry.completions import (
     CompletionRequest,
     ResponseBuilder,
@@ -38,6 +49,7 @@
 from wigeonarch_entry.httperrors import (
     OUTCOME_HEADER,
     STREAM_STARTED,
+    Handler,
     error_doc,
     error_middleware,
     error_response,
@@ -51,6 +63,7 @@
     BAD_BODY,
     BODY_TIMED_OUT,
     CALLER_NOT_READING,
+    NO_ROOM,
     REASON_TEXTS,
     TOO_MANY_STREAMS,
 )
@@ -59,8 +72,6 @@
 MAX_LISTED_MODELS: Final = 100_000
 REFUSAL_RETRY_AFTER: Final = 1.0  # Seconds.
 KEEP_ALIVE_TIMEOUT: Final = 75.0  # Seconds.
-# Seconds for which the rest of a refused body is still read, so that its caller reads the refusal.
-LINGER_TIMEOUT: Final = 3.0
 LISTEN_BACKLOG: Final = 1024
 SEND_BUFFER_BYTES: Final = 64 * 1024
 
@@ -69,10 +80,31 @@
 SSE_END: Final = b"data: [DONE]\n\n"
 
 
+BODY_REFUSALS: Final = {
+    BodyRefusal.TOO_LARGE: NotRun(Reason.TOO_LARGE),
+    BodyRefusal.TOO_SLOW: NotRun(Reason.DEADLINE, REFUSAL_RETRY_AFTER, BODY_TIMED_OUT),
+    BodyRefusal.NO_ROOM: NotRun(Reason.CONCURRENCY, REFUSAL_RETRY_AFTER, NO_ROOM),
+}
+
+
+@web.middleware
+async def _count_middleware(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Gives back what a request held once it has ended."""
+    try:
+        response = await handler(request)
+        # After a body that was not taken, the connection can't carry another request.
+        if not request.content.is_eof() and not response.prepared:
+            response.force_close()
+        return response
+    finally:
+        connection_of(request).request_ended()
+
+
 class HttpServer:
     """The HTTP server of an instance, with its handlers."""
 
     __slots__ = (
+        "_caller_memory",
         "_catalogue",
         "_dispatcher",
         "_free_request_slots",
@@ -82,6 +114,7 @@
         "_opts",
         "_refusals",
         "_runner",
+        "_server",
     )
 
     def __init__(
@@ -92,8 +125,19 @@
         metrics: Metrics,
         refusals: Refusals,
         gate: AdmissionGate,
+        caller_memory: CallerMemory,
     ) -> None:
-        """Makes the server; `gate` lets requests in when the instance may serve."""
+        """Makes the server.
+
+        Args:
+            opts: Settings of the instance.
+            catalogue: The configuration.
+            dispatcher: Runs requests.
+            metrics: Counters.
+            refusals: Records refused requests.
+            gate: Lets requests in when the instance may serve.
+            caller_memory: Account of what the instance holds for callers.
+        """
         self._opts = opts
         self._catalogue = catalogue
         self._dispatcher = dispatcher
@@ -102,12 +146,16 @@
         self._gate = gate
         self._free_request_slots = opts.limits.requests
         self._free_stream_slots = opts.limits.event_streams
+        self._caller_memory = caller_memory
         self._runner: web.AppRunner | None = None
+        self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Starts listening."""
         limits = self._opts.limits
-        app = web.Application(client_max_size=limits.body_bytes, middlewares=[error_middleware])
+        app = web.Application(
+            client_max_size=limits.body_bytes, middlewares=[_count_middleware, error_middleware]
+        )
         app.add_routes(
             [
                 web.post("/v1/completions", self._handle_completions),
@@ -122,21 +170,38 @@
         )
         self._runner = web.AppRunner(
             app,
-            access_log=None,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            keepalive_timeout=KEEP_ALIVE_TIMEOUT,
-            lingering_time=LINGER_TIMEOUT,
             # For responses that are still being sent when the server stops.
             shutdown_timeout=self._opts.timing.max_deadline,
             # A caller that disconnects cancels its handler, and so its request.
             handler_cancellation=True,
         )
         await self._runner.setup()
-        await web.SockSite(self._runner, _listen(self._opts.http)).start()
+        assert self._runner.server is not None
+        bounds = ServerBounds(
+            connection_bound(limits.connections, HTTP_SHARE),
+            head_bytes=limits.head_bytes,
+            head_time=self._opts.timing.body_timeout,
+            unread_time=self._opts.timing.write_timeout,
+        )
+        connections = GuardedServer(
+            self._runner.server,
+            self._caller_memory,
+            lambda: bounds,
+            {
+                "max_line_size": limits.header_bytes,
+                "max_field_size": limits.header_bytes,
+                "keepalive_timeout": KEEP_ALIVE_TIMEOUT,
+                "lingering_time": LINGER_TIME,
+            },
+            lambda reason: self._metrics.callers_ended.labels(reason.value).inc(),
+        )
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(connections, sock=_listen(self._opts.http))
 
     async def stop(self) -> None:
         """Stops the server; no request is in progress when this is called."""
+        if self._server is not None:
+            self._server.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -256,17 +321,14 @@
             self._free_request_slots += 1
 
     async def _read_body(self, http: web.Request) -> bytes | NotRun:
+        limits, timing = self._opts.limits, self._opts.timing
         try:
-            async with timeout_after(self._opts.timing.body_timeout):
-                return await http.read()
-        except web.HTTPRequestEntityTooLarge:
-            return NotRun(Reason.TOO_LARGE)
-        except TimeoutError:
-            return NotRun(Reason.DEADLINE, REFUSAL_RETRY_AFTER, BODY_TIMED_OUT)
+            body = await read_body(http, limits.body_bytes, timing.body_timeout)
         except web.RequestPayloadError:
             return NotRun(Reason.MALFORMED, detail=BAD_BODY)
         except (asyncio.IncompleteReadError, ConnectionError):
             return NotRun(Reason.CANCELLED)
+        return BODY_REFUSALS[body] if isinstance(body, BodyRefusal) else body
 
     def _refuse(self, outcome: NotRun) -> web.Response:
         """Refuses an HTTP request for which no `Request` was made."""
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/metrics.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/metrics.py
@@ -32,6 +32,12 @@
         self.refusals = Counter(
             "wigeonarch_refusals", "Requests not run, by reason", ["reason"], registry=reg
         )
+        self.callers_ended = Counter(
+            "wigeonarch_callers_ended",
+            "Connections of callers that were ended before their answer, by reason",
+            ["reason"],
+            registry=reg,
+        )
         self.retries = Counter(
             "wigeonarch_retries", "Retries of requests, by reason", ["reason"], registry=reg
         )
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/node.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/node.py
@@ -30,6 +30,7 @@
 from wigeonarch_core.options import Options
 from wigeonarch_core.outcomes import Reason
 from wigeonarch_core.serving_right import PlatformReachability
+from wigeonarch_runtime.caller_memory import CallerMemory
 from wigeonarch_runtime.logs import log
 
 from wigeonarch_entry.admission_gate import AdmissionGate
@@ -144,8 +145,9 @@
         )
         catalogue = self._configuration.catalogue
         refusals = Refusals(journal, metrics)
+        caller_memory = CallerMemory(lambda: opts.limits.caller_bytes)
         self._http_server = HttpServer(
-            opts, catalogue, self._dispatcher, metrics, refusals, self._gate
+            opts, catalogue, self._dispatcher, metrics, refusals, self._gate, caller_memory
         )
         deps = Dependencies(
             opts,
