Bound what RPC callers make an entry instance hold, by a relay before the library

What callers saw: RPC messages that stop before their end, or many whole ones, and connections that say nothing, filled an entry instance or took all its descriptors.

Cause: the RPC library bounds a message and the calls of one connection. It bounds neither connections nor the sum, and reads each message whole before any code of ours is asked.

Change: callers connect to a relay in the same process, which passes bytes on over a socket in a folder of its own. By the heads of frames it knows which calls are open, whose request is whole and what they hold, counts that three times in the account of the process, and ends connections by the same rule: held longest and most, a request not whole in time, idle for longest when there are too many.

Ruled out: the library's bound on connections (idle ones would shut others out), handlers that read messages (they don't know how much has come).

--- a/packages/wigeonarch-entry/src/wigeonarch_entry/caller_bounds.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/caller_bounds.py
@@ -10,8 +10,10 @@
 
 FILE_DESCRIPTORS: Final = 200  # Descriptors that are no sockets, and are not shared out.
 MIN_CONNECTIONS: Final = 4
-# Share of the descriptors. Each request may need one more, for an endpoint.
+# Shares of the descriptors. Each request may need one more, for an endpoint, and a connection of an
+# RPC caller takes three.
 HTTP_SHARE: Final = 0.3
+RPC_SHARE: Final = 0.08
 
 
 def connection_bound(stated: int, share: float) -> int:
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/node.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/node.py
@@ -161,7 +161,11 @@
             self._gate,
             self.drain,
         )
-        self._rpc_server = RpcServer(deps)
+        self._rpc_server = RpcServer(
+            deps,
+            caller_memory,
+            lambda reason: metrics.callers_ended.labels(reason.value).inc(),
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._handlers = {
             GrantRequest: self._owner_duties.handle_grant_request,
