Forget the connections of malformed requests

What callers saw: nothing yet; each malformed request left its connection's state in the gateway for ever, so that enough of them fill a process.

Cause: a connection was noted as busy when any request was made, also by the library for a head that it can't parse, and forgotten only by our handler, which such a request never reaches.

Change: whether a connection is busy is told by what the guarded server counts on it. The set and the look into the library's queue are gone.

After: none is kept. Resident memory still grows by less than 1 MB in 120 such connections after the first thousand; no object of ours is left behind (counted after a collection), so that this is likely the allocator.

--- a/packages/wigeonarch-gateway/src/wigeonarch_gateway/http_server.py
+++ b/packages/wigeonarch-gateway/src/wigeonarch_gateway/http_server.py
@@ -16,18 +16,17 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
-from typing import Final
+from typing import Final, cast
 
 from aiohttp import web
-from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import HttpVersion11, RawRequestMessage
-from aiohttp.streams import StreamReader
+from aiohttp.http import HttpVersion11
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 from wigeonarch_runtime.clock import monotonic
 from wigeonarch_runtime.guarded_server import (
     LINGER_TIME,
     BodyRefusal,
+    GuardedConnection,
     GuardedServer,
     connection_of,
     read_body,
@@ -155,7 +154,6 @@
         self._server: asyncio.Server | None = None
         self._aiohttp_server = web.Server(
             self._handle,
-            request_factory=self._make_request,
             handler_cancellation=True,
         )
         self._connections = GuardedServer(
@@ -172,7 +170,6 @@
             guard.on_ended,
             guard.refusal_headers,
         )
-        self._busy_connections: set[RequestHandler] = set()
         # By the last `stop_accepting`.
         self._seen_connections: set[RequestHandler] = set()
         self._stopped_accepting = False
@@ -199,9 +196,8 @@
             self._server.close()
         connections = set(self._aiohttp_server.connections)
         for conn in connections & self._seen_connections:
-            # A request that was parsed but not yet handled is in the connection's queue, for which
-            # aiohttp has no public name. Closing such a connection would abort the request.
-            if conn in self._busy_connections or conn._messages:
+            # Closing a connection would abort a request that was parsed, handled or not.
+            if cast(GuardedConnection, conn).is_busy:
                 conn.close()
             else:
                 conn.force_close()
@@ -232,22 +228,9 @@
             response.abort()
         finally:
             self.in_progress -= 1
-            self._busy_connections.discard(request.protocol)
             connection_of(request).request_ended()
         return response.response or web.Response(status=500)
 
-    def _make_request(
-        self,
-        message: RawRequestMessage,
-        payload: StreamReader,
-        protocol: RequestHandler,
-        writer: AbstractStreamWriter,
-        task: asyncio.Task[None],
-    ) -> web.BaseRequest:
-        self._busy_connections.add(protocol)
-        loop = asyncio.get_running_loop()
-        return web.BaseRequest(message, payload, protocol, writer, task, loop)
-
     async def _read_body(self, request: web.BaseRequest) -> bytes | BodyRefusal:
         """Returns the complete body, or why it is not taken; a body for nobody is not read."""
         if not self._guard.reads_body(request.remote or ""):
--- a/packages/wigeonarch-runtime/src/wigeonarch_runtime/guarded_server.py
+++ b/packages/wigeonarch-runtime/src/wigeonarch_runtime/guarded_server.py
@@ -333,6 +333,11 @@
             finally:
                 self._body_scope = None
 
+    @property
+    def is_busy(self) -> bool:
+        """Tells whether a request was received whose handler has not ended."""
+        return bool(self._live)
+
     @property
     def end_reason(self) -> EndReason | None:
         """Returns why the connection is being ended; None if it is not."""
--- a/tests/test_gateway_passing.py
+++ b/tests/test_gateway_passing.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 
 import aiohttp
 import pytest
+from aiohttp.web_protocol import RequestHandler
 from gateway_world import HOST, World, configuration, route, until, until_true, world
 from standins.replica import Replica, ReplicaFault
 from standins.store import StoreFault
@@ -381,3 +383,20 @@
         assert not request.done()
         retries.set_bounds(1.0, 100.0, 10.0)
         assert (await request).status == 200
+
+
+async def test_connections_with_malformed_requests_are_not_kept() -> None:
+    async with world() as deployment:
+        host, _, port = deployment.options[0].front.rpartition(":")
+        before = _count_connections()
+        for _ in range(30):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"POST /ask/x HTTP/1.1\r\nHost: x\r\nno header\r\n\r\n")
+            assert b" 400 " in await reader.read()
+            writer.close()
+        await until_true(lambda: _count_connections() < before + 10)
+
+
+def _count_connections() -> int:
+    gc.collect()
+    return sum(isinstance(found, RequestHandler) for found in gc.get_objects())
