Log a malformed request in one line

What callers saw: nothing; an operator saw twenty lines of traceback for each request that is no HTTP, written past the bounded log, so that a crowd of them also filled the log and could block on it.

Cause: the HTTP library logs such a request with its traceback over the standard library's logging, which has no bound here.

Evidence: each 400 in the crowds' logs has its traceback.

Change: one line malformed_request, or request_failed with the place for what nobody expected, over our log, which is bounded.

After: 237 tests of the gateway's passing, stopping, hand-over, guarded server and pages hold.

--- a/packages/wigeonarch-runtime/src/wigeonarch_runtime/guarded_server.py
+++ b/packages/wigeonarch-runtime/src/wigeonarch_runtime/guarded_server.py
@@ -19,6 +19,8 @@
 
 import asyncio
 import enum
+import sys
+import traceback
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
@@ -27,6 +29,7 @@
 
 from aiohttp import web
 from aiohttp.http import RawRequestMessage
+from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 
@@ -47,6 +50,7 @@
 OVERHEAD_PER_BODY_BYTE: Final = 16
 # Seconds for which the rest of a refused body is still read, so that its caller reads the refusal.
 LINGER_TIME: Final = 2.0
+MAX_ERROR_CHARS: Final = 200  # Of an error, in a log line.
 # Seconds between the end of a time limit and the closing: what has arrived is read before.
 GRACE_TIME: Final = 0.25
 
@@ -238,6 +242,17 @@
         else:
             super()._resume_transport_reading()
 
+    def log_exception(self, *args: Any, **kw: Any) -> None:
+        """Logs in one line what the library would log with a traceback for each bad request."""
+        exc = kw.get("exc_info") or sys.exc_info()[1]
+        if isinstance(exc, HttpProcessingError):
+            log("malformed_request", "INFO", error=type(exc).__name__)
+            return
+        frames = traceback.extract_tb(exc.__traceback__) if isinstance(exc, Exception) else []
+        where = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+        error = repr(exc) if exc is not None else str(args[0])
+        log("request_failed", "ERROR", error=error[:MAX_ERROR_CHARS], where=where)
+
     # Parsing.
 
     def _request_turn(self) -> None:
