Go on with others' turns after one that fails; take empty lines for no head

If parsing raised in a turn, no connection had a turn again, so that large requests hung. An empty line after a request began the time of a head: its idle connection was answered 408 and closed after some seconds, though the library skips such lines.

Change: the next turn is scheduled before one is taken, and a connection that can't be parsed is reset, as the event loop does; empty lines before a head count for nothing.

Evidence: both tests fail before (1 of 1 each), hold after; 65 tests of the guarded server and of passing hold.

--- a/packages/wigeonarch-runtime/src/wigeonarch_runtime/guarded_server.py
+++ b/packages/wigeonarch-runtime/src/wigeonarch_runtime/guarded_server.py
@@ -109,11 +109,12 @@
             self._loop.call_soon(self._run)
 
     def _run(self) -> None:
-        self._waiting.popleft()()
+        parse = self._waiting.popleft()
         self._is_scheduled = bool(self._waiting)
         if self._is_scheduled:
             # The sockets are read before the next turn, as in each iteration of the event loop.
             self._loop.call_soon(self._run)
+        parse()
 
 
 @dataclass(slots=True)
@@ -266,7 +267,12 @@
             self._backlog = _Backlog()
         # While the body is paused, its reader asks for the next turn.
         elif self._backlog.size and not (self._reading_paused or self._buffer_paused):
-            self._parse(self._backlog.take(SLICE_BYTES))
+            try:
+                self._parse(self._backlog.take(SLICE_BYTES))
+            except Exception:
+                # The event loop does the same where a connection can't take what it has read.
+                self._abort()
+                raise
             if self._backlog.size:
                 self._request_turn()
                 return
@@ -283,7 +289,8 @@
             self._note_messages(self._request_count - before, len(data))
         elif payload is not None and in_body:
             self._note_body(payload, body_before, len(data))
-        elif data:
+        # Empty lines before a head are no part of it.
+        elif self._beside or data.strip(b"\r\n"):
             self._note_head(len(data))
         self._count()
 
--- a/tests/test_guarded_server.py
+++ b/tests/test_guarded_server.py
@@ -16,6 +16,7 @@
     EndReason,
     GuardedServer,
     ServerBounds,
+    Turns,
     connection_of,
     read_body,
 )
@@ -226,3 +227,30 @@
             while server.memory.held:  # noqa: ASYNC110 - it changes as the socket closes.
                 await asyncio.sleep(0.01)
         writer.transport.abort()
+
+
+async def test_others_have_their_turn_though_one_can_not_be_parsed() -> None:
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda loop, context: None)
+    turns, done = Turns(loop), list[str]()
+
+    def fail() -> None:
+        raise RuntimeError("a part that can't be parsed")
+
+    turns.request(fail)
+    turns.request(lambda: done.append("second"))
+    await asyncio.sleep(0.01)
+    turns.request(lambda: done.append("third"))
+    await asyncio.sleep(0.01)
+    assert done == ["second", "third"]
+
+
+async def test_empty_lines_after_a_request_do_not_end_its_connection() -> None:
+    async with running(ServerBounds(100, head_time=0.1)) as server:
+        reader, writer = await connect(server)
+        for _ in range(2):
+            writer.write(encode(b"x", 0) + b"\r\n")
+            assert await read_response(reader) == (200, b"x")
+            await asyncio.sleep(0.6)  # Longer than the time of a head.
+        assert server.ended == []
+        writer.close()
