--- a/tests/test_guarded_server.py
+++ b/tests/test_guarded_server.py
@@ -249,8 +249,9 @@
     async with running(ServerBounds(100, head_time=0.1)) as server:
         reader, writer = await connect(server)
         for _ in range(2):
-            writer.write(encode(b"x", 0) + b"\r\n")
+            writer.write(encode(b"x", 0))
             assert await read_response(reader) == (200, b"x")
+            writer.write(b"\r\n")
             await asyncio.sleep(0.6)  # Longer than the time of a head.
         assert server.ended == []
         writer.close()
