Leave room for small callers beside whole RPC messages; drop a wait that never came

What callers saw: whole messages of RPC calls that the instance was serving could take the whole account, so that small callers of both interfaces were refused for as long as the calls lasted.

Cause: the rule that whole large requests hold at most three quarters of the account was asked for HTTP requests only.

Change: the relay asks the same rule when a request becomes whole, for all whole requests of its connection; the frame that would make it whole is not passed on if it is refused, so that it has not run.

Evidence: test_large_whole_messages_leave_room_for_small_ones fails before (12 of 12 messages taken), holds after; 6 of 6 RPC crowds hold. For HTTP, on the gateway too, the rule gives what it gave: a connection counts nothing when it asks.

--- a/packages/wigeonarch-entry/src/wigeonarch_entry/rpcframes.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/rpcframes.py
@@ -89,15 +89,17 @@
 
     Attributes:
         head_bytes: Bytes of the head that is being received.
+        whole_size: Bytes of the requests that are whole.
     """
 
-    __slots__ = ("_incomplete", "_sizes", "_whole", "head_bytes")
+    __slots__ = ("_incomplete", "_sizes", "_whole", "head_bytes", "whole_size")
 
     def __init__(self) -> None:
         self._incomplete: dict[int, _Call] = {}  # By their beginning.
         self._whole: dict[int, _Call] = {}
         self._sizes = 0
         self.head_bytes = 0
+        self.whole_size = 0
 
     def __len__(self) -> int:
         return len(self._incomplete) + len(self._whole)
@@ -129,7 +131,8 @@
         if frame.kind in (HEADERS, CONTINUATION) and frame.flags & END_HEADERS:
             self.head_bytes = 0
         if frame.ends_stream and frame.stream in self._incomplete:
-            self._whole[frame.stream] = self._incomplete.pop(frame.stream)
+            call = self._whole[frame.stream] = self._incomplete.pop(frame.stream)
+            self.whole_size += call.size
 
     def note_server_frame(self, frame: Frame) -> None:
         """Takes in a frame of the server."""
@@ -137,6 +140,10 @@
             self._forget(frame.stream)
 
     def _forget(self, stream: int) -> None:
-        call = self._incomplete.pop(stream, None) or self._whole.pop(stream, None)
-        if call is not None:
-            self._sizes -= call.size
+        incomplete = self._incomplete.pop(stream, None)
+        whole = self._whole.pop(stream, None)
+        if incomplete is not None:
+            self._sizes -= incomplete.size
+        if whole is not None:
+            self._sizes -= whole.size
+            self.whole_size -= whole.size
--- a/packages/wigeonarch-entry/src/wigeonarch_entry/rpcrelay.py
+++ b/packages/wigeonarch-entry/src/wigeonarch_entry/rpcrelay.py
@@ -53,10 +53,10 @@
         self._caller.server_closed()
 
     def pause_writing(self) -> None:
-        self._caller.set_reading(False)
+        self._caller.server_waits(True)
 
     def resume_writing(self) -> None:
-        self._caller.set_reading(True)
+        self._caller.server_waits(False)
 
 
 class _CallerSide(asyncio.Protocol):
@@ -74,7 +74,9 @@
         self._connecting: asyncio.Task[None] | None = None
         self._early: list[bytes] = []  # Bytes that came before the server was connected.
         self._end_reason: EndReason | None = None
-        self._waits_for_room = False
+        # Why nothing is read from the caller for the moment.
+        self._is_connecting = True
+        self._server_waits = False
         self.calls = OpenCalls()
         self.holding = Holding(self._end_for_room, 0.0)
         self._requests = FrameReader(
@@ -132,14 +134,10 @@
         if self._transport is not None:
             self._transport.close()
 
-    def set_reading(self, reads: bool) -> None:
-        """Reads on or waits, as the server does."""
-        if self._transport is None or self._transport.is_closing():
-            return
-        if reads and not self._waits_for_room:
-            self._transport.resume_reading()
-        else:
-            self._transport.pause_reading()
+    def server_waits(self, waits: bool) -> None:
+        """Reads no more from the caller while the server doesn't take what was read."""
+        self._server_waits = waits
+        self._update_reading()
 
     def end(self, reason: EndReason) -> None:
         """Resets the connection."""
@@ -151,13 +149,10 @@
         self._transport.abort()
 
     def sweep(self, now: float) -> None:
-        """Ends the connection if a request takes too long; reads on if there is room again."""
+        """Ends the connection if a request takes too long."""
         since = self.calls.incomplete_since
         if since is not None and now - since > self._relay.bounds.head_time:
             self.end(EndReason.HEAD_TOO_SLOW)
-        elif self._waits_for_room and not self._relay.memory.is_full():
-            self._waits_for_room = False
-            self.set_reading(True)
 
     def _end_for_room(self) -> None:
         self.end(EndReason.NO_ROOM)
@@ -175,10 +170,26 @@
         if self._server.transport is not None:
             self._server.transport.writelines(self._early)
         self._early.clear()
-        self.set_reading(True)
+        self._is_connecting = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._is_connecting or self._server_waits:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def _count(self) -> None:
         now, was_idle = monotonic(), self.holding.may_end and not self.holding.held
+        whole = COPIES * self.calls.whole_size
+        if whole < self.holding.serving:
+            self._relay.memory.stop_serving(self.holding, whole)
+        elif whole > self.holding.serving and not self._relay.memory.may_serve(self.holding, whole):
+            # What made the request whole is not passed on, so it has not run.
+            self.end(EndReason.NO_ROOM)
+            return
         since = self.calls.incomplete_since
         self.holding.may_end = since is not None or not self.calls
         if since is not None:
@@ -186,9 +197,6 @@
         elif not self.calls and not was_idle:
             self.holding.since = now
         self._relay.memory.set_held(self.holding, COPIES * self.calls.size, now)
-        if since is not None and self._relay.memory.is_full():
-            self._waits_for_room = True
-            self.set_reading(False)
 
 
 class RpcRelay:
--- a/packages/wigeonarch-runtime/src/wigeonarch_runtime/caller_memory.py
+++ b/packages/wigeonarch-runtime/src/wigeonarch_runtime/caller_memory.py
@@ -104,31 +104,32 @@
             self.close(victim)
             victim.end()
 
-    def is_full(self) -> bool:
-        """Tells whether more is held than the limit, as nothing more could be ended."""
-        return self.held > self._limit()
-
     def may_serve(self, holding: Holding, size: int) -> bool:
-        """Tells whether a whole request may be served, and counts it until `stop_serving`.
+        """Tells whether whole requests may be served, and counts them until `stop_serving`.
 
         Args:
-            holding: What its connection holds.
-            size: Size of the request, in bytes.
+            holding: What their connection holds.
+            size: Size of all whole requests of the connection, in bytes.
         """
-        is_large = size > SMALL_BYTES
-        if is_large and self._serving and self._serving + size > self._limit() * LARGE_SHARE:
+        others = self._serving - holding.serving
+        if size > SMALL_BYTES and others and others + size > self._limit() * LARGE_SHARE:
             self.refused += 1
             return False
-        self._serving += size - holding.serving
+        self._serving = others + size
         holding.serving = size
         holding.may_end = False
         return True
 
-    def stop_serving(self, holding: Holding) -> None:
-        """Records that the request of a connection has ended."""
-        self._serving -= holding.serving
-        holding.serving = 0
-        holding.may_end = True
+    def stop_serving(self, holding: Holding, left: int = 0) -> None:
+        """Records that requests of a connection have ended.
+
+        Args:
+            holding: What the connection holds.
+            left: Size of those that are still being served, in bytes.
+        """
+        self._serving += left - holding.serving
+        holding.serving = left
+        holding.may_end = not left
 
     def _costliest(self, now: float) -> Holding | None:
         found = [holding for holding in self._holdings if holding.may_end and holding.held]
