--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -384,6 +384,8 @@
         super().__init__(name, service, zone, record)
         self.slots = 64
         self.events = 20
+        self.pause = 0.02
+        self.software = "v1"
         self.held: dict[str, float] = {}
         self.in_use: dict[str, int] = {}
         self.orders: list[tuple[dict[str, Any], int]] = []
@@ -396,7 +398,7 @@
         return [{"name": MODEL, "version": 1, "adapters": ready}]
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
-        return {**super().entry(state), "models": self.models()}
+        return {**super().entry(state), "models": self.models(), "version": self.software}
 
     async def serve(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         if request.headers.get("x-expect-instance", self.name) == self.name:
@@ -456,7 +458,8 @@
         return 200
 
     async def write_stream(self, request: Request, writer: asyncio.StreamWriter) -> bool:
-        """Answers a request by a stream of events, in chunks."""
+        """Answers a request by a stream of events, in chunks; goes on after `Last-Event-Id`."""
+        first = int(request.headers.get("last-event-id", "0")) + 1
         adapter = request.headers.get("x-model", "").partition("/")[2]
         self.in_use[adapter] = self.in_use.get(adapter, 0) + 1
         try:
@@ -464,9 +467,10 @@
             lines += [f"{name}: {value}" for name, value in self.head(request).items()]
             lines.append("Transfer-Encoding: chunked")
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
-            for number in range(1, self.events + 1):
-                await asyncio.sleep(0.02)
-                event = f"id: {number}\ndata: {request.id}\n\n".encode("latin-1")
+            for number in range(first, self.events + 1):
+                await asyncio.sleep(self.pause)
+                text = f"id: {number}\ndata: {self.software} {request.id}\n\n"
+                event = text.encode("latin-1")
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
             writer.write(b"0\r\n\r\n")
@@ -629,7 +633,7 @@
 
 
 def configuration(version: int = 4) -> dict[str, Any]:
-    """Returns three of the routes of sites/gm-blendhouse.toml."""
+    """Returns four of the routes of sites/gm-blendhouse.toml."""
     return {
         "version": version,
         "routes": [
@@ -639,6 +643,11 @@
                 **route("batch-sheet", "streaming", "blend-scribe", 1, 15000),
                 "slo_ms": 800, "sticky": True, "gap_target_ms": 250,
             },
+            {
+                **route("allergen-decl", "streaming", "blend-scribe", 2, 15000),
+                "slo_ms": 1000, "sticky": True, "gap_target_ms": 250, "resumable": True,
+                "priority": 1,
+            },
         ],
         "services": [
             {"name": "order-desk", "max_conns": 96},
