--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -13,10 +13,12 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -495,20 +497,54 @@
     return role["run"].split(), dict(role.get("env", {}))
 
 
+@dataclass(frozen=True)
+class Ports:
+    """The ports of all gateways, which are the same on all machines."""
+
+    front: int
+    ready: int
+    control: int
+    internal: int
+
+    @classmethod
+    def find(cls, hosts: list[str]) -> Ports:
+        """Returns ports that are free on all hosts."""
+        found: list[int] = []
+        while len(found) < 4:
+            port = random.randint(20_000, 30_000)
+            if port not in found and all(is_free(host, port) for host in hosts):
+                found.append(port)
+        return cls(*found)
+
+
+def is_free(host: str, port: int) -> bool:
+    """Tells whether a port can be bound by TCP and UDP."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                return False
+    return True
+
+
 class Gateway:
     """One gateway process, started by the deploy file's command."""
 
-    def __init__(self, name: str, zone: str, host: str, folder: Path, pairs: dict[str, str]) -> None:
+    def __init__(
+        self, name: str, zone: str, host: str, ports: Ports, folder: Path, pairs: dict[str, str]
+    ) -> None:
         self.name, self.zone, self.host = name, zone, host
-        self.front, self.ready = (host, 8149), (host, 8141)
+        self.front, self.ready = (host, ports.front), (host, ports.ready)
         self.starts = 0
         self.process: asyncio.subprocess.Process | None = None
         self.log = folder / f"{name}.log"
         self._settings = folder / f"{name}.conf"
         own = {
-            "node_name": name, "zone": zone, "ip": host, "internal_ports": "7380,7395",
-            "listen.front": f"{host}:8149", "listen.ready": f"{host}:8141",
-            "listen.control_addr": f"{host}:8144", **pairs,
+            "node_name": name, "zone": zone, "ip": host,
+            "internal_ports": f"{ports.internal},{ports.internal}",
+            "listen.front": f"{host}:{ports.front}", "listen.ready": f"{host}:{ports.ready}",
+            "listen.control_addr": f"{host}:{ports.control}", **pairs,
         }
         self._settings.write_text(SETTINGS + "\n".join(f"{k}={v}" for k, v in own.items()) + "\n")
 
@@ -705,13 +741,14 @@
             self.engines.append(engine)
             self.run(heartbeat(self.store, engine))
         hosts = [f"{self.prefix}.{10 + number}" for number in range(gateways)]
+        ports = Ports.find(hosts)
         pairs = {
-            "seeds": ",".join(f"{host}:8144" for host in hosts[:3]),
+            "seeds": ",".join(f"{host}:{ports.control}" for host in hosts[:3]),
             "platform.address": self.store.address,
         }
         for number, host in enumerate(hosts):
             zone = ZONES[number % len(ZONES)]
-            gateway = Gateway(f"edge-{zone}-{number}", zone, host, self.folder, pairs)
+            gateway = Gateway(f"edge-{zone}-{number}", zone, host, ports, self.folder, pairs)
             self.gateways.append(gateway)
             await gateway.start()
         for gateway in self.gateways:
@@ -759,8 +796,9 @@
                     await world.start(gateways, engines)
                     record.line(f"started trouble={int(TROUBLE)}")
                     return await play(world)
-            except (CouldNotRun, TimeoutError, OSError) as exc:
+            except Exception as exc:  # Whatever goes wrong here is no broken rule.
                 record.line(f"could not run: {exc!r}")
+                traceback.print_exc()
                 return NOT_RUN
             finally:
                 await world.stop()
